--- /dev/null
+++ b/src/core/cluster_state.cpp
@@ -0,0 +1,178 @@
+#include "core/cluster_state.hpp"
+
+#include <algorithm>
+#include <limits>
+
+namespace larchpin {
+namespace {
+
+constexpr unsigned max_weight = 1000;
+constexpr unsigned max_connection_limit = 1000;
+constexpr duration min_deadline = std::chrono::milliseconds{10};
+constexpr duration max_deadline = std::chrono::hours{1};
+constexpr std::size_t max_table_entries = 10'000;
+constexpr std::size_t max_name_length = 128;
+
+void remember(cluster_state& s, const std::string& change_id, const change_outcome& outcome) {
+    s.changes.push_back(remembered_change{.change_id = change_id, .outcome = outcome});
+    if (s.changes.size() > max_remembered_changes) {
+        s.changes.pop_front();
+    }
+}
+
+change_outcome apply_edit(cluster_state& s, revision_number index, const edit_table& edit) {
+    if (const auto earlier = find_change(s, edit.change_id)) {
+        return *earlier;
+    }
+    change_outcome outcome{.code = result_code::ok, .table_revision = s.table_revision, .revision = index};
+    if (edit.expected_revision != s.table_revision) {
+        outcome.code = result_code::revision_conflict;
+    } else if (!check_table(edit.next).empty()) {
+        outcome.code = result_code::table_invalid;
+    } else {
+        s.current = edit.next;
+        s.table_revision = index;
+        outcome.table_revision = index;
+    }
+    remember(s, edit.change_id, outcome);
+    return outcome;
+}
+
+result_code apply_group(cluster_state& s, const set_group& change) {
+    const auto found = s.groups.find(change.next.id);
+    if (found == s.groups.end()) {
+        if (change.expected_term != 0) {
+            return result_code::revision_conflict;
+        }
+        s.groups.emplace(change.next.id, change.next);
+        return result_code::ok;
+    }
+    const group_record& current = found->second;
+    if (current.term != change.expected_term || current.phase != change.expected_phase) {
+        return result_code::revision_conflict;
+    }
+    found->second = change.next;
+    auto& starts = found->second.starts;
+    while (starts.size() > max_term_starts) {
+        starts.erase(starts.begin());
+    }
+    return result_code::ok;
+}
+
+template <typename entries> bool sorted_unique(const entries& list) {
+    for (std::size_t i = 1; i < list.size(); ++i) {
+        if (!(list[i - 1].id < list[i].id)) {
+            return false;
+        }
+    }
+    return true;
+}
+
+template <typename entries, typename identifier> auto find_entry(const entries& list, const identifier& id) {
+    return std::find_if(list.begin(), list.end(), [&id](const auto& e) { return e.id == id; });
+}
+
+} // namespace
+
+change_outcome apply(cluster_state& s, revision_number index, const command& c) {
+    change_outcome outcome{.code = result_code::ok, .table_revision = s.table_revision, .revision = index};
+    s.revision = index;
+    if (const auto* edit = std::get_if<edit_table>(&c)) {
+        return apply_edit(s, index, *edit);
+    }
+    if (const auto* server = std::get_if<register_server>(&c)) {
+        s.servers[server->record.id] = server->record;
+    } else if (const auto* instance = std::get_if<register_instance>(&c)) {
+        s.instances[instance->record.id] = instance->record;
+    } else if (const auto* group = std::get_if<set_group>(&c)) {
+        outcome.code = apply_group(s, *group);
+    }
+    return outcome;
+}
+
+std::optional<change_outcome> find_change(const cluster_state& s, const std::string& change_id) {
+    const auto found = std::find_if(s.changes.begin(), s.changes.end(),
+                                    [&change_id](const auto& c) { return c.change_id == change_id; });
+    if (found == s.changes.end()) {
+        return std::nullopt;
+    }
+    return found->outcome;
+}
+
+std::string check_table(const table& t) {
+    if (t.services.size() > max_table_entries || t.servers.size() > max_table_entries) {
+        return "more than 10000 entries";
+    }
+    if (!sorted_unique(t.services) || !sorted_unique(t.servers)) {
+        return "an entry stands twice";
+    }
+    for (const service_entry& s : t.services) {
+        if (s.id.value.empty() || s.id.value.size() > max_name_length) {
+            return "a service's name must have 1 to 128 characters";
+        }
+        if (s.max_connections < 1 || s.max_connections > max_connection_limit) {
+            return "service " + s.id.value + ": max_connections must be 1 to 1000";
+        }
+        if (s.deadline < min_deadline || s.deadline > max_deadline) {
+            return "service " + s.id.value + ": deadline_ms must be 10 to 3600000";
+        }
+        if (s.max_staleness < duration{0} || s.max_staleness > max_deadline) {
+            return "service " + s.id.value + ": max_staleness_ms must be 0 to 3600000";
+        }
+        if (s.background_share < 1 || s.background_share > 100) {
+            return "service " + s.id.value + ": background_share must be 1 to 100";
+        }
+    }
+    for (const server_entry& s : t.servers) {
+        if (s.id.value.empty() || s.id.value.size() > max_name_length) {
+            return "a server's name must have 1 to 128 characters";
+        }
+        if (s.weight > max_weight) {
+            return "server " + s.id.value + ": weight must be 0 to 1000";
+        }
+    }
+    return {};
+}
+
+const service_entry* find_service(const table& t, const service_id& id) {
+    const auto found = find_entry(t.services, id);
+    return found == t.services.end() ? nullptr : &*found;
+}
+
+server_entry server_settings(const table& t, const server_id& id) {
+    const auto found = find_entry(t.servers, id);
+    if (found != t.servers.end()) {
+        return *found;
+    }
+    server_entry defaults;
+    defaults.id = id;
+    return defaults;
+}
+
+std::vector<server_record> servers_of(const cluster_state& s, const group_id& group) {
+    std::vector<server_record> found;
+    for (const auto& [id, record] : s.servers) {
+        if (record.group == group) {
+            found.push_back(record);
+        }
+    }
+    return found;
+}
+
+std::optional<log_position> surviving_position(const group_record& group, term_number term) {
+    if (term == group.term) {
+        return std::numeric_limits<log_position>::max();
+    }
+    if (term > group.term || group.starts.empty() || term + 1 < group.starts.front().term) {
+        return std::nullopt;
+    }
+    log_position lowest = std::numeric_limits<log_position>::max();
+    for (const term_start& start : group.starts) {
+        if (start.term > term) {
+            lowest = std::min(lowest, start.position);
+        }
+    }
+    return lowest;
+}
+
+} // namespace larchpin
--- /dev/null
+++ b/src/core/cluster_state.hpp
@@ -0,0 +1,174 @@
+// The state that control agrees on: the operators' table and one record per group, server and instance.
+//
+// Every daemon holds a copy and applies the same commands in the same order, so apply() must depend on
+// nothing but its arguments. A command that comes too late (another edit, another term) changes nothing.
+//
+// Index
+//   [table]  [records]  [commands]  [functions]
+#pragma once
+
+#include "core/result_codes.hpp"
+#include "core/types.hpp"
+
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace larchpin {
+
+//-----------------------------------------------------------------------------
+// [table] what operators edit
+//-----------------------------------------------------------------------------
+
+struct service_entry {
+    service_id id;
+    unsigned max_connections = 20; // to one backend server, over all daemons, 1..1000
+    duration deadline = std::chrono::seconds{5}; // per request, 10 ms..1 h
+    duration max_staleness{0};     // of reads that state nothing else; 0: read-your-writes
+    bool write_safety = false;     // acknowledge only what a second failure domain holds
+    unsigned background_share = 50; // percent of a daemon's connections for class "background", 1..100
+    auto operator<=>(const service_entry&) const = default;
+};
+
+struct server_entry {
+    server_id id;
+    unsigned weight = 100; // share of reads beside the other replicas, 0..1000; 0: no reads
+    bool leaving = false;  // gets no new work
+    auto operator<=>(const server_entry&) const = default;
+};
+
+struct table {
+    std::vector<service_entry> services; // sorted by id, unique
+    std::vector<server_entry> servers;   // sorted by id, unique; servers without an entry get defaults
+    bool operator==(const table&) const = default;
+};
+
+//-----------------------------------------------------------------------------
+// [records] what the system itself keeps
+//-----------------------------------------------------------------------------
+
+struct server_record {
+    server_id id;
+    group_id group;
+    std::string host; // IP number
+    std::uint16_t port = 0;
+    failure_domain domain;
+    auto operator<=>(const server_record&) const = default;
+};
+
+// An instance keeps its record for good, so that what it may do while cut off is known.
+struct instance_record {
+    instance_id id;
+    failure_domain domain;
+    std::string address; // "ip:port" of the peer listener
+    auto operator<=>(const instance_record&) const = default;
+};
+
+enum class group_phase : std::uint8_t {
+    serving = 0, // the primary of this term takes writes
+    fencing = 1, // no writes; a new primary is being chosen
+};
+
+// Where a term's log begins: a session that saw more of an older term saw writes that are lost.
+struct term_start {
+    term_number term = 0;
+    log_position position = 0;
+    auto operator<=>(const term_start&) const = default;
+};
+
+struct group_record {
+    group_id id;
+    term_number term = 0;
+    server_id primary;
+    group_phase phase = group_phase::serving;
+    std::uint64_t timeline = 0;     // the primary's own count of promotions
+    std::vector<term_start> starts; // oldest first, the last max_term_starts
+    auto operator<=>(const group_record&) const = default;
+};
+
+constexpr std::size_t max_term_starts = 16;
+constexpr std::size_t max_remembered_changes = 4096;
+
+struct change_outcome {
+    result_code code = result_code::ok;
+    revision_number table_revision = 0; // of the table after it
+    revision_number revision = 0;       // index at which it was applied
+    auto operator<=>(const change_outcome&) const = default;
+};
+
+struct remembered_change {
+    std::string change_id;
+    change_outcome outcome;
+    auto operator<=>(const remembered_change&) const = default;
+};
+
+struct cluster_state {
+    revision_number revision = 0;       // index of the last command applied
+    revision_number table_revision = 0; // index of the last table edit that was taken
+    table current;
+    std::map<group_id, group_record> groups;
+    std::map<server_id, server_record> servers;
+    std::map<instance_id, instance_record> instances;
+    std::deque<remembered_change> changes; // oldest first, bounded
+    bool operator==(const cluster_state&) const = default;
+};
+
+//-----------------------------------------------------------------------------
+// [commands]
+//-----------------------------------------------------------------------------
+
+struct edit_table {
+    std::string change_id;                 // the same id means the same change: it is decided once
+    revision_number expected_revision = 0; // of the table that was edited
+    table next;
+    bool operator==(const edit_table&) const = default;
+};
+
+struct register_server {
+    server_record record;
+    bool operator==(const register_server&) const = default;
+};
+
+struct register_instance {
+    instance_record record;
+    bool operator==(const register_instance&) const = default;
+};
+
+// Takes effect only while the group is still as the proposer saw it.
+struct set_group {
+    term_number expected_term = 0;
+    group_phase expected_phase = group_phase::serving;
+    group_record next;
+    bool operator==(const set_group&) const = default;
+};
+
+using command = std::variant<std::monostate, edit_table, register_server, register_instance, set_group>;
+
+//-----------------------------------------------------------------------------
+// [functions]
+//-----------------------------------------------------------------------------
+
+// Applies one command at its index. The outcome's code is ok or says why nothing changed.
+change_outcome apply(cluster_state& s, revision_number index, const command& c);
+
+// The outcome of an earlier edit with this id.
+std::optional<change_outcome> find_change(const cluster_state& s, const std::string& change_id);
+
+// An empty string, or the rule that the table breaks.
+std::string check_table(const table& t);
+
+const service_entry* find_service(const table& t, const service_id& id);
+
+// The operators' entry, or the defaults where there is none.
+server_entry server_settings(const table& t, const server_id& id);
+
+std::vector<server_record> servers_of(const cluster_state& s, const group_id& group);
+
+// The largest position of `term` that later terms still hold; nothing where the term is unknown.
+// A session beyond it has seen writes that are lost.
+std::optional<log_position> surviving_position(const group_record& group, term_number term);
+
+} // namespace larchpin
--- /dev/null
+++ b/src/core/control.cpp
@@ -0,0 +1,579 @@
+// Decisions of the leading control instance: see control.hpp.
+//
+// Index
+//   [leases]  [registration]  [shares]  [detection]  [failover]  [public functions]
+#include "core/control.hpp"
+
+#include "core/lease.hpp"
+#include "core/rendezvous.hpp"
+
+#include <algorithm>
+
+namespace larchpin {
+namespace {
+
+constexpr std::size_t max_unconfirmed_replies = 32;
+
+//-----------------------------------------------------------------------------
+// [leases]
+//-----------------------------------------------------------------------------
+
+void note_granted(daemon_state& d, revision_number revision, time_point until) {
+    if (!d.leases.empty() && d.leases.back().revision == revision) {
+        d.leases.back().until = std::max(d.leases.back().until, until);
+    } else {
+        d.leases.push_back({.revision = revision, .until = until});
+    }
+}
+
+void forget_old_leases(daemon_state& d, time_point now) {
+    while (!d.leases.empty() && d.leases.front().until <= now) {
+        d.leases.pop_front();
+    }
+}
+
+// A grant of an older revision may still be acted upon until it runs out, unless the daemon has confirmed.
+bool may_act_on_older(const daemon_state& d, revision_number revision, time_point now) {
+    if (d.confirmed >= revision) {
+        return false;
+    }
+    return std::any_of(d.leases.begin(), d.leases.end(), [revision, now](const granted_lease& g) {
+        return g.revision < revision && g.until > now;
+    });
+}
+
+//-----------------------------------------------------------------------------
+// [registration]
+//-----------------------------------------------------------------------------
+
+void register_if_new(control_state& c, const cluster_state& s, const instance_record& record,
+                     control_actions& actions) {
+    const auto known = s.instances.find(record.id);
+    const bool same = known != s.instances.end() && known->second == record;
+    if (same || c.proposed_instances.contains(record.id)) {
+        return;
+    }
+    c.proposed_instances.insert(record.id);
+    actions.emplace_back(propose_command{register_instance{record}});
+}
+
+void register_if_new(control_state& c, const cluster_state& s, const server_record& record,
+                     control_actions& actions) {
+    const auto known = s.servers.find(record.id);
+    if (known != s.servers.end() && known->second == record) {
+        return;
+    }
+    const auto proposed = c.proposed_servers.find(record.id);
+    if (proposed != c.proposed_servers.end() && proposed->second == record) {
+        return;
+    }
+    c.proposed_servers[record.id] = record;
+    actions.emplace_back(propose_command{register_server{record}});
+}
+
+// The first primary that announces itself founds the group. Later ones never change a record.
+void found_group(control_state& c, const cluster_state& s, const server_announcement& a,
+                 control_actions& actions) {
+    const group_id& group = a.record.group;
+    if (!a.is_primary || s.groups.contains(group) || c.proposed_groups.contains(group)) {
+        return;
+    }
+    group_record record;
+    record.id = group;
+    record.term = 1;
+    record.primary = a.record.id;
+    record.timeline = a.timeline;
+    record.starts = {term_start{.term = 1, .position = 0}};
+    c.proposed_groups.insert(group);
+    actions.emplace_back(
+        propose_command{set_group{.expected_term = 0, .expected_phase = group_phase::serving, .next = record}});
+}
+
+//-----------------------------------------------------------------------------
+// [shares]
+//-----------------------------------------------------------------------------
+
+// What a daemon keeps even without a lease.
+unsigned reserve_of(const cluster_state& s, const instance_id& daemon, const server_record& server) {
+    const auto holders = reserve_holders(s, server);
+    return std::find(holders.begin(), holders.end(), daemon) == holders.end() ? 0 : 1;
+}
+
+unsigned counted_share(const control_state& c, const cluster_state& s, const instance_id& daemon,
+                       const server_record& server, const share_key& key, time_point now) {
+    const unsigned reserve = reserve_of(s, daemon, server);
+    const auto found = c.daemons.find(daemon);
+    if (found == c.daemons.end() || !has_live_lease(found->second, now)) {
+        return reserve;
+    }
+    return std::max(reserve, held_share(found->second, key));
+}
+
+unsigned decide_share(const control_state& c, const cluster_state& s, const instance_id& daemon,
+                      const share_claim& claim, time_point now) {
+    const auto server = s.servers.find(claim.key.server);
+    const service_entry* service = find_service(s.current, claim.key.service);
+    if (server == s.servers.end() || service == nullptr) {
+        return 0;
+    }
+    std::vector<unsigned> wishes;
+    std::size_t own = 0;
+    unsigned held_by_others = 0;
+    for (const auto& [id, record] : s.instances) {
+        const unsigned reserve = reserve_of(s, id, server->second);
+        if (id == daemon) {
+            own = wishes.size();
+            wishes.push_back(std::max(claim.wanted, reserve));
+            continue;
+        }
+        held_by_others += counted_share(c, s, id, server->second, claim.key, now);
+        const auto other = c.daemons.find(id);
+        unsigned wish = reserve;
+        if (other != c.daemons.end() && has_live_lease(other->second, now)) {
+            const auto its = other->second.claims.find(claim.key);
+            wish = its == other->second.claims.end() ? reserve : std::max(reserve, its->second.wanted);
+        }
+        wishes.push_back(wish);
+    }
+    if (wishes.size() <= own) {
+        return 0; // its own record is not committed yet
+    }
+    const unsigned target = divide_fairly(service->max_connections, wishes)[own];
+    // Until the earlier leader's grants have run out, nobody gets more than it has.
+    const unsigned cap = settled(c, now) ? target : std::min(target, claim.in_effect);
+    return next_share(service->max_connections, cap, held_by_others);
+}
+
+void answer_claims(control_state& c, const cluster_state& s, const renewal& r, time_point now,
+                   renewal_reply& reply) {
+    daemon_state& d = c.daemons[r.instance.id];
+    sent_shares sent{.seq = reply.seq, .shares = {}};
+    for (const share_claim& claim : r.claims) {
+        const unsigned share = decide_share(c, s, r.instance.id, claim, now);
+        reply.shares.push_back({.key = claim.key, .connections = share});
+        sent.shares[claim.key] = share;
+    }
+    d.unconfirmed.push_back(std::move(sent));
+}
+
+//-----------------------------------------------------------------------------
+// [detection]
+//-----------------------------------------------------------------------------
+
+bool reports(const control_state& c, const daemon_state& d, time_point now) {
+    return now - d.seen_at <= c.config.observation_age;
+}
+
+// Chooses one observer a failure domain among the daemons that report. Done anew only when those, or the
+// servers, have changed: every daemon's rank for every server is looked at.
+void assign_observers(control_state& c, const cluster_state& s, time_point now) {
+    std::vector<observer_candidate> live;
+    for (const auto& [id, d] : c.daemons) {
+        if (reports(c, d, now)) {
+            live.push_back({.id = id, .domain = d.domain});
+        }
+    }
+    if (live == c.observer_candidates && c.observers.size() == s.servers.size()) {
+        return;
+    }
+    c.observers.clear();
+    for (const auto& [id, server] : s.servers) {
+        c.observers[id] = choose_observers(live, id);
+    }
+    c.observer_candidates = std::move(live);
+}
+
+// A majority of the observers must call it dead, so that neither a one-way cut nor one sick observer is
+// taken for a death.
+bool looks_dead(const control_state& c, const server_id& server, time_point now) {
+    const auto observers = c.observers.find(server);
+    if (observers == c.observers.end() || observers->second.empty()) {
+        return false;
+    }
+    std::size_t dead = 0;
+    for (const instance_id& id : observers->second) {
+        const auto d = c.daemons.find(id);
+        if (d == c.daemons.end() || !reports(c, d->second, now)) {
+            continue;
+        }
+        const auto seen = d->second.observations.find(server);
+        dead += (seen != d->second.observations.end() && !seen->second.alive) ? 1 : 0;
+    }
+    return dead >= observers->second.size() / 2 + 1;
+}
+
+bool looks_alive(const control_state& c, const server_id& server, time_point now) {
+    return std::any_of(c.daemons.begin(), c.daemons.end(), [&](const auto& d) {
+        const auto seen = d.second.observations.find(server);
+        return seen != d.second.observations.end() && seen->second.alive &&
+               now - d.second.seen_at <= c.config.observation_age;
+    });
+}
+
+//-----------------------------------------------------------------------------
+// [failover]
+//-----------------------------------------------------------------------------
+
+void note(control_actions& actions, const failover& f, const std::string& what, const group_id& group,
+          const server_id& server, time_point now) {
+    actions.emplace_back(
+        note_event{.what = what, .group = group, .server = server, .since_suspected = now - f.started_at});
+}
+
+void enter(failover& f, failover_step step, time_point now) {
+    f.step = step;
+    f.step_at = now;
+}
+
+void begin_failover(control_state& c, const group_record& group, bool planned, const server_id& target,
+                    time_point now, control_actions& actions) {
+    failover f;
+    f.started_at = now;
+    f.step_at = now;
+    f.planned = planned;
+    if (!target.value.empty()) {
+        f.wanted = target;
+    }
+    group_record next = group;
+    next.phase = group_phase::fencing;
+    actions.emplace_back(propose_command{
+        set_group{.expected_term = group.term, .expected_phase = group_phase::serving, .next = next}});
+    note(actions, f, planned ? "switchover_started" : "primary_suspected", group.id, group.primary, now);
+    c.failovers[group.id] = std::move(f);
+}
+
+void ask_replicas(control_state& c, const cluster_state& s, const group_record& group, failover& f,
+                  time_point now, control_actions& actions) {
+    enter(f, failover_step::probing, now);
+    f.answers.clear();
+    f.open_operations.clear();
+    for (const server_record& server : servers_of(s, group.id)) {
+        if ((server.id == group.primary && !f.planned) || f.failed.contains(server.id)) {
+            continue;
+        }
+        const std::uint64_t operation = c.next_operation++;
+        f.open_operations.insert(operation);
+        actions.emplace_back(probe_server{.operation = operation, .server = server});
+    }
+}
+
+// Prefers the longest log; among equals the operator's wish, then weight, then the name.
+bool better_candidate(const cluster_state& s, const failover& f, const server_answer& a,
+                      const server_answer& b) {
+    if (a.timeline != b.timeline) {
+        return a.timeline > b.timeline;
+    }
+    if (a.position != b.position) {
+        return a.position > b.position;
+    }
+    const bool a_wanted = f.wanted == a.server;
+    const bool b_wanted = f.wanted == b.server;
+    if (a_wanted != b_wanted) {
+        return a_wanted;
+    }
+    const unsigned a_weight = server_settings(s.current, a.server).weight;
+    const unsigned b_weight = server_settings(s.current, b.server).weight;
+    return a_weight != b_weight ? a_weight > b_weight : a.server < b.server;
+}
+
+const server_answer* best_candidate(const cluster_state& s, const group_record& group, const failover& f) {
+    const server_answer* best = nullptr;
+    for (const auto& [id, answer] : f.answers) {
+        if (!answer.answered || server_settings(s.current, id).leaving || answer.timeline < group.timeline) {
+            continue;
+        }
+        if (best == nullptr || better_candidate(s, f, answer, *best)) {
+            best = &answer;
+        }
+    }
+    // A planned switch waits for its target to hold everything that the old primary holds.
+    if (best != nullptr && f.planned && f.wanted) {
+        const auto wanted = f.answers.find(*f.wanted);
+        const bool caught_up = wanted != f.answers.end() && wanted->second.answered &&
+                               wanted->second.position >= best->position;
+        return caught_up ? &wanted->second : nullptr;
+    }
+    return best;
+}
+
+void publish(const group_record& group, failover& f, const server_answer& winner, time_point now,
+             control_actions& actions) {
+    enter(f, failover_step::publishing, now);
+    group_record next = group;
+    next.term = group.term + 1;
+    next.primary = winner.server;
+    next.phase = group_phase::serving;
+    next.timeline = winner.timeline;
+    next.starts.push_back({.term = next.term, .position = winner.position});
+    actions.emplace_back(propose_command{
+        set_group{.expected_term = group.term, .expected_phase = group_phase::fencing, .next = next}});
+    note(actions, f, "promoted", group.id, winner.server, now);
+}
+
+void promote_best(control_state& c, const cluster_state& s, const group_record& group, failover& f,
+                  time_point now, control_actions& actions) {
+    const server_answer* best = best_candidate(s, group, f);
+    if (best == nullptr) {
+        return;
+    }
+    if (best->is_primary) {
+        // The old primary was chosen again, or an earlier leader's promotion is found done.
+        publish(group, f, *best, now, actions);
+        return;
+    }
+    enter(f, failover_step::promoting, now);
+    f.candidate = best->server;
+    const std::uint64_t operation = c.next_operation++;
+    f.open_operations = {operation};
+    note(actions, f, "promoting", group.id, best->server, now);
+    actions.emplace_back(promote_server{.operation = operation, .server = s.servers.at(best->server)});
+}
+
+void advance(control_state& c, const cluster_state& s, const group_record& group, failover& f, time_point now,
+             control_actions& actions) {
+    switch (f.step) {
+    case failover_step::fencing:
+    case failover_step::publishing: return; // waits for the log
+    case failover_step::revoking:
+        if (settled(c, now) && is_in_force(c, f.fence_revision, now)) {
+            note(actions, f, "writes_revoked", group.id, group.primary, now);
+            ask_replicas(c, s, group, f, now, actions);
+        }
+        return;
+    case failover_step::probing:
+        if (f.planned && f.wanted && now - f.started_at >= c.config.switchover_wait) {
+            f.wanted.reset(); // gives up: whoever has the longest log goes on, the old primary before all
+        }
+        if (f.open_operations.empty() || now - f.step_at >= c.config.probe_wait) {
+            promote_best(c, s, group, f, now, actions);
+        }
+        if (f.step == failover_step::probing && now - f.step_at >= c.config.probe_wait + c.config.retry_wait) {
+            f.failed.clear(); // one that failed before may be back
+            ask_replicas(c, s, group, f, now, actions);
+        }
+        return;
+    case failover_step::promoting:
+        if (now - f.step_at >= c.config.promote_wait && f.candidate) {
+            f.failed.insert(*f.candidate);
+            ask_replicas(c, s, group, f, now, actions);
+        }
+        return;
+    }
+}
+
+// Takes up what the log says: a fence that committed, a finished failover, an earlier leader's open one.
+void follow_record(control_state& c, const group_record& group, revision_number revision, time_point now) {
+    auto found = c.failovers.find(group.id);
+    if (group.phase == group_phase::serving) {
+        if (found != c.failovers.end() && found->second.step != failover_step::fencing) {
+            c.failovers.erase(found);
+        }
+        return;
+    }
+    if (found == c.failovers.end()) {
+        failover f;
+        f.started_at = now;
+        found = c.failovers.emplace(group.id, f).first;
+    }
+    if (found->second.step == failover_step::fencing) {
+        found->second.fence_revision = revision;
+        enter(found->second, failover_step::revoking, now);
+    }
+}
+
+} // namespace
+
+//-----------------------------------------------------------------------------
+// [public functions]
+//-----------------------------------------------------------------------------
+
+void start_leading(control_state& c, time_point now) {
+    const control_settings config = c.config;
+    const std::uint64_t next_operation = c.next_operation;
+    c = control_state{};
+    c.config = config;
+    c.next_operation = next_operation;
+    c.leading = true;
+    c.leading_since = now;
+}
+
+void stop_leading(control_state& c) {
+    c.leading = false;
+    c.failovers.clear();
+}
+
+bool settled(const control_state& c, time_point now) {
+    return c.leading && now - c.leading_since >= grantor_length(c.config.lease);
+}
+
+bool has_live_lease(const daemon_state& d, time_point now) {
+    return std::any_of(d.leases.begin(), d.leases.end(), [now](const granted_lease& g) { return g.until > now; });
+}
+
+unsigned held_share(const daemon_state& d, const share_key& key) {
+    const auto claim = d.claims.find(key);
+    unsigned held = claim == d.claims.end() ? 0 : claim->second.in_effect;
+    for (const sent_shares& sent : d.unconfirmed) {
+        const auto share = sent.shares.find(key);
+        if (share != sent.shares.end()) {
+            held = std::max(held, share->second);
+        }
+    }
+    return held;
+}
+
+renewal_reply on_renewal(control_state& c, const cluster_state& s, const renewal& r, time_point now,
+                         control_actions& actions) {
+    renewal_reply reply;
+    daemon_state& d = c.daemons[r.instance.id];
+    if (r.incarnation < d.incarnation) {
+        reply.code = result_code::bad_message; // an earlier life of this instance
+        return reply;
+    }
+    if (r.incarnation > d.incarnation) {
+        const auto leases = d.leases; // the earlier life may not be dead yet, only slow
+        d = daemon_state{};
+        d.leases = leases;
+        d.incarnation = r.incarnation;
+    }
+    d.domain = r.instance.domain;
+    d.confirmed = std::max(d.confirmed, r.applied);
+    d.seen_at = now;
+    d.observations.clear();
+    for (const server_observation& o : r.observations) {
+        d.observations[o.server] = o;
+    }
+    d.claims.clear();
+    for (const share_claim& claim : r.claims) {
+        d.claims[claim.key] = claim;
+    }
+    std::erase_if(d.unconfirmed, [&r](const sent_shares& sent) { return sent.seq <= r.last_reply_seq; });
+    for (const server_announcement& a : r.announcements) {
+        c.announced[a.record.id] = seen_server{.last = a, .at = now};
+        register_if_new(c, s, a.record, actions);
+        found_group(c, s, a, actions);
+    }
+    register_if_new(c, s, r.instance, actions);
+    reply.revision = s.revision;
+    if (r.stopping) {
+        d.leases.clear();
+        d.claims.clear();
+        d.unconfirmed.clear();
+        return reply;
+    }
+    reply.seq = d.next_seq++;
+    const bool roomy = d.unconfirmed.size() < max_unconfirmed_replies;
+    if (roomy) {
+        answer_claims(c, s, r, now, reply);
+    }
+    reply.lease = c.config.lease;
+    forget_old_leases(d, now);
+    note_granted(d, s.revision, now + grantor_length(c.config.lease));
+    for (const auto& [id, observers] : c.observers) {
+        if (std::find(observers.begin(), observers.end(), r.instance.id) != observers.end()) {
+            reply.observe.push_back(id);
+        }
+    }
+    for (const auto& [id, seen] : c.announced) {
+        if (seen.last.leaving && now - seen.at <= c.config.announcement_age) {
+            reply.leaving.push_back(id);
+        }
+    }
+    return reply;
+}
+
+void on_applied(control_state& c, const cluster_state& s, time_point now, control_actions& actions) {
+    if (!c.leading) {
+        return;
+    }
+    std::erase_if(c.proposed_instances, [&s](const instance_id& id) { return s.instances.contains(id); });
+    std::erase_if(c.proposed_servers, [&s](const auto& p) {
+        const auto known = s.servers.find(p.first);
+        return known != s.servers.end() && known->second == p.second;
+    });
+    std::erase_if(c.proposed_groups, [&s](const group_id& id) { return s.groups.contains(id); });
+    for (const auto& [id, group] : s.groups) {
+        follow_record(c, group, s.revision, now);
+    }
+    on_tick(c, s, now, actions);
+}
+
+void on_tick(control_state& c, const cluster_state& s, time_point now, control_actions& actions) {
+    if (!c.leading) {
+        return;
+    }
+    assign_observers(c, s, now);
+    for (const auto& [id, group] : s.groups) {
+        const auto running = c.failovers.find(id);
+        if (running != c.failovers.end()) {
+            advance(c, s, group, running->second, now, actions);
+        } else if (group.phase == group_phase::fencing) {
+            follow_record(c, group, s.revision, now);
+        } else if (looks_dead(c, group.primary, now)) {
+            begin_failover(c, group, false, {}, now, actions);
+        }
+    }
+}
+
+void on_server_answer(control_state& c, const cluster_state& s, const server_answer& a, time_point now,
+                      control_actions& actions) {
+    for (auto& [id, f] : c.failovers) {
+        if (!f.open_operations.contains(a.operation)) {
+            continue;
+        }
+        f.open_operations.erase(a.operation);
+        const auto group = s.groups.find(id);
+        if (group == s.groups.end()) {
+            return;
+        }
+        if (f.step == failover_step::probing) {
+            f.answers[a.server] = a;
+            advance(c, s, group->second, f, now, actions);
+        } else if (f.step == failover_step::promoting) {
+            if (a.answered && a.is_primary && a.timeline > group->second.timeline) {
+                publish(group->second, f, a, now, actions);
+            } else {
+                f.failed.insert(a.server);
+                ask_replicas(c, s, group->second, f, now, actions);
+            }
+        }
+        return;
+    }
+}
+
+result_code start_switchover(control_state& c, const cluster_state& s, const group_id& group,
+                             const server_id& target, time_point now, control_actions& actions) {
+    const auto found = s.groups.find(group);
+    if (found == s.groups.end()) {
+        return result_code::no_such_record;
+    }
+    if (c.failovers.contains(group) || found->second.phase != group_phase::serving ||
+        found->second.primary == target) {
+        return result_code::switchover_refused;
+    }
+    if (!target.value.empty()) {
+        const auto server = s.servers.find(target);
+        const bool fits = server != s.servers.end() && server->second.group == group;
+        if (!fits || !looks_alive(c, target, now)) {
+            return result_code::switchover_refused;
+        }
+    }
+    begin_failover(c, found->second, true, target, now, actions);
+    return result_code::ok;
+}
+
+bool is_in_force(const control_state& c, revision_number revision, time_point now) {
+    return settled(c, now) && holding_back(c, revision, now).empty();
+}
+
+std::vector<instance_id> holding_back(const control_state& c, revision_number revision, time_point now) {
+    std::vector<instance_id> found;
+    for (const auto& [id, d] : c.daemons) {
+        if (may_act_on_older(d, revision, now)) {
+            found.push_back(id);
+        }
+    }
+    return found;
+}
+
+} // namespace larchpin
--- /dev/null
+++ b/src/core/control.hpp
@@ -0,0 +1,228 @@
+// What the leading control instance decides: leases, connection shares, failovers, and when a change is in
+// force. All of this is soft state. A new leader starts with none of it and first waits until every lease
+// of its predecessor has run out (settled()); what must survive goes through the log as a command.
+//
+// Failover, per group
+//   idle -> fencing   a majority of the server's observers call the primary dead (or an operator asks for
+//                     a switchover): command set_group(fencing)
+//   -> revoking       committed; wait until every daemon has confirmed it or its lease has run out
+//   -> probing        ask every replica for its position; wait for all, or probe_wait
+//   -> promoting      promote the one with the highest position; on failure go back to probing
+//   -> idle           command set_group(serving, term + 1), committed
+// A new leader that finds a group in phase fencing goes on from `revoking`.
+//
+// Index
+//   [messages]  [actions]  [state]  [functions]
+#pragma once
+
+#include "core/cluster_state.hpp"
+#include "core/rendezvous.hpp"
+#include "core/shares.hpp"
+
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+#include <variant>
+#include <vector>
+
+namespace larchpin {
+
+//-----------------------------------------------------------------------------
+// [messages] from a daemon, and back
+//-----------------------------------------------------------------------------
+
+// What an observer last saw of a backend server.
+struct server_observation {
+    server_id server;
+    bool alive = false;     // answered within the detection time
+    bool refused = false;   // the connection was refused: no process is there
+    bool is_primary = false;
+    std::uint64_t timeline = 0;
+    log_position position = 0;
+    auto operator<=>(const server_observation&) const = default;
+};
+
+// A backend server that announced itself to a daemon.
+struct server_announcement {
+    server_record record;
+    bool is_primary = false;
+    std::uint64_t timeline = 0;
+    log_position position = 0;
+    bool leaving = false;
+    auto operator<=>(const server_announcement&) const = default;
+};
+
+struct renewal {
+    instance_record instance;
+    std::uint64_t incarnation = 0;    // another one after every restart
+    revision_number applied = 0;      // everything up to this is in force there
+    std::uint64_t last_reply_seq = 0; // newest reply that it has acted upon
+    bool stopping = false;            // gives its lease and shares back
+    std::vector<server_observation> observations;
+    std::vector<server_announcement> announcements;
+    std::vector<share_claim> claims;
+    bool operator==(const renewal&) const = default;
+};
+
+struct renewal_reply {
+    result_code code = result_code::ok;
+    duration lease{0};            // 0: none granted
+    revision_number revision = 0; // the lease counts once this is applied
+    std::uint64_t seq = 0;
+    std::vector<share_grant> shares;
+    std::vector<server_id> observe; // to be probed by this daemon
+    std::vector<server_id> leaving; // announced that they are leaving
+    bool operator==(const renewal_reply&) const = default;
+};
+
+//-----------------------------------------------------------------------------
+// [actions] what the I/O round the core is asked to do
+//-----------------------------------------------------------------------------
+
+struct propose_command {
+    command proposed;
+};
+
+// Ask a server for its role, timeline and position; answer with on_server_answer().
+struct probe_server {
+    std::uint64_t operation = 0;
+    server_record server;
+};
+
+// Promote a replica and then ask as above.
+struct promote_server {
+    std::uint64_t operation = 0;
+    server_record server;
+};
+
+// Something an operator wants to read in the log.
+struct note_event {
+    std::string what;
+    group_id group;
+    server_id server;
+    duration since_suspected{0}; // since the failover began; 0 outside one
+};
+
+using control_action = std::variant<propose_command, probe_server, promote_server, note_event>;
+using control_actions = std::vector<control_action>;
+
+struct server_answer {
+    std::uint64_t operation = 0;
+    server_id server;
+    bool answered = false;
+    bool is_primary = false;
+    std::uint64_t timeline = 0;
+    log_position position = 0;
+    auto operator<=>(const server_answer&) const = default;
+};
+
+//-----------------------------------------------------------------------------
+// [state]
+//-----------------------------------------------------------------------------
+
+struct control_settings {
+    duration lease = std::chrono::milliseconds{1000};
+    duration probe_wait = std::chrono::milliseconds{300};    // for the replicas' positions
+    duration promote_wait = std::chrono::milliseconds{2000}; // for one promotion
+    duration retry_wait = std::chrono::milliseconds{200};    // before asking again when no replica answers
+    duration switchover_wait = std::chrono::milliseconds{3000}; // for the target to catch up
+    duration observation_age = std::chrono::milliseconds{1000}; // older ones count no more
+    duration announcement_age = std::chrono::milliseconds{3000};
+};
+
+struct granted_lease {
+    revision_number revision = 0; // control's when it granted
+    time_point until{};
+    auto operator<=>(const granted_lease&) const = default;
+};
+
+struct sent_shares {
+    std::uint64_t seq = 0;
+    std::map<share_key, unsigned> shares;
+};
+
+struct daemon_state {
+    std::uint64_t incarnation = 0;
+    failure_domain domain;
+    revision_number confirmed = 0;
+    std::deque<granted_lease> leases; // one per revision, the longest
+    time_point seen_at{};
+    std::map<server_id, server_observation> observations;
+    std::uint64_t next_seq = 1;
+    std::deque<sent_shares> unconfirmed; // replies that it may yet act upon
+    std::map<share_key, share_claim> claims;
+};
+
+enum class failover_step : std::uint8_t { fencing, revoking, probing, promoting, publishing };
+
+struct failover {
+    failover_step step = failover_step::fencing;
+    time_point started_at{};
+    time_point step_at{};
+    revision_number fence_revision = 0; // everyone must have confirmed this
+    std::set<std::uint64_t> open_operations;
+    std::map<server_id, server_answer> answers;
+    std::set<server_id> failed;         // candidates that did not answer a promotion
+    std::optional<server_id> candidate;
+    std::optional<server_id> wanted;    // a switchover's target
+    bool planned = false;               // the old primary may be chosen again
+};
+
+struct seen_server {
+    server_announcement last;
+    time_point at{};
+};
+
+struct control_state {
+    control_settings config;
+    bool leading = false;
+    time_point leading_since{};
+    std::map<instance_id, daemon_state> daemons;
+    std::map<group_id, failover> failovers;
+    std::map<server_id, seen_server> announced;
+    std::vector<observer_candidate> observer_candidates; // that `observers` was made from
+    std::map<server_id, std::vector<instance_id>> observers;
+    std::set<instance_id> proposed_instances; // in the log, not applied yet
+    std::map<server_id, server_record> proposed_servers;
+    std::set<group_id> proposed_groups;
+    std::uint64_t next_operation = 1;
+};
+
+//-----------------------------------------------------------------------------
+// [functions]
+//-----------------------------------------------------------------------------
+
+// This instance has won an election and knows every committed command, or has lost the lead.
+void start_leading(control_state& c, time_point now);
+void stop_leading(control_state& c);
+
+// Every lease that an earlier leader granted has run out.
+bool settled(const control_state& c, time_point now);
+
+// A daemon renews its lease. Call only while raft::leader_has_lease().
+renewal_reply on_renewal(control_state& c, const cluster_state& s, const renewal& r, time_point now,
+                         control_actions& actions);
+
+// A command was applied; or time passed.
+void on_applied(control_state& c, const cluster_state& s, time_point now, control_actions& actions);
+void on_tick(control_state& c, const cluster_state& s, time_point now, control_actions& actions);
+void on_server_answer(control_state& c, const cluster_state& s, const server_answer& a, time_point now,
+                      control_actions& actions);
+
+// An operator wants another primary; `target` may be empty.
+result_code start_switchover(control_state& c, const cluster_state& s, const group_id& group,
+                             const server_id& target, time_point now, control_actions& actions);
+
+// No daemon can act on anything older than this revision any more.
+bool is_in_force(const control_state& c, revision_number revision, time_point now);
+
+// The daemons that still may, for an operator who waits.
+std::vector<instance_id> holding_back(const control_state& c, revision_number revision, time_point now);
+
+bool has_live_lease(const daemon_state& d, time_point now);
+
+// The most connections that a daemon may hold for this key, as far as the leader knows.
+unsigned held_share(const daemon_state& d, const share_key& key);
+
+} // namespace larchpin
--- /dev/null
+++ b/src/core/health.hpp
@@ -0,0 +1,36 @@
+// How one backend server has been doing for this daemon's requests, and how many retries may be made.
+//
+// A server that fails several requests in a row gets no reads for a while (ejection); afterwards its share
+// rises slowly, so that it is not met by a herd. Retries draw on a budget filled by ordinary requests, so
+// they can never multiply the load.
+#pragma once
+
+#include "core/types.hpp"
+
+namespace larchpin {
+
+struct server_health {
+    duration latency{0};       // smoothed; 0: unknown
+    unsigned outstanding = 0;  // requests running or waiting there
+    unsigned failures = 0;     // in a row
+    unsigned ejections = 0;    // in a row, without a success after the ramp
+    time_point ejected_until{};
+    auto operator<=>(const server_health&) const = default;
+};
+
+void note_started(server_health& h);
+void note_succeeded(server_health& h, duration took, time_point now);
+void note_failed(server_health& h, time_point now);
+
+// 0..1: the part of its usual share that the server gets at this moment.
+double read_ramp(const server_health& h, time_point now);
+
+struct retry_budget {
+    double tokens = 10; // retries that may be made now
+    auto operator<=>(const retry_budget&) const = default;
+};
+
+void note_request(retry_budget& b);
+bool take_retry(retry_budget& b); // false: none left, give the caller its answer
+
+} // namespace larchpin
--- /dev/null
+++ b/src/core/lease.hpp
@@ -0,0 +1,41 @@
+// A daemon's lease, as its holder sees it: may it send writes, and pass on their answers, right now?
+//
+// One lease covers all groups. Its time runs from the moment the renewal was sent, by the holder's own
+// monotonic clock, shortened by the drift bound, so it ends before the grantor thinks it does. A grant
+// counts only once the daemon has applied the revision that control had reached when it granted: so no
+// daemon, however slow, acts on an old table for longer than one lease.
+#pragma once
+
+#include "core/types.hpp"
+
+#include <deque>
+
+namespace larchpin {
+
+struct lease_grant {
+    revision_number revision = 0; // counts once this is applied
+    time_point until{};           // by the holder's clock
+    auto operator<=>(const lease_grant&) const = default;
+};
+
+struct lease_state {
+    time_point until{};               // of the grants that count
+    std::deque<lease_grant> awaiting; // of those whose revision is not applied yet
+};
+
+// What a grantor and a holder make of a lease's nominal length.
+duration holder_length(duration nominal);
+duration grantor_length(duration nominal);
+
+// A renewal sent at `sent` was granted.
+void add_grant(lease_state& l, time_point sent, duration nominal, revision_number at, revision_number applied);
+
+// The daemon has applied everything up to this revision.
+void note_applied(lease_state& l, revision_number applied);
+
+// Gives the lease up, as a daemon does that stops.
+void drop_lease(lease_state& l);
+
+bool lease_is_live(const lease_state& l, time_point now);
+
+} // namespace larchpin
--- /dev/null
+++ b/src/core/pool.cpp
@@ -0,0 +1,197 @@
+#include "core/pool.hpp"
+
+#include <algorithm>
+
+namespace larchpin {
+namespace {
+
+constexpr duration open_retry_pause = std::chrono::milliseconds{50};
+constexpr duration expected_open_time = std::chrono::milliseconds{15};
+constexpr int smoothing = 8; // a new service time counts one eighth
+
+std::deque<pool_waiter>& queue_of(pool_state& p, request_class klass) {
+    return p.waiting.at(static_cast<std::size_t>(klass));
+}
+
+unsigned background_limit(const pool_state& p) {
+    return std::max(1U, p.share * p.background_share / 100);
+}
+
+bool background_is_full(const pool_state& p) {
+    return p.busy_background.size() >= background_limit(p);
+}
+
+void note_demand(pool_state& p) {
+    const auto demand = static_cast<unsigned>(p.busy.size()) + waiting_count(p);
+    p.peak_demand = std::max(p.peak_demand, demand);
+}
+
+void hand_out(pool_state& p, const pool_waiter& w, pool_actions& actions) {
+    const connection_number c = p.idle.back();
+    p.idle.pop_back();
+    p.busy.insert(c);
+    if (w.klass == request_class::background) {
+        p.busy_background.insert(c);
+    }
+    actions.emplace_back(use_connection{.request = w.request, .connection = c});
+}
+
+// The waiter whose turn it is, or nothing where only background waits and has its part already.
+std::deque<pool_waiter>* next_queue(pool_state& p) {
+    for (const request_class klass : {request_class::critical, request_class::normal, request_class::background}) {
+        const bool held_back = klass == request_class::background && background_is_full(p);
+        if (!queue_of(p, klass).empty() && !held_back) {
+            return &queue_of(p, klass);
+        }
+    }
+    return nullptr;
+}
+
+void serve_waiters(pool_state& p, pool_actions& actions) {
+    while (!p.idle.empty()) {
+        auto* queue = next_queue(p);
+        if (queue == nullptr) {
+            return;
+        }
+        const pool_waiter w = queue->front();
+        queue->pop_front();
+        hand_out(p, w, actions);
+    }
+}
+
+// Opens one for each waiter, and a spare: opening takes longer than most statements.
+void open_for_waiters(pool_state& p, time_point now, connection_number& next_connection, pool_actions& actions) {
+    if (now < p.open_retry_at) {
+        return;
+    }
+    const unsigned spare = p.idle.empty() && !p.busy.empty() ? 1 : 0;
+    const unsigned useful = waiting_count(p) + spare;
+    while (open_count(p) < p.share && p.opening.size() < useful) {
+        const connection_number c = next_connection++;
+        p.opening.insert(c);
+        actions.emplace_back(open_connection{c});
+    }
+}
+
+void close_surplus(pool_state& p, pool_actions& actions) {
+    while (open_count(p) > p.share && !p.idle.empty()) {
+        actions.emplace_back(close_connection{p.idle.front()});
+        p.idle.erase(p.idle.begin());
+    }
+}
+
+void settle(pool_state& p, time_point now, connection_number& next_connection, pool_actions& actions) {
+    serve_waiters(p, actions);
+    close_surplus(p, actions);
+    open_for_waiters(p, now, next_connection, actions);
+}
+
+// How long a new waiter of this class will wait: those before it, over the connections that serve them.
+duration expected_wait(const pool_state& p, request_class klass) {
+    std::size_t before = 0;
+    for (std::size_t i = 0; i <= static_cast<std::size_t>(klass); ++i) {
+        before += p.waiting.at(i).size();
+    }
+    const std::size_t servers = std::max<std::size_t>(
+        1, klass == request_class::background ? std::min(p.share, background_limit(p)) : p.share);
+    return p.service_time * static_cast<std::int64_t>(before / servers);
+}
+
+} // namespace
+
+unsigned open_count(const pool_state& p) {
+    return static_cast<unsigned>(p.idle.size() + p.opening.size() + p.busy.size());
+}
+
+unsigned waiting_count(const pool_state& p) {
+    std::size_t count = 0;
+    for (const auto& queue : p.waiting) {
+        count += queue.size();
+    }
+    return static_cast<unsigned>(count);
+}
+
+void request_connection(pool_state& p, const pool_waiter& w, time_point now, connection_number& next_connection,
+                        pool_actions& actions) {
+    const duration wait = expected_wait(p, w.klass);
+    if (waiting_count(p) >= p.max_waiting) {
+        actions.emplace_back(
+            refuse_request{.request = w.request, .code = result_code::queue_full, .retry_after = wait});
+        return;
+    }
+    const bool opens_first = p.busy.empty() && p.idle.empty();
+    if (now + wait + (opens_first ? expected_open_time : duration{0}) > w.deadline) {
+        actions.emplace_back(refuse_request{
+            .request = w.request, .code = result_code::overloaded, .retry_after = std::max(wait, expected_open_time)});
+        return;
+    }
+    queue_of(p, w.klass).push_back(w);
+    note_demand(p);
+    settle(p, now, next_connection, actions);
+}
+
+void cancel_request(pool_state& p, request_number request) {
+    for (auto& queue : p.waiting) {
+        std::erase_if(queue, [request](const pool_waiter& w) { return w.request == request; });
+    }
+}
+
+void connection_opened(pool_state& p, connection_number c, time_point now, connection_number& next_connection,
+                       pool_actions& actions) {
+    if (p.opening.erase(c) == 0) {
+        return;
+    }
+    p.idle.push_back(c);
+    settle(p, now, next_connection, actions);
+}
+
+void connection_failed(pool_state& p, connection_number c, time_point now, connection_number& next_connection,
+                       pool_actions& actions) {
+    p.opening.erase(c);
+    std::erase(p.idle, c);
+    p.open_retry_at = now + open_retry_pause;
+    settle(p, now, next_connection, actions);
+}
+
+void release_connection(pool_state& p, connection_number c, bool reusable, duration used_for, time_point now,
+                        connection_number& next_connection, pool_actions& actions) {
+    if (p.busy.erase(c) == 0) {
+        return;
+    }
+    p.busy_background.erase(c);
+    p.service_time += (used_for - p.service_time) / smoothing;
+    if (reusable) {
+        p.idle.push_back(c);
+    } else {
+        actions.emplace_back(close_connection{c});
+    }
+    settle(p, now, next_connection, actions);
+}
+
+void set_share(pool_state& p, unsigned share, time_point now, connection_number& next_connection,
+               pool_actions& actions) {
+    p.share = share;
+    settle(p, now, next_connection, actions);
+}
+
+void expire_waiters(pool_state& p, time_point now, connection_number& next_connection, pool_actions& actions) {
+    for (auto& queue : p.waiting) {
+        for (const pool_waiter& w : queue) {
+            if (now >= w.deadline) {
+                actions.emplace_back(refuse_request{
+                    .request = w.request, .code = result_code::deadline_passed, .retry_after = p.service_time});
+            }
+        }
+        std::erase_if(queue, [now](const pool_waiter& w) { return now >= w.deadline; });
+    }
+    settle(p, now, next_connection, actions);
+}
+
+unsigned take_peak_demand(pool_state& p) {
+    const auto current = static_cast<unsigned>(p.busy.size()) + waiting_count(p);
+    const unsigned peak = std::max(p.peak_demand, current);
+    p.peak_demand = current;
+    return peak;
+}
+
+} // namespace larchpin
--- /dev/null
+++ b/src/core/pool.hpp
@@ -0,0 +1,109 @@
+// One service's connections to one backend server, as one daemon holds them: who gets the next one.
+//
+// The daemon may have `share` connections open. A request gets an idle one, or opens one, or waits in a
+// bounded queue in the order of its class. Class "background" may use only a part of the share, so that
+// browsing does not crowd out orders. A request that cannot be served within its deadline is refused at
+// once, with the time after which asking again makes sense.
+//
+// A plain struct and free functions; the caller carries out the returned actions in order.
+//
+// Index
+//   [data]  [functions]
+#pragma once
+
+#include "core/result_codes.hpp"
+#include "core/session.hpp"
+#include "core/types.hpp"
+
+#include <array>
+#include <deque>
+#include <set>
+#include <variant>
+#include <vector>
+
+namespace larchpin {
+
+//-----------------------------------------------------------------------------
+// [data]
+//-----------------------------------------------------------------------------
+
+using connection_number = std::uint64_t; // unique in one daemon's life
+using request_number = std::uint64_t;    // unique in one daemon's life
+
+struct pool_waiter {
+    request_number request = 0;
+    request_class klass = request_class::normal;
+    time_point deadline{};
+    auto operator<=>(const pool_waiter&) const = default;
+};
+
+struct pool_state {
+    unsigned share = 0;             // most connections open at once
+    unsigned background_share = 50; // percent of the share for class "background"
+    std::size_t max_waiting = 1000;
+    std::vector<connection_number> idle; // the last one used is used first
+    std::set<connection_number> opening;
+    std::set<connection_number> busy;
+    std::set<connection_number> busy_background;
+    std::array<std::deque<pool_waiter>, request_class_count> waiting; // by class
+    duration service_time = std::chrono::milliseconds{2};             // smoothed time a request keeps one
+    time_point open_retry_at{};                                       // no attempt to open before
+    unsigned peak_demand = 0;                                         // since the last claim
+};
+
+struct open_connection {
+    connection_number connection = 0;
+    auto operator<=>(const open_connection&) const = default;
+};
+struct close_connection {
+    connection_number connection = 0;
+    auto operator<=>(const close_connection&) const = default;
+};
+struct use_connection {
+    request_number request = 0;
+    connection_number connection = 0;
+    auto operator<=>(const use_connection&) const = default;
+};
+struct refuse_request {
+    request_number request = 0;
+    result_code code = result_code::queue_full;
+    duration retry_after{0};
+    auto operator<=>(const refuse_request&) const = default;
+};
+using pool_action = std::variant<open_connection, close_connection, use_connection, refuse_request>;
+using pool_actions = std::vector<pool_action>;
+
+//-----------------------------------------------------------------------------
+// [functions]
+//-----------------------------------------------------------------------------
+
+// `next_connection` numbers connections; it is raised by one for each that is opened.
+void request_connection(pool_state& p, const pool_waiter& w, time_point now, connection_number& next_connection,
+                        pool_actions& actions);
+
+// The request no longer waits (its caller is gone).
+void cancel_request(pool_state& p, request_number request);
+
+void connection_opened(pool_state& p, connection_number c, time_point now, connection_number& next_connection,
+                       pool_actions& actions);
+void connection_failed(pool_state& p, connection_number c, time_point now, connection_number& next_connection,
+                       pool_actions& actions);
+
+// A request is done with its connection. One that is not reusable is closed.
+void release_connection(pool_state& p, connection_number c, bool reusable, duration used_for, time_point now,
+                        connection_number& next_connection, pool_actions& actions);
+
+void set_share(pool_state& p, unsigned share, time_point now, connection_number& next_connection,
+               pool_actions& actions);
+
+// Refuses what has waited past its deadline, and opens what can be opened now.
+void expire_waiters(pool_state& p, time_point now, connection_number& next_connection, pool_actions& actions);
+
+// Everything open, or about to be.
+unsigned open_count(const pool_state& p);
+unsigned waiting_count(const pool_state& p);
+
+// What the load since the last call could have used; for the claim on a share.
+unsigned take_peak_demand(pool_state& p);
+
+} // namespace larchpin
--- /dev/null
+++ b/src/core/positions.cpp
@@ -0,0 +1,80 @@
+#include "core/positions.hpp"
+
+#include <algorithm>
+
+namespace larchpin {
+namespace {
+
+// Drops every second of the older half: old samples serve only rough ages.
+void thin_out(std::deque<position_sample>& samples) {
+    std::deque<position_sample> kept;
+    const std::size_t half = samples.size() / 2;
+    for (std::size_t i = 0; i < samples.size(); ++i) {
+        if (i >= half || i % 2 == 0) {
+            kept.push_back(samples[i]);
+        }
+    }
+    samples = std::move(kept);
+}
+
+} // namespace
+
+void add_primary_sample(group_positions& g, term_number term, const position_sample& sample) {
+    if (term < g.term) {
+        return;
+    }
+    if (term > g.term) {
+        g.term = term;
+        g.primary.clear();
+    }
+    // Samples from several observers may come out of order; an older one adds nothing.
+    if (!g.primary.empty() && sample.not_before <= g.primary.back().not_before) {
+        return;
+    }
+    g.primary.push_back(sample);
+    if (g.primary.size() > max_primary_samples) {
+        thin_out(g.primary);
+    }
+}
+
+void add_server_sample(group_positions& g, const server_id& server, const position_sample& sample,
+                       time_point now) {
+    server_position& known = g.servers[server];
+    known.heard_at = std::max(known.heard_at, now);
+    if (sample.not_before >= known.newest.not_before) {
+        known.newest = sample;
+    }
+}
+
+std::optional<time_point> fresh_as_of(const group_positions& g, const server_id& server, std::uint64_t timeline) {
+    const auto position = known_position(g, server, timeline);
+    if (!position) {
+        return std::nullopt;
+    }
+    // Positions rise with time, so the last sample not beyond the replica is the newest it covers.
+    const auto after = std::partition_point(g.primary.begin(), g.primary.end(), [&position](const auto& s) {
+        return s.position <= *position;
+    });
+    if (after == g.primary.begin()) {
+        return std::nullopt;
+    }
+    return std::prev(after)->not_before;
+}
+
+std::optional<log_position> known_position(const group_positions& g, const server_id& server,
+                                           std::uint64_t timeline) {
+    const auto found = g.servers.find(server);
+    if (found == g.servers.end() || found->second.newest.timeline != timeline) {
+        return std::nullopt;
+    }
+    return found->second.newest.position;
+}
+
+std::optional<log_position> primary_position_since(const group_positions& g, term_number term, time_point since) {
+    if (g.term != term || g.primary.empty() || g.primary.back().not_before < since) {
+        return std::nullopt;
+    }
+    return g.primary.back().position;
+}
+
+} // namespace larchpin
--- /dev/null
+++ b/src/core/raft.cpp
@@ -0,0 +1,644 @@
+// Consensus: see raft.hpp.
+//
+// Index
+//   [log]  [timers and roles]  [replication]  [votes]  [messages]  [public functions]
+#include "core/raft.hpp"
+
+#include <algorithm>
+
+namespace larchpin::raft {
+namespace {
+
+//-----------------------------------------------------------------------------
+// [log]
+//-----------------------------------------------------------------------------
+
+constexpr std::size_t max_open_rounds = 256;
+
+const entry* entry_at(const state& s, std::uint64_t index) {
+    if (index <= s.snap.index || index > last_index(s)) {
+        return nullptr;
+    }
+    return &s.log[index - s.snap.index - 1];
+}
+
+void refresh_members(state& s) {
+    s.members = s.snap.config;
+    s.members_index = s.snap.index;
+    for (const entry& e : s.log) {
+        if (e.config) {
+            s.members = *e.config;
+            s.members_index = e.index;
+        }
+    }
+}
+
+void store_entry(state& s, const entry& e) {
+    bool members_dropped = false;
+    while (last_index(s) >= e.index) {
+        members_dropped = members_dropped || s.log.back().config.has_value();
+        s.log.pop_back();
+    }
+    s.persisted = std::min(s.persisted, e.index - 1);
+    s.log.push_back(e);
+    s.out.records.push_back(record{.hard = {}, .log_entry = e, .snap = {}});
+    if (members_dropped) {
+        refresh_members(s);
+    } else if (e.config) {
+        s.members = *e.config;
+        s.members_index = e.index;
+    }
+}
+
+void store_hard(state& s) {
+    s.out.records.push_back(record{.hard = s.hard, .log_entry = {}, .snap = {}});
+}
+
+void deliver_committed(state& s) {
+    while (s.delivered < s.commit) {
+        const entry* e = entry_at(s, s.delivered + 1);
+        if (e == nullptr) {
+            return;
+        }
+        s.out.committed.push_back(*e);
+        s.delivered = e->index;
+    }
+}
+
+//-----------------------------------------------------------------------------
+// [timers and roles]
+//-----------------------------------------------------------------------------
+
+void reset_election_timer(state& s, time_point now, std::mt19937_64& random) {
+    std::uniform_int_distribution<std::int64_t> extra(0, s.config.election_timeout.count());
+    s.election_deadline = now + s.config.election_timeout + duration{extra(random)};
+}
+
+void become_follower(state& s, std::uint64_t term, node_id leader, time_point now, std::mt19937_64& random) {
+    if (term > s.hard.term) {
+        s.hard = hard_state{.term = term, .voted_for = 0};
+        store_hard(s);
+    }
+    s.current_role = role::follower;
+    s.leader = leader;
+    s.votes.clear();
+    s.peers.clear();
+    s.round_sent_at.clear();
+    reset_election_timer(s, now, random);
+}
+
+std::size_t voter_count(const state& s) {
+    return static_cast<std::size_t>(std::count_if(s.members.members.begin(), s.members.members.end(),
+                                                  [](const member& m) { return m.voter; }));
+}
+
+std::size_t majority(const state& s) {
+    return voter_count(s) / 2 + 1;
+}
+
+bool heard_from_leader_lately(const state& s, time_point now) {
+    return now - s.leader_heard_at < s.config.election_timeout;
+}
+
+//-----------------------------------------------------------------------------
+// [replication]
+//-----------------------------------------------------------------------------
+
+message make_message(const state& s, message_kind kind, node_id to) {
+    message m;
+    m.kind = kind;
+    m.from = s.self;
+    m.to = to;
+    m.term = s.hard.term;
+    return m;
+}
+
+void send_append(state& s, node_id to, progress& p, time_point now) {
+    if (p.next <= s.snap.index) {
+        message m = make_message(s, message_kind::snapshot_request, to);
+        m.snap = s.snap;
+        m.round = s.round;
+        p.snapshot_in_flight = true;
+        p.last_send = now;
+        s.out.messages.push_back(std::move(m));
+        return;
+    }
+    message m = make_message(s, message_kind::append_request, to);
+    m.log_index = p.next - 1;
+    m.log_term = term_at(s, m.log_index);
+    m.commit = s.commit;
+    m.round = s.round;
+    const std::uint64_t end = std::min(last_index(s), p.next + s.config.batch_entries - 1);
+    for (std::uint64_t i = p.next; i <= end; ++i) {
+        m.entries.push_back(*entry_at(s, i));
+    }
+    p.next = end + 1; // optimistic: a refusal sets it back
+    p.last_send = now;
+    s.out.messages.push_back(std::move(m));
+}
+
+void sync_peers(state& s) {
+    for (const member& m : s.members.members) {
+        if (m.id != s.self && !s.peers.contains(m.id)) {
+            progress p;
+            p.next = last_index(s) + 1;
+            s.peers.emplace(m.id, p);
+        }
+    }
+    std::erase_if(s.peers, [&s](const auto& p) { return find_member(s.members, p.first) == nullptr; });
+}
+
+void broadcast(state& s, time_point now, bool new_round) {
+    if (new_round) {
+        ++s.round;
+        s.round_sent_at[s.round] = now;
+        while (s.round_sent_at.size() > max_open_rounds) {
+            s.round_sent_at.erase(s.round_sent_at.begin());
+        }
+        s.last_heartbeat = now;
+    }
+    sync_peers(s);
+    for (auto& [id, p] : s.peers) {
+        const bool waits_for_snapshot = p.snapshot_in_flight && now - p.last_send < s.config.election_timeout;
+        if (!waits_for_snapshot) {
+            send_append(s, id, p, now);
+        }
+    }
+}
+
+void advance_commit(state& s) {
+    std::vector<std::uint64_t> matches;
+    for (const member& m : s.members.members) {
+        if (!m.voter) {
+            continue;
+        }
+        if (m.id == s.self) {
+            matches.push_back(s.persisted);
+        } else {
+            const auto p = s.peers.find(m.id);
+            matches.push_back(p == s.peers.end() ? 0 : p->second.match);
+        }
+    }
+    if (matches.empty()) {
+        return;
+    }
+    std::sort(matches.begin(), matches.end(), std::greater<>());
+    const std::uint64_t agreed = matches[majority(s) - 1];
+    // Only entries of the own term commit by counting (Raft, 5.4.2).
+    if (agreed > s.commit && term_at(s, agreed) == s.hard.term) {
+        s.commit = agreed;
+        deliver_committed(s);
+    }
+}
+
+void become_leader(state& s, time_point now) {
+    s.current_role = role::leader;
+    s.leader = s.self;
+    s.became_leader_at = now;
+    s.peers.clear();
+    s.round_sent_at.clear();
+    entry first;
+    first.index = last_index(s) + 1;
+    first.term = s.hard.term;
+    store_entry(s, first);
+    for (const member& m : s.members.members) {
+        if (m.id != s.self) {
+            progress p;
+            p.next = first.index;
+            p.acked_sent_at = now;
+            s.peers.emplace(m.id, p);
+        }
+    }
+    broadcast(s, now, true);
+}
+
+//-----------------------------------------------------------------------------
+// [votes]
+//-----------------------------------------------------------------------------
+
+bool won(const state& s) {
+    std::size_t granted = 0;
+    for (const auto& [id, vote] : s.votes) {
+        granted += (vote && is_voter(s.members, id)) ? 1 : 0;
+    }
+    return granted >= majority(s);
+}
+
+void ask_for_votes(state& s, message_kind kind, std::uint64_t term) {
+    for (const member& m : s.members.members) {
+        if (!m.voter || m.id == s.self) {
+            continue;
+        }
+        message request = make_message(s, kind, m.id);
+        request.term = term;
+        request.log_index = last_index(s);
+        request.log_term = term_at(s, last_index(s));
+        s.out.messages.push_back(std::move(request));
+    }
+}
+
+void start_election(state& s, time_point now) {
+    s.current_role = role::candidate;
+    s.hard = hard_state{.term = s.hard.term + 1, .voted_for = s.self};
+    store_hard(s);
+    s.votes = {{s.self, true}};
+    if (won(s)) {
+        become_leader(s, now);
+        return;
+    }
+    ask_for_votes(s, message_kind::vote_request, s.hard.term);
+}
+
+void start_pre_vote(state& s, time_point now, std::mt19937_64& random) {
+    reset_election_timer(s, now, random);
+    if (!is_voter(s.members, s.self)) {
+        return;
+    }
+    s.current_role = role::pre_candidate;
+    s.leader = 0;
+    s.votes = {{s.self, true}};
+    if (won(s)) {
+        start_election(s, now);
+        return;
+    }
+    ask_for_votes(s, message_kind::pre_vote_request, s.hard.term + 1);
+}
+
+bool log_is_current(const state& s, const message& m) {
+    const std::uint64_t own_term = term_at(s, last_index(s));
+    return m.log_term > own_term || (m.log_term == own_term && m.log_index >= last_index(s));
+}
+
+// A node that hears a working leader refuses, whatever the term: the leader's lease rests on this.
+bool refuses_elections(const state& s, time_point now) {
+    return s.current_role == role::leader ? leader_has_lease(s, now) : heard_from_leader_lately(s, now);
+}
+
+void on_pre_vote_request(state& s, const message& m, time_point now) {
+    message reply = make_message(s, message_kind::pre_vote_reply, m.from);
+    reply.granted = m.term > s.hard.term && log_is_current(s, m) && !refuses_elections(s, now);
+    reply.term = reply.granted ? m.term : s.hard.term;
+    s.out.messages.push_back(std::move(reply));
+}
+
+void on_vote_request(state& s, const message& m, time_point now, std::mt19937_64& random) {
+    if (refuses_elections(s, now) || m.term < s.hard.term) {
+        s.out.messages.push_back(make_message(s, message_kind::vote_reply, m.from));
+        return;
+    }
+    if (m.term > s.hard.term) {
+        become_follower(s, m.term, 0, now, random);
+    }
+    message reply = make_message(s, message_kind::vote_reply, m.from);
+    reply.granted = (s.hard.voted_for == 0 || s.hard.voted_for == m.from) && log_is_current(s, m);
+    if (reply.granted && s.hard.voted_for == 0) {
+        s.hard.voted_for = m.from;
+        store_hard(s);
+        reset_election_timer(s, now, random);
+    }
+    s.out.messages.push_back(std::move(reply));
+}
+
+void on_vote_reply(state& s, const message& m, time_point now, std::mt19937_64& random) {
+    if (!m.granted && m.term > s.hard.term) {
+        become_follower(s, m.term, 0, now, random);
+        return;
+    }
+    const bool pre = m.kind == message_kind::pre_vote_reply;
+    const bool awaited = pre ? s.current_role == role::pre_candidate && m.term == s.hard.term + 1
+                             : s.current_role == role::candidate && m.term == s.hard.term;
+    if (!awaited || !m.granted) {
+        return;
+    }
+    s.votes[m.from] = true;
+    if (!won(s)) {
+        return;
+    }
+    if (pre) {
+        start_election(s, now);
+    } else {
+        become_leader(s, now);
+    }
+}
+
+//-----------------------------------------------------------------------------
+// [messages]
+//-----------------------------------------------------------------------------
+
+// Returns false for a message of an old leader, which has been answered then.
+bool follow_sender(state& s, const message& m, message_kind reply_kind, time_point now, std::mt19937_64& random) {
+    if (m.term < s.hard.term) {
+        s.out.messages.push_back(make_message(s, reply_kind, m.from));
+        return false;
+    }
+    if (m.term > s.hard.term || s.current_role != role::follower || s.leader != m.from) {
+        become_follower(s, m.term, m.from, now, random);
+    }
+    s.leader_heard_at = now;
+    reset_election_timer(s, now, random);
+    return true;
+}
+
+void on_append_request(state& s, const message& m, time_point now, std::mt19937_64& random) {
+    if (!follow_sender(s, m, message_kind::append_reply, now, random)) {
+        return;
+    }
+    message reply = make_message(s, message_kind::append_reply, m.from);
+    reply.round = m.round;
+    const bool below_base = m.log_index < s.snap.index;
+    if (!below_base && (m.log_index > last_index(s) || term_at(s, m.log_index) != m.log_term)) {
+        reply.granted = false;
+        reply.log_index = std::min(m.log_index == 0 ? 0 : m.log_index - 1, last_index(s));
+        s.out.messages.push_back(std::move(reply));
+        return;
+    }
+    for (const entry& e : m.entries) {
+        if (e.index > s.snap.index && term_at(s, e.index) != e.term) {
+            store_entry(s, e);
+        }
+    }
+    const std::uint64_t matched = std::max(s.snap.index, m.log_index + m.entries.size());
+    reply.granted = true;
+    reply.log_index = matched;
+    s.commit = std::max(s.commit, std::min(m.commit, matched));
+    deliver_committed(s);
+    s.out.messages.push_back(std::move(reply));
+}
+
+void on_snapshot_request(state& s, const message& m, time_point now, std::mt19937_64& random) {
+    if (!m.snap || !follow_sender(s, m, message_kind::snapshot_reply, now, random)) {
+        return;
+    }
+    message reply = make_message(s, message_kind::snapshot_reply, m.from);
+    reply.round = m.round;
+    reply.granted = true;
+    if (m.snap->index > s.commit) {
+        s.snap = *m.snap;
+        s.log.clear();
+        s.commit = s.snap.index;
+        s.delivered = s.snap.index;
+        s.persisted = s.snap.index;
+        refresh_members(s);
+        s.out.committed.clear();
+        s.out.restored = s.snap;
+        s.out.records.push_back(record{.hard = {}, .log_entry = {}, .snap = s.snap});
+    }
+    reply.log_index = s.commit;
+    s.out.messages.push_back(std::move(reply));
+}
+
+void note_ack_time(state& s, progress& p, const message& m) {
+    const auto sent = s.round_sent_at.find(m.round);
+    if (sent == s.round_sent_at.end()) {
+        return;
+    }
+    p.acked_sent_at = std::max(p.acked_sent_at, sent->second);
+    p.acked = true;
+}
+
+void on_append_reply(state& s, const message& m, time_point now, std::mt19937_64& random) {
+    if (m.term > s.hard.term) {
+        become_follower(s, m.term, 0, now, random);
+        return;
+    }
+    const auto found = s.peers.find(m.from);
+    if (s.current_role != role::leader || m.term != s.hard.term || found == s.peers.end()) {
+        return;
+    }
+    progress& p = found->second;
+    note_ack_time(s, p, m);
+    p.snapshot_in_flight = false;
+    if (!m.granted) {
+        p.next = std::max<std::uint64_t>(p.match + 1, m.log_index + 1);
+        send_append(s, m.from, p, now);
+        return;
+    }
+    p.match = std::max(p.match, m.log_index);
+    p.next = std::max(p.next, p.match + 1);
+    const std::uint64_t commit_before = s.commit;
+    advance_commit(s);
+    if (s.commit > commit_before) {
+        broadcast(s, now, false); // followers learn at once what committed
+    } else if (p.next <= last_index(s)) {
+        send_append(s, m.from, p, now);
+    }
+}
+
+bool majority_acked_since(const state& s, time_point since) {
+    std::size_t acked = 0;
+    for (const member& m : s.members.members) {
+        if (!m.voter) {
+            continue;
+        }
+        const auto p = s.peers.find(m.id);
+        const bool heard = p != s.peers.end() && p->second.acked && p->second.acked_sent_at >= since;
+        acked += (m.id == s.self || heard) ? 1 : 0;
+    }
+    return acked >= majority(s);
+}
+
+void tick_leader(state& s, time_point now, std::mt19937_64& random) {
+    const duration patience = s.config.election_timeout * 2;
+    if (now - s.became_leader_at > patience && !majority_acked_since(s, now - patience)) {
+        become_follower(s, s.hard.term, 0, now, random);
+        return;
+    }
+    // A leader that is no longer a member hands over once that is committed.
+    if (find_member(s.members, s.self) == nullptr && s.commit >= s.members_index) {
+        become_follower(s, s.hard.term, 0, now, random);
+        return;
+    }
+    if (now - s.last_heartbeat < s.config.heartbeat_interval) {
+        return;
+    }
+    for (auto& [id, p] : s.peers) {
+        if (!p.snapshot_in_flight && p.match + 1 < p.next && now - p.last_send > s.config.heartbeat_interval) {
+            p.next = p.match + 1; // sent and not answered in time: send again
+        }
+    }
+    broadcast(s, now, true);
+}
+
+} // namespace
+
+//-----------------------------------------------------------------------------
+// [public functions]
+//-----------------------------------------------------------------------------
+
+const member* find_member(const configuration& c, node_id id) {
+    const auto found = std::find_if(c.members.begin(), c.members.end(), [id](const member& m) { return m.id == id; });
+    return found == c.members.end() ? nullptr : &*found;
+}
+
+bool is_voter(const configuration& c, node_id id) {
+    const member* m = find_member(c, id);
+    return m != nullptr && m->voter;
+}
+
+std::uint64_t last_index(const state& s) {
+    return s.snap.index + s.log.size();
+}
+
+std::uint64_t term_at(const state& s, std::uint64_t index) {
+    if (index == s.snap.index) {
+        return s.snap.term;
+    }
+    const entry* e = entry_at(s, index);
+    return e == nullptr ? 0 : e->term;
+}
+
+std::optional<std::vector<entry>> committed_after(const state& s, std::uint64_t from, std::size_t limit) {
+    if (from < s.snap.index) {
+        return std::nullopt;
+    }
+    std::vector<entry> found;
+    for (std::uint64_t i = from + 1; i <= s.commit && found.size() < limit; ++i) {
+        found.push_back(*entry_at(s, i));
+    }
+    return found;
+}
+
+state make_state(node_id self, const settings& config, const recovered_state& from, time_point now,
+                 std::mt19937_64& random) {
+    state s;
+    s.self = self;
+    s.config = config;
+    s.hard = from.hard;
+    s.snap = from.snap;
+    s.log.assign(from.log.begin(), from.log.end());
+    s.commit = s.snap.index;
+    s.delivered = s.snap.index;
+    s.persisted = last_index(s);
+    refresh_members(s);
+    if (s.snap.index > 0) {
+        s.out.restored = s.snap;
+    }
+    // It may have heard a leader just before it stopped, so it waits out that leader's lease.
+    s.leader_heard_at = now;
+    reset_election_timer(s, now, random);
+    return s;
+}
+
+bool bootstrap(state& s, const member& self, time_point now, std::mt19937_64& random) {
+    if (last_index(s) != 0 || s.hard.term != 0) {
+        return false;
+    }
+    member voter = self;
+    voter.voter = true;
+    s.hard = hard_state{.term = 1, .voted_for = s.self};
+    store_hard(s);
+    entry first;
+    first.index = 1;
+    first.term = 1;
+    first.config = configuration{.members = {voter}};
+    store_entry(s, first);
+    reset_election_timer(s, now, random);
+    return true;
+}
+
+void tick(state& s, time_point now, std::mt19937_64& random) {
+    if (s.current_role == role::leader) {
+        tick_leader(s, now, random);
+    } else if (now >= s.election_deadline) {
+        start_pre_vote(s, now, random);
+    }
+}
+
+void step(state& s, const message& m, time_point now, std::mt19937_64& random) {
+    if (m.to != s.self) {
+        return;
+    }
+    switch (m.kind) {
+    case message_kind::pre_vote_request: on_pre_vote_request(s, m, now); break;
+    case message_kind::vote_request: on_vote_request(s, m, now, random); break;
+    case message_kind::pre_vote_reply:
+    case message_kind::vote_reply: on_vote_reply(s, m, now, random); break;
+    case message_kind::append_request: on_append_request(s, m, now, random); break;
+    case message_kind::snapshot_request: on_snapshot_request(s, m, now, random); break;
+    case message_kind::append_reply:
+    case message_kind::snapshot_reply: on_append_reply(s, m, now, random); break;
+    }
+}
+
+std::uint64_t propose(state& s, const std::string& command, time_point now) {
+    if (s.current_role != role::leader) {
+        return 0;
+    }
+    entry e;
+    e.index = last_index(s) + 1;
+    e.term = s.hard.term;
+    e.command = command;
+    store_entry(s, e);
+    broadcast(s, now, false);
+    return e.index;
+}
+
+std::uint64_t propose_members(state& s, const configuration& next, time_point now) {
+    if (s.current_role != role::leader || s.commit < s.members_index || !leader_is_ready(s)) {
+        return 0;
+    }
+    entry e;
+    e.index = last_index(s) + 1;
+    e.term = s.hard.term;
+    e.config = next;
+    store_entry(s, e);
+    broadcast(s, now, false);
+    return e.index;
+}
+
+void persisted(state& s, std::uint64_t index, std::uint64_t term, time_point now) {
+    if (index > last_index(s) || term_at(s, index) != term) {
+        return; // replaced while it was being synced; the replacement's own sync will report
+    }
+    s.persisted = std::max(s.persisted, index);
+    if (s.current_role != role::leader) {
+        return;
+    }
+    const std::uint64_t before = s.commit;
+    advance_commit(s);
+    if (s.commit > before) {
+        broadcast(s, now, false);
+    }
+}
+
+void compact(state& s, std::uint64_t index, const std::string& data) {
+    if (index <= s.snap.index || index > s.delivered) {
+        return;
+    }
+    snapshot next;
+    next.index = index;
+    next.term = term_at(s, index);
+    next.config = s.snap.config;
+    next.data = data;
+    while (!s.log.empty() && s.log.front().index <= index) {
+        if (s.log.front().config) {
+            next.config = *s.log.front().config;
+        }
+        s.log.pop_front();
+    }
+    s.snap = next;
+    s.out.records.push_back(record{.hard = {}, .log_entry = {}, .snap = next});
+}
+
+output take_output(state& s) {
+    output taken = std::move(s.out);
+    s.out = output{};
+    taken.persist_index = last_index(s);
+    taken.persist_term = term_at(s, taken.persist_index);
+    return taken;
+}
+
+bool leader_has_lease(const state& s, time_point now) {
+    if (s.current_role != role::leader) {
+        return false;
+    }
+    const auto window = duration{static_cast<std::int64_t>(
+        static_cast<double>(s.config.election_timeout.count()) * (1.0 - 2 * clock_drift_bound))};
+    return majority_acked_since(s, now - window);
+}
+
+bool leader_is_ready(const state& s) {
+    return s.current_role == role::leader && term_at(s, s.commit) == s.hard.term;
+}
+
+} // namespace larchpin::raft
--- /dev/null
+++ b/src/core/rendezvous.cpp
@@ -0,0 +1,79 @@
+#include "core/rendezvous.hpp"
+
+#include <algorithm>
+#include <map>
+#include <string_view>
+
+namespace larchpin {
+namespace {
+
+// FNV-1a with a final mix: every daemon must compute the same, so std::hash will not do.
+std::uint64_t hash_pair(std::string_view a, std::string_view b) {
+    constexpr std::uint64_t prime = 1099511628211ULL;
+    constexpr std::uint64_t mix = 0xff51afd7ed558ccdULL;
+    std::uint64_t h = 14695981039346656037ULL;
+    const auto add = [&h](std::string_view text) {
+        for (const char c : text) {
+            h = (h ^ static_cast<unsigned char>(c)) * prime;
+        }
+        h = (h ^ 0xffU) * prime;
+    };
+    add(a);
+    add(b);
+    h ^= h >> 33U;
+    h *= mix;
+    h ^= h >> 33U;
+    return h;
+}
+
+struct ranked {
+    std::uint64_t rank = 0;
+    instance_id id;
+    auto operator<=>(const ranked&) const = default;
+};
+
+} // namespace
+
+std::vector<instance_id> choose_observers(const std::vector<observer_candidate>& live,
+                                          const server_id& server) {
+    std::map<failure_domain, ranked> best;
+    for (const observer_candidate& candidate : live) {
+        const ranked r{.rank = hash_pair(candidate.id.value, server.value), .id = candidate.id};
+        const auto [place, first] = best.emplace(candidate.domain, r);
+        if (!first && r < place->second) {
+            place->second = r;
+        }
+    }
+    std::vector<instance_id> chosen;
+    for (const auto& [domain, r] : best) {
+        chosen.push_back(r.id);
+    }
+    return chosen;
+}
+
+std::vector<instance_id> ranked_instances(const cluster_state& s, const failure_domain& domain,
+                                          const server_id& server) {
+    std::vector<ranked> order;
+    for (const auto& [id, record] : s.instances) {
+        if (record.domain == domain) {
+            order.push_back({.rank = hash_pair(id.value, server.value), .id = id});
+        }
+    }
+    std::sort(order.begin(), order.end());
+    std::vector<instance_id> ids;
+    ids.reserve(order.size());
+    for (const ranked& r : order) {
+        ids.push_back(r.id);
+    }
+    return ids;
+}
+
+std::vector<instance_id> reserve_holders(const cluster_state& s, const server_record& server) {
+    auto holders = ranked_instances(s, server.domain, server.id);
+    if (holders.size() > reserves_per_server) {
+        holders.resize(reserves_per_server);
+    }
+    return holders;
+}
+
+} // namespace larchpin
--- /dev/null
+++ b/src/core/rendezvous.hpp
@@ -0,0 +1,30 @@
+// Rendezvous hashing: everyone who knows the same list chooses the same few instances for a key, and a
+// change of the list moves only the keys of the instance that came or went.
+#pragma once
+
+#include "core/cluster_state.hpp"
+
+#include <vector>
+
+namespace larchpin {
+
+struct observer_candidate {
+    instance_id id;
+    failure_domain domain;
+    auto operator<=>(const observer_candidate&) const = default;
+};
+
+// How many instances keep a connection to one server while cut off from control.
+constexpr std::size_t reserves_per_server = 3;
+
+// The instances that probe this server: the best-ranked one of each failure domain.
+std::vector<instance_id> choose_observers(const std::vector<observer_candidate>& live, const server_id& server);
+
+// All instances of a failure domain, best-ranked first: whom to ask about a server's position.
+std::vector<instance_id> ranked_instances(const cluster_state& s, const failure_domain& domain,
+                                          const server_id& server);
+
+// The instances in the server's own failure domain that keep a connection to it while cut off.
+std::vector<instance_id> reserve_holders(const cluster_state& s, const server_record& server);
+
+} // namespace larchpin
--- /dev/null
+++ b/src/core/result_codes.hpp
@@ -0,0 +1,75 @@
+// Numbered result codes: what a caller, an operator and a log line show. docs/ERRORS.md is the same
+// table in words; a test compares the two.
+#pragma once
+
+#include <cstdint>
+#include <span>
+#include <string_view>
+
+namespace larchpin {
+
+enum class result_code : std::uint16_t {
+    ok = 0,
+    // 1000: starting up, settings, files
+    settings_unreadable = 1001,
+    settings_unknown_key = 1002,
+    settings_wrong_type = 1003,
+    settings_out_of_range = 1004,
+    settings_missing_key = 1005,
+    address_in_use = 1006,
+    data_folder_unusable = 1007,
+    log_damaged = 1008,
+    bad_command_line = 1009,
+    // 2000: control and the table
+    not_leader = 2001,
+    no_quorum = 2002,
+    revision_conflict = 2003,
+    table_invalid = 2004,
+    already_bootstrapped = 2005,
+    unauthenticated = 2006,
+    bad_message = 2007,
+    not_in_force_yet = 2008,
+    no_such_record = 2009,
+    switchover_refused = 2010,
+    // 3000: requests
+    no_lease = 3001,
+    no_primary = 3002,
+    no_replica = 3003,
+    queue_full = 3004,
+    deadline_passed = 3005,
+    connection_lost = 3006,
+    term_changed = 3007,
+    lost_write = 3008,
+    duplicate_request = 3009,
+    unknown_group = 3010,
+    unknown_service = 3011,
+    stopping = 3012,
+    overloaded = 3013,
+    not_safe_yet = 3014,
+    // 4000: the callers' protocol
+    unsupported = 4001,
+    protocol_violation = 4002,
+    bad_setting = 4003,
+    authentication_failed = 4004,
+    too_large = 4005,
+};
+
+// Whether a request took effect, as far as larchpin can prove it.
+enum class run_state : std::uint8_t {
+    not_run, // proved: it did not and will not take effect
+    ran,     // proved: it took effect
+    unknown, // neither is proved
+};
+
+struct result_code_entry {
+    result_code code;
+    std::string_view name;
+    std::string_view sqlstate; // what a caller sees in field C
+    std::string_view meaning;
+};
+
+std::span<const result_code_entry> result_code_table();
+const result_code_entry& describe(result_code code);
+std::string_view to_string(run_state run);
+
+} // namespace larchpin
--- /dev/null
+++ b/src/core/routing.cpp
@@ -0,0 +1,124 @@
+#include "core/routing.hpp"
+
+#include <algorithm>
+
+namespace larchpin {
+namespace {
+
+constexpr double unknown_latency_ms = 1.0;
+constexpr double ns_per_ms = 1e6;
+
+double expected_delay(const server_view& s, const routing_settings& settings) {
+    const double latency =
+        s.latency.count() > 0 ? static_cast<double>(s.latency.count()) / ns_per_ms : unknown_latency_ms;
+    const double queue = 1.0 + s.outstanding;
+    return latency * queue * (s.near ? 1.0 : settings.far_penalty);
+}
+
+double draw_weight(const server_view& s) {
+    return s.weight * s.ramp;
+}
+
+const server_view* draw(const std::vector<const server_view*>& from, std::mt19937_64& random) {
+    double total = 0;
+    for (const server_view* s : from) {
+        total += draw_weight(*s);
+    }
+    std::uniform_real_distribution<double> pick(0, total);
+    double left = pick(random);
+    for (const server_view* s : from) {
+        left -= draw_weight(*s);
+        if (left < 0) {
+            return s;
+        }
+    }
+    return from.back();
+}
+
+bool may_take_reads(const group_view& g, const server_view& s, time_point now) {
+    return s.id != g.record.primary && s.weight > 0 && s.ramp > 0 && !s.leaving && s.has_connections &&
+           now >= s.ejected_until;
+}
+
+routing_decision to_server(const server_id& id, bool is_primary) {
+    return {.kind = target_kind::server, .server = id, .is_primary = is_primary, .retry_at = {}, .code = result_code::ok};
+}
+
+routing_decision refuse(result_code code) {
+    return {.kind = target_kind::refuse, .server = {}, .is_primary = false, .retry_at = {}, .code = code};
+}
+
+routing_decision wait_until(time_point at) {
+    return {.kind = target_kind::wait, .server = {}, .is_primary = false, .retry_at = at, .code = result_code::ok};
+}
+
+bool meets_floor(const group_view& g, const server_view& server, const session_state& s) {
+    const auto position = known_position(*g.positions, server.id, g.record.timeline);
+    return position && s.floor && s.floor->term <= g.record.term && *position >= s.floor->position;
+}
+
+// After a read the session stays with that server until it is known how far it saw.
+bool meets_monotonic(const server_view& server, const session_state& s) {
+    return !s.seen || s.seen->server == server.id;
+}
+
+} // namespace
+
+bool qualifies(const group_view& g, const server_view& server, const session_state& s, duration staleness,
+               time_point now) {
+    if (!meets_monotonic(server, s)) {
+        return false;
+    }
+    if (staleness <= duration{0}) {
+        return meets_floor(g, server, s);
+    }
+    // Read-your-writes holds beside a stated age: the age only frees the session from others' writes.
+    if (s.floor && !meets_floor(g, server, s)) {
+        return false;
+    }
+    const auto fresh = fresh_as_of(*g.positions, server.id, g.record.timeline);
+    return fresh && now - *fresh <= staleness;
+}
+
+routing_decision route_write(const group_view& g, bool lease_live) {
+    if (!lease_live) {
+        return refuse(result_code::no_lease);
+    }
+    if (g.record.phase != group_phase::serving || g.record.primary.value.empty()) {
+        return refuse(result_code::no_primary);
+    }
+    return to_server(g.record.primary, true);
+}
+
+routing_decision route_read(const group_view& g, const session_state& s, duration staleness, bool lease_live,
+                            const routing_settings& settings, time_point asked_at, time_point now,
+                            std::mt19937_64& random) {
+    if (has_lost_write(s, g.record)) {
+        return refuse(result_code::lost_write);
+    }
+    std::vector<const server_view*> fit;
+    bool any_usable = false;
+    for (const server_view& server : g.servers) {
+        if (may_take_reads(g, server, now)) {
+            any_usable = true;
+            if (qualifies(g, server, s, staleness, now)) {
+                fit.push_back(&server);
+            }
+        }
+    }
+    if (!fit.empty()) {
+        const server_view* first = draw(fit, random);
+        const server_view* second = draw(fit, random);
+        const bool second_is_better = expected_delay(*second, settings) < expected_delay(*first, settings);
+        return to_server(second_is_better ? second->id : first->id, false);
+    }
+    const routing_decision primary = route_write(g, lease_live);
+    const bool may_still_wait = any_usable && now - asked_at < settings.replica_wait;
+    if (primary.kind == target_kind::refuse || may_still_wait) {
+        // Without a primary a replica may yet catch up; the caller's deadline ends that.
+        return any_usable ? wait_until(now + settings.position_wait) : primary;
+    }
+    return primary;
+}
+
+} // namespace larchpin
--- /dev/null
+++ b/src/core/routing.hpp
@@ -0,0 +1,73 @@
+// Which backend server a request goes to.
+//
+// A write goes to the primary of the current term, under a live lease, or is refused. A read goes to a
+// replica that provably gives what the session is owed; among those, of two drawn by weight the one with
+// the smaller expected delay is taken. Where no replica qualifies yet, the read waits for one briefly if
+// that is likely to be enough, and else goes to the primary.
+//
+// Index
+//   [data]  [functions]
+#pragma once
+
+#include "core/session.hpp"
+
+#include <random>
+#include <vector>
+
+namespace larchpin {
+
+//-----------------------------------------------------------------------------
+// [data]
+//-----------------------------------------------------------------------------
+
+struct server_view {
+    server_id id;
+    unsigned weight = 100;      // 0: takes no reads
+    bool leaving = false;       // gets no new work
+    bool near = false;          // in this daemon's failure domain
+    unsigned outstanding = 0;   // requests of this daemon running or waiting there
+    duration latency{0};        // smoothed, of this daemon's requests; 0: unknown
+    time_point ejected_until{}; // gets no reads before
+    double ramp = 1.0;          // 0..1, rises slowly after an ejection
+    bool has_connections = true; // this daemon holds, or may open, a connection to it
+};
+
+struct group_view {
+    group_record record;
+    const group_positions* positions = nullptr; // the daemon's own; set in every view that is routed by
+    std::vector<server_view> servers;
+};
+
+enum class target_kind : std::uint8_t { server, wait, refuse };
+
+struct routing_decision {
+    target_kind kind = target_kind::refuse;
+    server_id server;
+    bool is_primary = false;
+    time_point retry_at{}; // for `wait`: look again then at the latest
+    result_code code = result_code::ok;
+    auto operator<=>(const routing_decision&) const = default;
+};
+
+struct routing_settings {
+    duration replica_wait = std::chrono::milliseconds{25}; // at most this long for a replica to catch up
+    duration position_wait = std::chrono::milliseconds{10}; // between two looks
+    double far_penalty = 2.0;                              // factor on the delay of another failure domain
+};
+
+//-----------------------------------------------------------------------------
+// [functions]
+//-----------------------------------------------------------------------------
+
+routing_decision route_write(const group_view& g, bool lease_live);
+
+// `asked_at` is when the request came; waiting ends at replica_wait after it.
+routing_decision route_read(const group_view& g, const session_state& s, duration staleness, bool lease_live,
+                            const routing_settings& settings, time_point asked_at, time_point now,
+                            std::mt19937_64& random);
+
+// True where this server provably gives the session what it is owed.
+bool qualifies(const group_view& g, const server_view& server, const session_state& s, duration staleness,
+               time_point now);
+
+} // namespace larchpin
--- /dev/null
+++ b/src/core/session.hpp
@@ -0,0 +1,99 @@
+// What one caller's session has seen, what it asked for, and what that demands of the next read.
+//
+// Read-your-writes: `floor` is at or beyond every write of the session. Monotonic reads: after a read the
+// session may have seen more than the floor says, so it stays with that server until a sample of it, asked
+// after the read, tells how far that was (see resolve_seen()).
+//
+// The token "group/term/position" (position in hex) carries the floor to another proxy. A session that
+// comes without one first learns the primary's position asked after its arrival: every write that was
+// acknowledged to anyone before is then below its floor.
+//
+// Index
+//   [data]  [functions]
+#pragma once
+
+#include "core/cluster_state.hpp"
+#include "core/positions.hpp"
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace larchpin {
+
+//-----------------------------------------------------------------------------
+// [data]
+//-----------------------------------------------------------------------------
+
+enum class request_class : std::uint8_t { critical = 0, normal = 1, background = 2 };
+constexpr std::size_t request_class_count = 3;
+
+enum class read_mode : std::uint8_t {
+    hint,    // by the statement's first word
+    read,    // the caller vouches that its statements only read
+    primary, // everything to the primary
+};
+
+// What the caller set with "set larchpin.x = y" or in the startup options.
+struct session_settings {
+    request_class klass = request_class::normal; // larchpin.class = critical | normal | background
+    read_mode mode = read_mode::hint;            // larchpin.read_mode = hint | read | primary
+    std::optional<duration> max_staleness;       // larchpin.max_staleness_ms, 0: read-your-writes
+    std::optional<duration> deadline;            // larchpin.deadline_ms
+    std::string idempotency_key;                 // larchpin.idempotency_key, used up by one request
+    auto operator<=>(const session_settings&) const = default;
+};
+
+struct session_token {
+    group_id group;
+    term_number term = 0;
+    log_position position = 0;
+    auto operator<=>(const session_token&) const = default;
+};
+
+struct seen_read {
+    server_id server;
+    time_point finished_at{};
+    auto operator<=>(const seen_read&) const = default;
+};
+
+struct session_state {
+    group_id group;
+    service_id service;
+    time_point arrived_at{};
+    session_settings settings;
+    std::optional<session_token> floor; // none: not known yet, see above
+    std::optional<seen_read> seen;      // a read whose position is not known yet
+};
+
+//-----------------------------------------------------------------------------
+// [functions]
+//-----------------------------------------------------------------------------
+
+std::string format_token(const session_token& token);
+std::optional<session_token> parse_token(std::string_view text);
+
+// Takes one "larchpin.*" setting; `name` without the prefix. False for an unknown name or a bad value.
+// "session" takes a token, or an empty text to forget what was seen.
+bool apply_setting(session_state& s, std::string_view name, const std::string& value);
+
+// The session wrote, and the primary of this term was at `position` afterwards.
+void note_write(session_state& s, term_number term, log_position position);
+
+// The session read from this server; what it saw is at most the server's position from now on.
+void note_read(session_state& s, const server_id& server, time_point finished_at);
+
+// Takes up what newer samples tell: the floor of a session that arrived without a token, and how far the
+// last read may have seen.
+void resolve_seen(session_state& s, const group_record& group, const group_positions& positions);
+
+// A session whose floor lies beyond what a later term kept has seen writes that are lost.
+bool has_lost_write(const session_state& s, const group_record& group);
+
+// Moves the floor into the group's current term once nothing was lost.
+void adopt_term(session_state& s, const group_record& group);
+
+duration deadline_of(const session_state& s, const service_entry& service);
+duration staleness_of(const session_state& s, const service_entry& service);
+
+} // namespace larchpin
--- /dev/null
+++ b/src/daemon/agent.hpp
@@ -0,0 +1,141 @@
+// A daemon's side of the cluster: its copy of the agreed state, its lease, what it sees of backend servers,
+// and the positions it can prove.
+//
+// Loops, each with one request open at a time
+//   renew      every lease / 5, and at once after news that others wait for: keeps the lease, reports
+//              observations, passes on announcements, claims connection shares
+//   watch      a long poll for the next commands; the copy follows the leader within a round trip
+//   probe      asks the servers that control assigned to this daemon for role and position
+//   positions  asks the daemons that probe, in this failure domain, for the groups in use here
+#pragma once
+
+#include "core/control.hpp"
+#include "core/health.hpp"
+#include "core/lease.hpp"
+#include "core/positions.hpp"
+#include "core/routing.hpp"
+#include "daemon/pools.hpp"
+#include "io/http2.hpp"
+
+#include <memory>
+
+namespace larchpin {
+
+namespace wire {
+class watch_reply;
+}
+
+class agent {
+public:
+    agent(boost::asio::io_context& io, const settings& config, const shared_keys& keys, backend_pools& pools);
+    ~agent();
+    agent(const agent&) = delete;
+    agent& operator=(const agent&) = delete;
+    agent(agent&&) = delete;
+    agent& operator=(agent&&) = delete;
+
+    void start();
+    // Gives lease and shares back; `done` is called when control knows, or cannot be reached.
+    void stop(std::function<void()> done);
+
+    [[nodiscard]] const cluster_state& cluster() const { return cluster_; }
+    [[nodiscard]] bool has_lease() const;
+    // The copy is known to have been current at some time since this process started.
+    [[nodiscard]] bool has_confirmed_state() const { return confirmed_once_; }
+
+    // What routing needs for one group; also notes that the group is in use here.
+    [[nodiscard]] group_view view(const group_id& group, const service_id& service);
+    // Asks for the primary's position anew, for sessions that have no floor yet.
+    void want_fresh_position(const group_id& group);
+
+    void note_request_started(const server_id& server);
+    void note_request_ended(const server_id& server, bool ok, duration took);
+    retry_budget& budget(const group_id& group) { return budgets_[group]; }
+
+    // Bodies of /v1/announce and /v1/positions, and their answers.
+    std::string answer_announcement(const std::string& body);
+    void answer_positions(const std::string& body, const http_respond& respond);
+
+    // Called after every change of the copy or the lease: waiting requests may go on.
+    std::function<void()> on_change;
+
+private:
+    struct probed_server {
+        server_record record;
+        std::shared_ptr<backend_connection> connection;
+        bool connecting = false;
+        bool asking = false;
+        time_point asked_at{};
+        time_point next_at{};
+        time_point answered_at{};
+        unsigned refusals = 0; // in a row
+        server_observation seen;
+        position_sample sample;
+        bool has_sample = false;
+        std::vector<std::function<void()>> waiting_for_fresh;
+        std::vector<std::function<void()>> answering_fresh;
+    };
+    struct heard_announcement {
+        server_announcement last;
+        time_point at{};
+    };
+
+    void on_tick();
+    void renew_soon();
+    void renew();
+    void on_renewed(const http_outcome& o, time_point sent);
+    renewal make_renewal();
+    void watch();
+    void on_watched(const http_outcome& o, std::uint64_t generation);
+    void apply_reply(const wire::watch_reply& reply);
+    void rotate_control();
+    void apply_shares(const renewal_reply& reply);
+    void follow_lease();
+    void follow_assignment(const std::vector<server_id>& observe);
+    void probe_all();
+    void probe(const server_id& id);
+    void connect_probe(const server_id& id);
+    void on_probed(const server_id& id, const backend_outcome& outcome, time_point asked_at);
+    void set_alive(probed_server& p, bool alive);
+    void take_sample(const server_id& id, bool is_primary, const position_sample& sample);
+    void pull_positions();
+    http2_client& client_to(const std::string& address);
+
+    boost::asio::io_context& io_;
+    const settings& config_;
+    shared_keys keys_;
+    backend_pools& pools_;
+    boost::asio::steady_timer timer_;
+    std::uint64_t incarnation_;
+    cluster_state cluster_;
+    lease_state lease_;
+    bool had_lease_ = false;
+    bool confirmed_once_ = false;
+    bool stopping_ = false;
+    // renewals
+    std::size_t control_index_ = 0;
+    std::string leader_;
+    bool renewing_ = false;
+    bool renew_again_ = false;
+    time_point next_renewal_{};
+    std::uint64_t last_reply_seq_ = 0;
+    // watching
+    bool watching_ = false;
+    std::uint64_t watch_generation_ = 0;
+    std::string watch_address_;
+    time_point next_watch_{};
+    // servers
+    std::map<server_id, probed_server> probed_;
+    std::map<server_id, heard_announcement> announced_;
+    std::vector<server_id> leaving_;
+    std::map<server_id, server_health> health_;
+    std::map<group_id, group_positions> positions_;
+    std::map<group_id, time_point> used_at_;
+    std::map<group_id, time_point> fresh_wanted_;
+    std::map<group_id, retry_budget> budgets_;
+    std::map<std::string, bool> pulling_;
+    time_point next_pull_{};
+    std::map<std::string, std::unique_ptr<http2_client>> clients_;
+};
+
+} // namespace larchpin
--- /dev/null
+++ b/src/daemon/control_node.cpp
@@ -0,0 +1,672 @@
+// See control_node.hpp.
+//
+// Index
+//   [loop]  [log and messages]  [applying]  [actions]  [members]  [answers to daemons]  [answers to operators]
+#include "daemon/control_node.hpp"
+
+#include "io/addresses.hpp"
+#include "generated/larchpin.pb.h"
+#include "io/backend_connection.hpp"
+#include "io/backend_sql.hpp"
+#include "io/clock.hpp"
+#include "io/codec.hpp"
+#include "io/log.hpp"
+#include "io/server_probe.hpp"
+#include "io/workers.hpp"
+
+#include <boost/asio/post.hpp>
+#include <boost/leaf/error.hpp>
+
+#include <algorithm>
+
+namespace larchpin {
+
+namespace asio = boost::asio;
+namespace leaf = boost::leaf;
+
+namespace {
+
+constexpr duration tick_interval = std::chrono::milliseconds{10};
+constexpr duration message_timeout = std::chrono::milliseconds{1000};
+constexpr duration watch_time = std::chrono::seconds{5};
+constexpr duration join_interval = std::chrono::milliseconds{300};
+constexpr duration probe_again_after = std::chrono::milliseconds{10};
+constexpr duration edit_patience = std::chrono::seconds{10};
+constexpr std::size_t max_recent_entries = 8192;
+constexpr std::size_t max_watch_entries = 2048;
+constexpr std::size_t max_watchers = 4096;
+
+std::string operator_reply(result_code code, const std::string& detail, revision_number table_revision = 0,
+                           revision_number revision = 0) {
+    wire::operator_reply m;
+    m.set_code(static_cast<std::uint32_t>(code));
+    m.set_detail(detail);
+    m.set_table_revision(table_revision);
+    m.set_revision(revision);
+    return m.SerializeAsString();
+}
+
+} // namespace
+
+control_node::control_node(asio::io_context& io, const settings& config, const shared_keys& keys)
+    : io_(io), config_(config), keys_(keys), random_(std::random_device{}()), timer_(io) {}
+
+control_node::~control_node() = default;
+
+//-----------------------------------------------------------------------------
+// [loop]
+//-----------------------------------------------------------------------------
+
+leaf::result<void> control_node::start() {
+    BOOST_LEAF_ASSIGN(const recovered_store found, store_.open(config_.data_folder));
+    raft::settings timing;
+    timing.heartbeat_interval = config_.heartbeat;
+    timing.election_timeout = config_.election;
+    raft_ = raft::make_state(found.node, timing, found.state, now(), random_);
+    control_.config.lease = config_.lease;
+    log_event(severity::info, "control_started",
+              {{"node", found.node},
+               {"new_identity", found.is_new},
+               {"log_entries", static_cast<std::uint64_t>(found.state.log.size())},
+               {"log_bytes", found.file_bytes},
+               {"term", found.state.hard.term}});
+    pump();
+    on_tick();
+    return {};
+}
+
+void control_node::on_tick() {
+    raft::tick(raft_, now(), random_);
+    pump();
+    if (control_.leading && raft::leader_has_lease(raft_, now())) {
+        control_actions actions;
+        larchpin::on_tick(control_, cluster_, now(), actions);
+        carry_out(actions);
+        maintain_members();
+    }
+    ask_to_join();
+    answer_watchers();
+    answer_waiting_edits();
+    timer_.expires_after(tick_interval);
+    timer_.async_wait([this](const boost::system::error_code& error) {
+        if (!error) {
+            on_tick();
+        }
+    });
+}
+
+//-----------------------------------------------------------------------------
+// [log and messages]
+//-----------------------------------------------------------------------------
+
+void control_node::pump() {
+    raft::output out = raft::take_output(raft_);
+    const bool has_work = !out.records.empty() || !out.messages.empty();
+    apply_committed(out);
+    out.committed.clear();
+    if (has_work && out.records.empty() && to_write_.empty() && !writing_) {
+        send_messages(out.messages);
+    } else if (has_work) {
+        to_write_.push_back(std::move(out));
+        write_next();
+    }
+    follow_leadership();
+}
+
+void control_node::write_next() {
+    if (writing_ || to_write_.empty() || store_failed_) {
+        return;
+    }
+    writing_ = true;
+    // Everything that has queued up meanwhile shares one sync.
+    auto batch = std::make_shared<std::vector<raft::output>>(std::make_move_iterator(to_write_.begin()),
+                                                             std::make_move_iterator(to_write_.end()));
+    to_write_.clear();
+    run_on_worker([this, batch] {
+        std::vector<raft::record> records;
+        for (const raft::output& out : *batch) {
+            records.insert(records.end(), out.records.begin(), out.records.end());
+        }
+        const result_code code = store_.append(records);
+        asio::post(io_, [this, batch, code] {
+            writing_ = false;
+            if (code != result_code::ok) {
+                store_failed_ = true; // says nothing more to anyone: it cannot keep its word
+                log_failure("log_write_failed", code);
+                return;
+            }
+            for (const raft::output& out : *batch) {
+                raft::persisted(raft_, out.persist_index, out.persist_term, now());
+                send_messages(out.messages);
+            }
+            pump();
+            write_next();
+        });
+    });
+}
+
+void control_node::send_messages(const std::vector<raft::message>& messages) {
+    for (const raft::message& m : messages) {
+        const raft::member* to = raft::find_member(raft_.members, m.to);
+        if (to == nullptr) {
+            continue;
+        }
+        wire::raft_message wire_message;
+        to_wire(m, wire_message);
+        client_to(to->address)
+            .post("/v1/raft", wire_message.SerializeAsString(), message_timeout, [](const http_outcome&) {});
+    }
+}
+
+http2_client& control_node::client_to(const std::string& address) {
+    auto& client = clients_[address];
+    if (!client) {
+        const auto endpoint = parse_endpoint(address);
+        client = std::make_unique<http2_client>(io_, endpoint.value_or(asio::ip::tcp::endpoint{}), keys_);
+    }
+    return *client;
+}
+
+void control_node::on_raft_message(const std::string& body) {
+    wire::raft_message m;
+    if (!m.ParseFromString(body) || store_failed_) {
+        return;
+    }
+    raft::step(raft_, from_wire(m), now(), random_);
+    pump();
+}
+
+//-----------------------------------------------------------------------------
+// [applying]
+//-----------------------------------------------------------------------------
+
+void control_node::apply_committed(const raft::output& out) {
+    if (out.restored) {
+        cluster_ = decode_state(out.restored->data).value_or(cluster_state{});
+        cluster_.revision = out.restored->index;
+        recent_.clear();
+    }
+    for (const raft::entry& e : out.committed) {
+        apply_entry(e);
+    }
+    if (out.committed.empty() && !out.restored) {
+        return;
+    }
+    if (control_.leading) {
+        control_actions actions;
+        on_applied(control_, cluster_, now(), actions);
+        carry_out(actions);
+    }
+    answer_watchers();
+    answer_waiting_edits();
+    maybe_compact();
+}
+
+void control_node::apply_entry(const raft::entry& e) {
+    const auto decoded = e.command.empty() ? std::optional<command>{std::monostate{}} : decode_command(e.command);
+    const change_outcome outcome = apply(cluster_, e.index, decoded.value_or(std::monostate{}));
+    recent_.push_back(e);
+    if (recent_.size() > max_recent_entries) {
+        recent_.pop_front();
+    }
+    if (!decoded) {
+        return;
+    }
+    if (const auto* edit = std::get_if<edit_table>(&*decoded)) {
+        log_event(severity::info, "table_edit_decided",
+                  {{"change", edit->change_id},
+                   {"code", static_cast<std::uint64_t>(outcome.code)},
+                   {"table_revision", outcome.table_revision}});
+        for (waiting_edit& waiting : edits_) {
+            if (waiting.change_id == edit->change_id) {
+                waiting.applied = true;
+                waiting.outcome = outcome;
+            }
+        }
+    }
+}
+
+void control_node::maybe_compact() {
+    if (raft_.log.size() < config_.snapshot_entries || cluster_.revision != raft_.delivered) {
+        return;
+    }
+    raft::compact(raft_, cluster_.revision, encode_state(cluster_));
+    asio::post(io_, [this] { pump(); });
+}
+
+bool control_node::can_lead() const {
+    return raft::leader_is_ready(raft_) && cluster_.revision == raft_.commit;
+}
+
+void control_node::follow_leadership() {
+    const bool leads = raft_.current_role == raft::role::leader;
+    if (control_.leading && !leads) {
+        stop_leading(control_);
+        operations_.clear();
+        log_event(severity::warning, "leadership_lost", {{"term", raft_.hard.term}});
+    } else if (!control_.leading && leads && can_lead()) {
+        start_leading(control_, now());
+        log_event(severity::info, "leadership_won", {{"term", raft_.hard.term}, {"revision", cluster_.revision}});
+        control_actions actions;
+        on_applied(control_, cluster_, now(), actions);
+        carry_out(actions);
+    }
+}
+
+//-----------------------------------------------------------------------------
+// [actions]
+//-----------------------------------------------------------------------------
+
+void control_node::carry_out(const control_actions& actions) {
+    for (const control_action& action : actions) {
+        if (const auto* propose = std::get_if<propose_command>(&action)) {
+            raft::propose(raft_, encode_command(propose->proposed), now());
+        } else if (const auto* probe = std::get_if<probe_server>(&action)) {
+            start_operation(probe->operation, probe->server, false);
+        } else if (const auto* promote = std::get_if<promote_server>(&action)) {
+            start_operation(promote->operation, promote->server, true);
+        } else if (const auto* note = std::get_if<note_event>(&action)) {
+            const auto since = std::chrono::duration_cast<std::chrono::microseconds>(note->since_suspected);
+            log_event(severity::warning, note->what,
+                      {{"group", note->group.value},
+                       {"server", note->server.value},
+                       {"since_suspected_us", static_cast<std::int64_t>(since.count())}});
+        }
+    }
+    if (!actions.empty()) {
+        asio::post(io_, [this] { pump(); });
+    }
+}
+
+void control_node::start_operation(std::uint64_t number, const server_record& server, bool promote) {
+    server_operation operation;
+    operation.number = number;
+    operation.server = server;
+    operation.promote = promote;
+    operation.deadline = now() + (promote ? control_.config.promote_wait : control_.config.probe_wait);
+    operation.connection = std::make_shared<backend_connection>(io_, make_probe_target(config_, server));
+    operations_[number] = operation;
+    operation.connection->connect([this, number](bool connected) {
+        if (!connected) {
+            const auto found = operations_.find(number);
+            if (found != operations_.end()) {
+                finish_operation({.operation = number, .server = found->second.server.id});
+            }
+            return;
+        }
+        run_operation(number);
+    });
+}
+
+void control_node::run_operation(std::uint64_t number) {
+    const auto found = operations_.find(number);
+    if (found == operations_.end()) {
+        return;
+    }
+    server_operation& operation = found->second;
+    const bool promote_now = operation.promote && !operation.promote_sent;
+    operation.promote_sent = operation.promote_sent || promote_now;
+    backend_request request;
+    request.text = promote_now ? promote_sql : probe_sql;
+    backend_sink sink;
+    sink.keep_first_row = true;
+    sink.on_done = [this, number, promote_now](const backend_outcome& outcome) {
+        const auto open = operations_.find(number);
+        if (open == operations_.end()) {
+            return;
+        }
+        if (outcome.answered && !outcome.failed && promote_now) {
+            run_operation(number);
+            return;
+        }
+        const auto probed = parse_probe_row(outcome);
+        const bool wait_for_promotion = open->second.promote && probed && !probed->is_primary;
+        if (wait_for_promotion && now() < open->second.deadline) {
+            auto timer = std::make_shared<asio::steady_timer>(io_, probe_again_after);
+            timer->async_wait([this, number, timer](const boost::system::error_code&) { run_operation(number); });
+            return;
+        }
+        server_answer answer{.operation = number, .server = open->second.server.id};
+        if (probed) {
+            answer.answered = true;
+            answer.is_primary = probed->is_primary;
+            answer.timeline = probed->timeline;
+            answer.position = probed->position;
+        }
+        finish_operation(answer);
+    };
+    operation.connection->run(request, sink);
+}
+
+void control_node::finish_operation(const server_answer& answer) {
+    const auto found = operations_.find(answer.operation);
+    if (found == operations_.end()) {
+        return;
+    }
+    const auto connection = found->second.connection;
+    operations_.erase(found);
+    asio::post(io_, [connection] { connection->close(); });
+    if (!control_.leading || !raft::leader_has_lease(raft_, now())) {
+        return;
+    }
+    control_actions actions;
+    on_server_answer(control_, cluster_, answer, now(), actions);
+    carry_out(actions);
+}
+
+//-----------------------------------------------------------------------------
+// [members]
+//-----------------------------------------------------------------------------
+
+raft::member control_node::self_member() const {
+    return {.id = raft_.self, .name = config_.id.value, .address = config_.peer_address, .voter = false};
+}
+
+// One step at a time: a learner that has caught up gets its vote; then the identity it replaces loses its.
+void control_node::maintain_members() {
+    raft::configuration next = raft_.members;
+    for (raft::member& m : next.members) {
+        const auto p = raft_.peers.find(m.id);
+        const bool caught_up =
+            p != raft_.peers.end() && p->second.match + raft_.config.catch_up_entries >= raft::last_index(raft_);
+        if (!m.voter && caught_up && p->second.acked) {
+            m.voter = true;
+            if (raft::propose_members(raft_, next, now()) != 0) {
+                log_event(severity::info, "control_voter_added", {{"name", m.name}, {"node", m.id}});
+                pump();
+            }
+            return;
+        }
+    }
+    for (const raft::member& old : raft_.members.members) {
+        const bool replaced = std::any_of(next.members.begin(), next.members.end(), [&old, this](const auto& m) {
+            const auto p = raft_.peers.find(m.id);
+            const bool heard = m.id == raft_.self || (p != raft_.peers.end() && p->second.acked);
+            return m.voter && heard && m.name == old.name && m.id != old.id;
+        });
+        const auto own = raft_.peers.find(old.id);
+        const bool silent = own != raft_.peers.end() && now() - own->second.acked_sent_at > raft_.config.election_timeout;
+        if (replaced && silent && old.id != raft_.self) {
+            std::erase_if(next.members, [&old](const auto& m) { return m.id == old.id; });
+            if (raft::propose_members(raft_, next, now()) != 0) {
+                log_event(severity::info, "control_member_removed", {{"name", old.name}, {"node", old.id}});
+                pump();
+            }
+            return;
+        }
+    }
+}
+
+// A node that is in no configuration asks the others to take it in. It never starts a cluster by itself:
+// that is an operator's word, since an empty folder cannot tell a first start from a lost disk.
+void control_node::ask_to_join() {
+    const bool member = raft::find_member(raft_.members, raft_.self) != nullptr;
+    if (member || now() < next_join_at_) {
+        return;
+    }
+    next_join_at_ = now() + join_interval;
+    const std::string& address = config_.control_addresses[join_index_++ % config_.control_addresses.size()];
+    if (address == config_.peer_address) {
+        return;
+    }
+    wire::join_request request;
+    to_wire(self_member(), *request.mutable_member());
+    client_to(address).post("/v1/join", request.SerializeAsString(), message_timeout, [](const http_outcome&) {});
+}
+
+std::string control_node::answer_join(const std::string& body) {
+    wire::join_request request;
+    if (!request.ParseFromString(body) || request.member().id() == 0) {
+        return operator_reply(result_code::bad_message, "");
+    }
+    if (!control_.leading || !raft::leader_has_lease(raft_, now())) {
+        return operator_reply(result_code::not_leader, leader_address());
+    }
+    raft::member joining = from_wire(request.member());
+    joining.voter = false;
+    if (raft::find_member(raft_.members, joining.id) != nullptr) {
+        return operator_reply(result_code::ok, "");
+    }
+    raft::configuration next = raft_.members;
+    next.members.push_back(joining);
+    std::sort(next.members.begin(), next.members.end(), [](const auto& a, const auto& b) { return a.id < b.id; });
+    if (raft::propose_members(raft_, next, now()) != 0) {
+        log_event(severity::info, "control_learner_added", {{"name", joining.name}, {"node", joining.id}});
+        pump();
+    }
+    return operator_reply(result_code::ok, "");
+}
+
+std::string control_node::answer_bootstrap() {
+    if (!raft::bootstrap(raft_, self_member(), now(), random_)) {
+        return operator_reply(result_code::already_bootstrapped, "");
+    }
+    log_event(severity::info, "control_bootstrapped", {{"node", raft_.self}});
+    pump();
+    return operator_reply(result_code::ok, "");
+}
+
+//-----------------------------------------------------------------------------
+// [answers to daemons]
+//-----------------------------------------------------------------------------
+
+std::string control_node::leader_address() const {
+    const raft::member* leader = raft::find_member(raft_.members, raft_.leader);
+    return leader == nullptr ? std::string{} : leader->address;
+}
+
+std::string control_node::answer_renewal(const std::string& body) {
+    wire::renewal request;
+    wire::renewal_reply reply;
+    if (!request.ParseFromString(body) || request.instance().id().empty()) {
+        reply.set_code(static_cast<std::uint32_t>(result_code::bad_message));
+        return reply.SerializeAsString();
+    }
+    if (!control_.leading || !can_lead() || !raft::leader_has_lease(raft_, now())) {
+        reply.set_code(static_cast<std::uint32_t>(result_code::not_leader));
+        reply.set_leader_address(leader_address());
+        return reply.SerializeAsString();
+    }
+    control_actions actions;
+    to_wire(on_renewal(control_, cluster_, from_wire(request), now(), actions), reply);
+    carry_out(actions);
+    return reply.SerializeAsString();
+}
+
+std::string control_node::make_watch_reply(revision_number applied) const {
+    wire::watch_reply reply;
+    reply.set_commit(cluster_.revision);
+    const bool have_all = !recent_.empty() && recent_.front().index <= applied + 1;
+    if (applied > cluster_.revision) {
+        return reply.SerializeAsString(); // this node is behind the asker: no news
+    }
+    if (!have_all && applied < cluster_.revision) {
+        to_wire(cluster_, *reply.mutable_full());
+        return reply.SerializeAsString();
+    }
+    int count = 0;
+    for (const raft::entry& e : recent_) {
+        if (e.index > applied && count < static_cast<int>(max_watch_entries)) {
+            to_wire(e, *reply.add_entries());
+            ++count;
+        }
+    }
+    return reply.SerializeAsString();
+}
+
+void control_node::answer_watch(const std::string& body, const http_respond& respond) {
+    wire::watch_request request;
+    if (!request.ParseFromString(body)) {
+        respond({.status = 400, .body = {}});
+        return;
+    }
+    if (!request.wait() || request.applied() < cluster_.revision || watchers_.size() >= max_watchers) {
+        respond({.status = 200, .body = make_watch_reply(request.applied())});
+        return;
+    }
+    watchers_.push_back({.applied = request.applied(), .respond = respond, .deadline = now() + watch_time});
+}
+
+void control_node::answer_watchers() {
+    const time_point at = now();
+    std::vector<watcher> ready;
+    for (const watcher& w : watchers_) {
+        if (w.applied < cluster_.revision || at >= w.deadline) {
+            ready.push_back(w);
+        }
+    }
+    std::erase_if(watchers_, [&](const watcher& w) { return w.applied < cluster_.revision || at >= w.deadline; });
+    // Most watchers are at the same revision and get the same bytes.
+    std::map<revision_number, std::string> bodies;
+    for (const watcher& w : ready) {
+        auto& reply = bodies[w.applied];
+        if (reply.empty()) {
+            reply = make_watch_reply(w.applied);
+        }
+        w.respond({.status = 200, .body = reply});
+    }
+}
+
+//-----------------------------------------------------------------------------
+// [answers to operators]
+//-----------------------------------------------------------------------------
+
+void control_node::answer_edit(const std::string& body, const http_respond& respond) {
+    const auto reply = [&respond](result_code code, const std::string& detail, const change_outcome& o = {}) {
+        respond({.status = 200, .body = operator_reply(code, detail, o.table_revision, o.revision)});
+    };
+    wire::edit_request request;
+    if (!request.ParseFromString(body) || request.edit().change_id().empty()) {
+        reply(result_code::bad_message, "");
+        return;
+    }
+    if (!control_.leading || !raft::leader_has_lease(raft_, now())) {
+        reply(result_code::not_leader, leader_address());
+        return;
+    }
+    const edit_table edit = from_wire(request.edit());
+    const std::string broken_rule = check_table(edit.next);
+    if (!broken_rule.empty()) {
+        reply(result_code::table_invalid, broken_rule);
+        return;
+    }
+    waiting_edit waiting;
+    waiting.change_id = edit.change_id;
+    waiting.respond = respond;
+    waiting.until_in_force = request.wait();
+    waiting.deadline =
+        now() + (request.wait_ms() == 0 ? edit_patience
+                                        : duration{std::chrono::milliseconds{static_cast<std::int64_t>(request.wait_ms())}});
+    if (const auto earlier = find_change(cluster_, edit.change_id)) {
+        waiting.applied = true;
+        waiting.outcome = *earlier;
+    } else {
+        raft::propose(raft_, encode_command(edit), now());
+    }
+    edits_.push_back(std::move(waiting));
+    pump();
+    answer_waiting_edits();
+}
+
+void control_node::answer_waiting_edits() {
+    const time_point at = now();
+    std::vector<waiting_edit> left;
+    std::vector<waiting_edit> open;
+    open.swap(edits_);
+    for (waiting_edit& w : open) {
+        const bool refused = w.applied && w.outcome.code != result_code::ok;
+        const bool in_force = w.applied && control_.leading && raft::leader_has_lease(raft_, at) &&
+                              is_in_force(control_, w.outcome.revision, at);
+        std::string reply;
+        if (refused || (w.applied && (!w.until_in_force || in_force))) {
+            reply = operator_reply(w.outcome.code, w.until_in_force && !refused ? "in force" : "",
+                                   w.outcome.table_revision, w.outcome.revision);
+        } else if (!control_.leading || at >= w.deadline) {
+            // Accepted but not everywhere yet, or not even known to be accepted.
+            const result_code code = w.applied ? result_code::not_in_force_yet : result_code::no_quorum;
+            reply = operator_reply(code, "", w.outcome.table_revision, w.outcome.revision);
+        } else {
+            left.push_back(std::move(w));
+            continue;
+        }
+        w.respond({.status = 200, .body = reply});
+    }
+    edits_.insert(edits_.end(), std::make_move_iterator(left.begin()), std::make_move_iterator(left.end()));
+}
+
+std::string control_node::answer_switchover(const std::string& body) {
+    wire::switchover_request request;
+    if (!request.ParseFromString(body)) {
+        return operator_reply(result_code::bad_message, "");
+    }
+    if (!control_.leading || !raft::leader_has_lease(raft_, now())) {
+        return operator_reply(result_code::not_leader, leader_address());
+    }
+    control_actions actions;
+    const result_code code =
+        start_switchover(control_, cluster_, {request.group()}, {request.target()}, now(), actions);
+    carry_out(actions);
+    return operator_reply(code, "");
+}
+
+std::string control_node::answer_status() {
+    wire::status_reply reply;
+    if (!control_.leading || !raft::leader_has_lease(raft_, now())) {
+        reply.set_code(static_cast<std::uint32_t>(result_code::not_leader));
+        reply.set_leader(leader_address());
+        return reply.SerializeAsString();
+    }
+    reply.set_leader(config_.id.value);
+    reply.set_revision(cluster_.revision);
+    reply.set_table_revision(cluster_.table_revision);
+    to_wire(cluster_.current, *reply.mutable_current());
+    for (const auto& [id, group] : cluster_.groups) {
+        to_wire(group, *reply.add_groups());
+    }
+    for (const auto& [id, server] : cluster_.servers) {
+        auto* m = reply.add_servers();
+        to_wire(server, *m->mutable_record());
+        const server_entry entry = server_settings(cluster_.current, id);
+        m->set_weight(entry.weight);
+        const auto seen = control_.announced.find(id);
+        m->set_leaving(entry.leaving || (seen != control_.announced.end() && seen->second.last.leaving));
+        for (const auto& [daemon, d] : control_.daemons) {
+            const auto o = d.observations.find(id);
+            if (o != d.observations.end() && o->second.alive) {
+                m->set_alive(true);
+                m->set_is_primary(o->second.is_primary);
+                m->set_timeline(std::max(m->timeline(), o->second.timeline));
+                m->set_position(std::max(m->position(), o->second.position));
+            }
+        }
+    }
+    for (const auto& [id, d] : control_.daemons) {
+        auto* m = reply.add_daemons();
+        m->set_id(id.value);
+        m->set_domain(d.domain.value);
+        m->set_lease(has_live_lease(d, now()));
+        m->set_confirmed(d.confirmed);
+        for (const auto& [key, claim] : d.claims) {
+            auto* s = reply.add_services();
+            s->set_service(key.service.value);
+            s->set_server(key.server.value);
+            s->set_held(held_share(d, key));
+            const service_entry* entry = find_service(cluster_.current, key.service);
+            s->set_limit(entry == nullptr ? 0 : entry->max_connections);
+        }
+    }
+    for (const raft::member& member : raft_.members.members) {
+        to_wire(member, *reply.add_members());
+    }
+    constexpr std::size_t shown_changes = 20;
+    const std::size_t first = cluster_.changes.size() > shown_changes ? cluster_.changes.size() - shown_changes : 0;
+    for (std::size_t i = first; i < cluster_.changes.size(); ++i) {
+        auto* m = reply.add_changes();
+        m->set_change_id(cluster_.changes[i].change_id);
+        m->set_code(static_cast<std::uint32_t>(cluster_.changes[i].outcome.code));
+        m->set_table_revision(cluster_.changes[i].outcome.table_revision);
+    }
+    return reply.SerializeAsString();
+}
+
+} // namespace larchpin
--- /dev/null
+++ b/src/daemon/control_node.hpp
@@ -0,0 +1,124 @@
+// A control instance: the I/O round core/raft and core/control. Keeps the log on disk, exchanges messages with
+// the other control instances, answers renewals and watches, and carries out what the leader decides.
+//
+// Everything runs on the event loop's thread; only syncing the log goes to a worker. A batch's messages
+// leave after its records are synced, in order.
+//
+// Index
+//   [answers to daemons]  [answers to operators]  [consensus]
+#pragma once
+
+#include "core/control.hpp"
+#include "io/http2.hpp"
+#include "io/raft_store.hpp"
+#include "io/settings.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <deque>
+#include <memory>
+#include <random>
+
+namespace larchpin {
+
+namespace wire {
+class operator_reply;
+class status_reply;
+} // namespace wire
+
+class backend_connection;
+
+class control_node {
+public:
+    control_node(boost::asio::io_context& io, const settings& config, const shared_keys& keys);
+    ~control_node();
+    control_node(const control_node&) = delete;
+    control_node& operator=(const control_node&) = delete;
+    control_node(control_node&&) = delete;
+    control_node& operator=(control_node&&) = delete;
+
+    // Reads the data folder. Errors: data_folder_unusable, log_damaged (as result_code).
+    boost::leaf::result<void> start();
+
+    // [answers to daemons] bodies are protobuf messages
+    [[nodiscard]] std::string answer_renewal(const std::string& body);
+    void answer_watch(const std::string& body, const http_respond& respond);
+
+    // [answers to operators] 2001 not_leader makes the caller ask another instance
+    void answer_edit(const std::string& body, const http_respond& respond);
+    [[nodiscard]] std::string answer_switchover(const std::string& body);
+    [[nodiscard]] std::string answer_status();
+    [[nodiscard]] std::string answer_bootstrap();
+
+    // [consensus]
+    void on_raft_message(const std::string& body);
+    [[nodiscard]] std::string answer_join(const std::string& body);
+
+private:
+    struct watcher {
+        revision_number applied = 0;
+        http_respond respond;
+        time_point deadline{};
+    };
+    struct waiting_edit {
+        std::string change_id;
+        http_respond respond;
+        bool until_in_force = false;
+        bool applied = false;
+        change_outcome outcome;
+        time_point deadline{};
+    };
+    struct server_operation {
+        std::uint64_t number = 0;
+        server_record server;
+        bool promote = false;
+        bool promote_sent = false;
+        time_point deadline{};
+        std::shared_ptr<backend_connection> connection;
+    };
+
+    void on_tick();
+    void pump();
+    void write_next();
+    void send_messages(const std::vector<raft::message>& messages);
+    void apply_committed(const raft::output& out);
+    void apply_entry(const raft::entry& e);
+    void follow_leadership();
+    void carry_out(const control_actions& actions);
+    void start_operation(std::uint64_t number, const server_record& server, bool promote);
+    void run_operation(std::uint64_t number);
+    void finish_operation(const server_answer& answer);
+    void answer_watchers();
+    void answer_waiting_edits();
+    void maintain_members();
+    void ask_to_join();
+    void maybe_compact();
+    [[nodiscard]] bool can_lead() const;
+    [[nodiscard]] std::string make_watch_reply(revision_number applied) const;
+    [[nodiscard]] std::string leader_address() const;
+    http2_client& client_to(const std::string& address);
+    raft::member self_member() const;
+
+    boost::asio::io_context& io_;
+    settings config_;
+    shared_keys keys_;
+    std::mt19937_64 random_;
+    raft_store store_;
+    raft::state raft_;
+    cluster_state cluster_;
+    control_state control_;
+    std::deque<raft::entry> recent_; // applied entries that watchers may still ask for
+    std::deque<raft::output> to_write_;
+    bool writing_ = false;
+    bool store_failed_ = false;
+    std::vector<watcher> watchers_;
+    std::vector<waiting_edit> edits_;
+    std::map<std::uint64_t, server_operation> operations_;
+    std::map<std::string, std::unique_ptr<http2_client>> clients_;
+    boost::asio::steady_timer timer_;
+    time_point next_join_at_{};
+    std::size_t join_index_ = 0;
+};
+
+} // namespace larchpin
--- /dev/null
+++ b/src/daemon/daemon.cpp
@@ -0,0 +1,197 @@
+// See daemon.hpp.
+//
+// Index
+//   [starting and stopping]  [requests of other processes]
+#include "daemon/daemon.hpp"
+
+#include "io/addresses.hpp"
+#include "generated/larchpin.pb.h"
+#include "io/log.hpp"
+
+#include <boost/asio/post.hpp>
+#include <boost/leaf/error.hpp>
+
+#include <csignal>
+#include <charconv>
+
+namespace larchpin {
+
+namespace asio = boost::asio;
+namespace leaf = boost::leaf;
+
+namespace {
+
+constexpr duration control_timeout = std::chrono::seconds{12};
+constexpr duration cancel_timeout = std::chrono::seconds{1};
+constexpr unsigned max_hops = 4;
+constexpr int status_not_found = 404;
+
+std::string encode_reply(result_code code) {
+    wire::operator_reply m;
+    m.set_code(static_cast<std::uint32_t>(code));
+    return m.SerializeAsString();
+}
+
+// Every reply of control to an operator starts with its code in field 1.
+std::optional<wire::operator_reply> peek_reply(const std::string& body) {
+    wire::operator_reply m;
+    return m.ParseFromString(body) ? std::optional{m} : std::nullopt;
+}
+
+} // namespace
+
+//-----------------------------------------------------------------------------
+// [starting and stopping]
+//-----------------------------------------------------------------------------
+
+daemon::daemon(asio::io_context& io, const settings& config, const shared_keys& keys)
+    : io_(io), config_(config), keys_(keys), pools_(io, config_), agent_(io, config_, keys_, pools_),
+      signals_(io, SIGTERM, SIGINT) {}
+
+leaf::result<void> daemon::start() {
+    if (config_.control_member) {
+        control_ = std::make_unique<control_node>(io_, config_, keys_);
+        BOOST_LEAF_CHECK(control_->start());
+    }
+    try {
+        server_ = std::make_unique<http2_server>(
+            io_, parse_endpoint(config_.peer_listen).value_or(asio::ip::tcp::endpoint{}), keys_,
+            [this](const http_request& request, const http_respond& respond) { serve(request, respond); });
+        entry_ = std::make_unique<entry>(io_, config_, agent_, pools_, counts_);
+    } catch (const boost::system::system_error&) {
+        return leaf::new_error(result_code::address_in_use);
+    }
+    entry_->on_foreign_cancel = [this](std::uint32_t process, std::uint32_t secret) {
+        // The balancer gave the cancel request to another instance than the session's.
+        const std::string body = std::to_string(process) + " " + std::to_string(secret);
+        for (const auto& [id, record] : agent_.cluster().instances) {
+            if (id == config_.id) {
+                continue;
+            }
+            auto& client = clients_[record.address];
+            if (!client) {
+                client = std::make_unique<http2_client>(
+                    io_, parse_endpoint(record.address).value_or(asio::ip::tcp::endpoint{}), keys_);
+            }
+            client->post("/v1/cancel", body, cancel_timeout, [](const http_outcome&) {});
+        }
+    };
+    agent_.start();
+    signals_.async_wait([this](const boost::system::error_code& error, int /*signal*/) {
+        if (!error) {
+            stop();
+        }
+    });
+    log_event(severity::info, "daemon_started",
+              {{"entry", config_.entry_listen}, {"peer", config_.peer_listen}, {"control", config_.control_member}});
+    return {};
+}
+
+void daemon::stop() {
+    if (stopping_) {
+        return;
+    }
+    stopping_ = true;
+    entry_->drain([this](std::size_t) {
+        agent_.stop([this] {
+            log_event(severity::info, "daemon_stopped");
+            io_.stop();
+        });
+    });
+}
+
+//-----------------------------------------------------------------------------
+// [requests of other processes]
+//-----------------------------------------------------------------------------
+
+void daemon::refresh_gauges() {
+    counts_.set_gauge("sessions", static_cast<double>(entry_->session_count()));
+    counts_.set_gauge("lease_held", agent_.has_lease() ? 1 : 0);
+    counts_.set_gauge("revision", static_cast<double>(agent_.cluster().revision));
+    counts_.set_gauge("connections_opened", static_cast<double>(pools_.counters().opened));
+    counts_.set_gauge("connections_open_failed", static_cast<double>(pools_.counters().open_failed));
+    counts_.set_gauge("queue_refusals", static_cast<double>(pools_.counters().refused));
+}
+
+void daemon::serve(const http_request& request, const http_respond& respond) {
+    const auto reply = [&respond](const std::string& body) { respond({.status = 200, .body = body}); };
+    if (request.path == "/v1/announce") {
+        reply(agent_.answer_announcement(request.body));
+    } else if (request.path == "/v1/positions") {
+        agent_.answer_positions(request.body, respond);
+    } else if (request.path == "/v1/cancel") {
+        const auto space = request.body.find(' ');
+        std::uint32_t process = 0;
+        std::uint32_t secret = 0;
+        const char* end = request.body.data() + request.body.size();
+        if (space != std::string::npos) {
+            std::from_chars(request.body.data(), end, process);
+            std::from_chars(request.body.data() + space + 1, end, secret);
+            entry_->cancel(process, secret);
+        }
+        reply("");
+    } else if (request.path == "/v1/metrics") {
+        refresh_gauges();
+        reply(counts_.to_text());
+    } else if (request.path == "/v1/drain") {
+        reply(encode_reply(result_code::ok));
+        asio::post(io_, [this] { stop(); });
+    } else {
+        serve_control(request, respond);
+    }
+}
+
+void daemon::serve_control(const http_request& request, const http_respond& respond) {
+    const auto reply = [&respond](const std::string& body) { respond({.status = 200, .body = body}); };
+    const bool for_operators = request.path == "/v1/edit" || request.path == "/v1/status" || request.path == "/v1/switchover";
+    if (!control_) {
+        if (for_operators) {
+            forward_to_control(request, respond, config_.control_addresses.front(), 0);
+        } else {
+            respond({.status = status_not_found, .body = {}});
+        }
+        return;
+    }
+    if (request.path == "/v1/raft") {
+        control_->on_raft_message(request.body);
+        reply("");
+    } else if (request.path == "/v1/renew") {
+        reply(control_->answer_renewal(request.body));
+    } else if (request.path == "/v1/watch") {
+        control_->answer_watch(request.body, respond);
+    } else if (request.path == "/v1/join") {
+        reply(control_->answer_join(request.body));
+    } else if (request.path == "/v1/bootstrap") {
+        reply(control_->answer_bootstrap());
+    } else if (request.path == "/v1/edit") {
+        control_->answer_edit(request.body, respond);
+    } else if (request.path == "/v1/status") {
+        reply(control_->answer_status());
+    } else if (request.path == "/v1/switchover") {
+        reply(control_->answer_switchover(request.body));
+    } else {
+        respond({.status = status_not_found, .body = {}});
+    }
+}
+
+// An operator may ask any daemon; this one passes the request on, following hints, to whoever leads.
+void daemon::forward_to_control(const http_request& request, const http_respond& respond,
+                                const std::string& address, unsigned hops) {
+    auto& client = clients_[address];
+    if (!client) {
+        client = std::make_unique<http2_client>(io_, parse_endpoint(address).value_or(asio::ip::tcp::endpoint{}), keys_);
+    }
+    client->post(request.path, request.body, control_timeout, [this, request, respond, hops](const http_outcome& o) {
+        const auto reply = o.answered ? peek_reply(o.body) : std::nullopt;
+        const bool other_leads = !reply || reply->code() == static_cast<std::uint32_t>(result_code::not_leader);
+        if (!other_leads || hops >= max_hops) {
+            respond({.status = 200, .body = o.answered ? o.body : encode_reply(result_code::no_quorum)});
+            return;
+        }
+        const std::size_t next = (hops + 1) % config_.control_addresses.size();
+        const bool has_hint = reply && !reply->detail().empty();
+        forward_to_control(request, respond, has_hint ? reply->detail() : config_.control_addresses[next], hops + 1);
+    });
+}
+
+} // namespace larchpin
--- /dev/null
+++ b/src/daemon/entry.cpp
@@ -0,0 +1,128 @@
+#include "daemon/entry.hpp"
+
+#include "io/addresses.hpp"
+#include "io/clock.hpp"
+#include "io/log.hpp"
+
+#include <boost/asio/post.hpp>
+
+namespace larchpin {
+
+namespace asio = boost::asio;
+using tcp = asio::ip::tcp;
+
+namespace {
+
+constexpr duration drain_check_interval = std::chrono::milliseconds{10};
+
+} // namespace
+
+entry::entry(asio::io_context& context, const settings& s, agent& a, backend_pools& p, metrics& m)
+    : io(context), config(s), cluster(a), pools(p), counts(m), random(std::random_device{}()),
+      acceptor_(context, parse_endpoint(s.entry_listen).value_or(tcp::endpoint{})), drain_timer_(context) {
+    if (!config.tls_certificate.empty()) {
+        tls = std::make_unique<asio::ssl::context>(asio::ssl::context::tls_server);
+        tls->use_certificate_chain_file(config.tls_certificate);
+        tls->use_private_key_file(config.tls_key, asio::ssl::context::pem);
+    }
+    cluster.on_change = [this] { wake_waiting(); };
+    accept();
+}
+
+void entry::accept() {
+    acceptor_.async_accept([this](const boost::system::error_code& error, tcp::socket socket) {
+        if (error == asio::error::operation_aborted) {
+            return;
+        }
+        if (!error) {
+            const session_number number = next_number_++;
+            const auto secret = static_cast<std::uint32_t>(random());
+            auto session = std::make_shared<client_session>(*this, number, secret, std::move(socket));
+            sessions_[number] = session;
+            session->start();
+        }
+        accept();
+    });
+}
+
+void entry::remove(session_number number) {
+    waiting_.erase(number);
+    // The session may be running one of its own functions now.
+    asio::post(io, [this, number] {
+        sessions_.erase(number);
+        check_drained();
+    });
+}
+
+// News come in bursts; one pass over those that wait serves them all.
+void entry::wake_waiting() {
+    if (waiting_.empty() || wake_posted_) {
+        return;
+    }
+    wake_posted_ = true;
+    asio::post(io, [this] {
+        wake_posted_ = false;
+        const auto waiting = std::move(waiting_);
+        waiting_.clear();
+        for (const session_number number : waiting) {
+            const auto found = sessions_.find(number);
+            if (found != sessions_.end()) {
+                const auto session = found->second;
+                session->poke();
+            }
+        }
+    });
+}
+
+bool entry::cancel(std::uint32_t process, std::uint32_t secret) {
+    const auto found = sessions_.find(process);
+    if (found == sessions_.end() || found->second->secret() != secret) {
+        return false;
+    }
+    const auto session = found->second;
+    session->cancel();
+    return true;
+}
+
+void entry::drain(std::function<void(std::size_t)> done) {
+    if (draining_) {
+        return;
+    }
+    draining_ = true;
+    on_drained_ = std::move(done);
+    drain_deadline_ = now() + config.drain_time;
+    log_event(severity::info, "drain_started", {{"sessions", static_cast<std::uint64_t>(sessions_.size())}});
+    const auto sessions = sessions_;
+    for (const auto& [number, session] : sessions) {
+        session->stop_when_idle();
+    }
+    check_drained();
+}
+
+void entry::check_drained() {
+    if (!draining_ || !on_drained_) {
+        return;
+    }
+    if (sessions_.empty() || now() >= drain_deadline_) {
+        const std::size_t cut = sessions_.size();
+        const auto sessions = sessions_;
+        for (const auto& [number, session] : sessions) {
+            session->close();
+        }
+        log_event(severity::info, "drain_ended", {{"cut", static_cast<std::uint64_t>(cut)}});
+        boost::system::error_code ignored;
+        acceptor_.close(ignored);
+        const auto done = std::move(on_drained_);
+        on_drained_ = nullptr;
+        done(cut);
+        return;
+    }
+    drain_timer_.expires_after(drain_check_interval);
+    drain_timer_.async_wait([this](const boost::system::error_code& error) {
+        if (!error) {
+            check_drained();
+        }
+    });
+}
+
+} // namespace larchpin
--- /dev/null
+++ b/src/daemon/pools.cpp
@@ -0,0 +1,181 @@
+#include "daemon/pools.hpp"
+
+#include "io/clock.hpp"
+#include "io/log.hpp"
+#include "io/server_probe.hpp"
+
+#include <algorithm>
+
+namespace larchpin {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr duration tick_interval = std::chrono::milliseconds{5};
+constexpr duration idle_pool_time = std::chrono::seconds{30}; // afterwards it claims nothing
+
+} // namespace
+
+backend_pools::backend_pools(asio::io_context& io, const settings& config) : io_(io), config_(config), timer_(io) {
+    on_tick();
+}
+
+backend_pools::pool& backend_pools::find_or_make(const share_key& key) {
+    return pools_[key];
+}
+
+request_number backend_pools::request(const share_key& key, const server_record& server, unsigned background_share,
+                                      request_class klass, time_point deadline, pool_callback done) {
+    pool& p = find_or_make(key);
+    p.server = server;
+    p.used_at = now();
+    p.state.background_share = background_share;
+    const request_number number = next_request_++;
+    p.requests[number] = waiting_request{.done = std::move(done)};
+    pool_actions actions;
+    const pool_waiter waiter{.request = number, .klass = klass, .deadline = deadline};
+    request_connection(p.state, waiter, now(), next_connection_, actions);
+    carry_out(key, actions);
+    return number;
+}
+
+void backend_pools::cancel(const share_key& key, request_number request) {
+    const auto found = pools_.find(key);
+    if (found == pools_.end()) {
+        return;
+    }
+    found->second.requests.erase(request);
+    cancel_request(found->second.state, request);
+}
+
+void backend_pools::release(const share_key& key, connection_number number, bool reusable, duration used_for) {
+    const auto found = pools_.find(key);
+    if (found == pools_.end()) {
+        return;
+    }
+    const auto connection = found->second.connections.find(number);
+    const bool usable = reusable && connection != found->second.connections.end() &&
+                        connection->second->is_open() && !connection->second->is_running();
+    pool_actions actions;
+    release_connection(found->second.state, number, usable, used_for, now(), next_connection_, actions);
+    carry_out(key, actions);
+}
+
+void backend_pools::set_share(const share_key& key, unsigned share) {
+    pool_actions actions;
+    larchpin::set_share(find_or_make(key).state, share, now(), next_connection_, actions);
+    carry_out(key, actions);
+}
+
+std::vector<share_claim> backend_pools::claims() {
+    std::vector<share_claim> all;
+    for (auto& [key, p] : pools_) {
+        const unsigned in_effect = std::max(p.state.share, open_count(p.state));
+        const bool in_use = now() - p.used_at < idle_pool_time;
+        const unsigned wanted = in_use ? take_peak_demand(p.state) + 1 : 0;
+        if (in_effect > 0 || wanted > 0) {
+            all.push_back({.key = key, .in_effect = in_effect, .wanted = wanted});
+        }
+    }
+    return all;
+}
+
+const std::map<share_key, unsigned> backend_pools::shares() const {
+    std::map<share_key, unsigned> all;
+    for (const auto& [key, p] : pools_) {
+        all[key] = p.state.share;
+    }
+    return all;
+}
+
+bool backend_pools::may_serve(const share_key& key) const {
+    const auto found = pools_.find(key);
+    return found == pools_.end() || found->second.state.share > 0 || now() >= found->second.state.open_retry_at;
+}
+
+void backend_pools::carry_out(const share_key& key, const pool_actions& actions) {
+    for (const pool_action& action : actions) {
+        pool& p = pools_[key];
+        if (const auto* opening = std::get_if<open_connection>(&action)) {
+            open(key, opening->connection);
+        } else if (const auto* closing = std::get_if<close_connection>(&action)) {
+            const auto found = p.connections.find(closing->connection);
+            if (found != p.connections.end()) {
+                const auto connection = found->second;
+                p.connections.erase(found);
+                connection->close();
+            }
+        } else if (const auto* use = std::get_if<use_connection>(&action)) {
+            const auto request = p.requests.find(use->request);
+            if (request == p.requests.end()) {
+                release(key, use->connection, true, duration{0});
+                continue;
+            }
+            const pool_callback done = std::move(request->second.done);
+            p.requests.erase(request);
+            done({.connection = p.connections[use->connection], .number = use->connection});
+        } else if (const auto* refuse = std::get_if<refuse_request>(&action)) {
+            const auto request = p.requests.find(refuse->request);
+            if (request == p.requests.end()) {
+                continue;
+            }
+            ++counters_.refused;
+            const pool_callback done = std::move(request->second.done);
+            p.requests.erase(request);
+            done({.connection = nullptr, .number = 0, .code = refuse->code, .retry_after = refuse->retry_after});
+        }
+    }
+}
+
+void backend_pools::open(const share_key& key, connection_number number) {
+    pool& p = pools_[key];
+    auto connection =
+        std::make_shared<backend_connection>(io_, make_service_target(config_, p.server, key.service));
+    p.connections[number] = connection;
+    ++counters_.opened;
+    connection->connect([this, key, number](bool connected) {
+        pool& owner = pools_[key];
+        pool_actions actions;
+        if (connected) {
+            connection_opened(owner.state, number, now(), next_connection_, actions);
+        } else {
+            ++counters_.open_failed;
+            owner.connections.erase(number);
+            connection_failed(owner.state, number, now(), next_connection_, actions);
+            if (on_open_failed) {
+                on_open_failed(key.server);
+            }
+        }
+        carry_out(key, actions);
+    });
+}
+
+void backend_pools::on_tick() {
+    for (auto& [key, p] : pools_) {
+        pool_actions actions;
+        // A connection that the server ended while it lay idle is of no use.
+        std::vector<connection_number> dead;
+        for (const connection_number c : p.state.idle) {
+            if (!p.connections[c]->is_open()) {
+                dead.push_back(c);
+            }
+        }
+        for (const connection_number c : dead) {
+            p.connections.erase(c);
+            connection_failed(p.state, c, now(), next_connection_, actions);
+        }
+        if (waiting_count(p.state) > 0) {
+            expire_waiters(p.state, now(), next_connection_, actions);
+        }
+        carry_out(key, actions);
+    }
+    timer_.expires_after(tick_interval);
+    timer_.async_wait([this](const boost::system::error_code& error) {
+        if (!error) {
+            on_tick();
+        }
+    });
+}
+
+} // namespace larchpin
--- /dev/null
+++ b/src/daemon/pools.hpp
@@ -0,0 +1,82 @@
+// All pools of one daemon: the connections that core/pool decides about, and their backend servers.
+//
+// Usage
+//   pools.request(key, server, waiter, [](const pool_answer& a) { ... });   // once, maybe at once
+//   ... a.connection->run(...) ...
+//   pools.release(key, a.number, reusable);
+#pragma once
+
+#include "core/pool.hpp"
+#include "core/shares.hpp"
+#include "io/backend_connection.hpp"
+#include "io/settings.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <functional>
+#include <map>
+#include <memory>
+
+namespace larchpin {
+
+struct pool_answer {
+    std::shared_ptr<backend_connection> connection; // none: refused
+    connection_number number = 0;
+    result_code code = result_code::ok;
+    duration retry_after{0};
+};
+using pool_callback = std::function<void(const pool_answer&)>;
+
+struct pool_counters {
+    std::uint64_t opened = 0;
+    std::uint64_t open_failed = 0;
+    std::uint64_t refused = 0;
+    auto operator<=>(const pool_counters&) const = default;
+};
+
+class backend_pools {
+public:
+    backend_pools(boost::asio::io_context& io, const settings& config);
+
+    request_number request(const share_key& key, const server_record& server, unsigned background_share,
+                           request_class klass, time_point deadline, pool_callback done);
+    // The caller no longer wants it; its callback is not called any more.
+    void cancel(const share_key& key, request_number request);
+    void release(const share_key& key, connection_number number, bool reusable, duration used_for);
+
+    void set_share(const share_key& key, unsigned share);
+    [[nodiscard]] std::vector<share_claim> claims();
+    [[nodiscard]] const std::map<share_key, unsigned> shares() const;
+    [[nodiscard]] bool may_serve(const share_key& key) const; // holds a share, or may get one
+    [[nodiscard]] const pool_counters& counters() const { return counters_; }
+    // The server takes no new connections from here (told of by the failure callback).
+    std::function<void(const server_id&)> on_open_failed;
+
+private:
+    struct waiting_request {
+        pool_callback done;
+    };
+    struct pool {
+        pool_state state;
+        server_record server;
+        std::map<connection_number, std::shared_ptr<backend_connection>> connections;
+        std::map<request_number, waiting_request> requests;
+        time_point used_at{};
+    };
+
+    void carry_out(const share_key& key, const pool_actions& actions);
+    void open(const share_key& key, connection_number number);
+    void on_tick();
+    pool& find_or_make(const share_key& key);
+
+    boost::asio::io_context& io_;
+    const settings& config_;
+    std::map<share_key, pool> pools_;
+    connection_number next_connection_ = 1;
+    request_number next_request_ = 1;
+    boost::asio::steady_timer timer_;
+    pool_counters counters_;
+};
+
+} // namespace larchpin
--- /dev/null
+++ b/src/io/http2.cpp
@@ -0,0 +1,313 @@
+// Server and client on top of one connection each: see http2.hpp.
+//
+// Index
+//   [server]  [client]
+#include "io/clock.hpp"
+#include "io/http2_internal.hpp"
+
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <deque>
+#include <map>
+#include <vector>
+
+namespace larchpin {
+
+namespace asio = boost::asio;
+using tcp = asio::ip::tcp;
+
+namespace {
+
+constexpr int status_ok = 200;
+constexpr int status_unauthenticated = 401;
+constexpr int status_too_large = 413;
+constexpr std::size_t max_server_connections = 4096;
+constexpr duration timeout_check_interval = std::chrono::milliseconds{5};
+constexpr duration reconnect_pause = std::chrono::milliseconds{20};
+
+} // namespace
+
+//-----------------------------------------------------------------------------
+// [server]
+//-----------------------------------------------------------------------------
+
+struct http2_server::implementation : std::enable_shared_from_this<http2_server::implementation> {
+    implementation(asio::io_context& io, const tcp::endpoint& at, const shared_keys& shared, http_handler h)
+        : acceptor(io, at), keys(shared), handler(std::move(h)) {}
+
+    void accept() {
+        auto self = shared_from_this();
+        acceptor.async_accept([self](const boost::system::error_code& error, tcp::socket socket) {
+            if (error == asio::error::operation_aborted) {
+                return;
+            }
+            if (!error && self->connections.size() < max_server_connections) {
+                self->add(std::move(socket));
+            }
+            self->accept();
+        });
+    }
+
+    void add(tcp::socket socket) {
+        const std::uint64_t id = next_id++;
+        std::weak_ptr<implementation> weak = weak_from_this();
+        auto connection = std::make_shared<http2_connection>(
+            std::move(socket), true,
+            [weak, id](http2_connection&, std::int32_t stream) {
+                if (auto self = weak.lock()) {
+                    self->serve(id, stream);
+                }
+            },
+            [weak, id](http2_connection&) {
+                if (auto self = weak.lock()) {
+                    self->connections.erase(id);
+                }
+            });
+        connections.emplace(id, connection);
+        connection->start();
+    }
+
+    void serve(std::uint64_t id, std::int32_t stream_id) {
+        const auto found = connections.find(id);
+        if (found == connections.end()) {
+            return;
+        }
+        const std::shared_ptr<http2_connection> connection = found->second;
+        http2_stream& stream = connection->streams()[stream_id];
+        if (stream.too_large) {
+            connection->submit_response(stream_id, status_too_large, "", "");
+            return;
+        }
+        const signed_nonce given{.nonce = stream.nonce, .signature = stream.signature};
+        if (!check_request(keys, stream.path, stream.body, given)) {
+            connection->submit_response(stream_id, status_unauthenticated, "", "");
+            return;
+        }
+        const http_request request{.path = std::move(stream.path), .body = std::move(stream.body)};
+        std::weak_ptr<http2_connection> weak = connection;
+        const shared_keys copy = keys;
+        handler(request, [weak, copy, stream_id, signature = given.signature](const http_response& response) {
+            if (auto open = weak.lock()) {
+                open->submit_response(stream_id, response.status, response.body,
+                                      sign_reply(copy, signature, response.body));
+            }
+        });
+    }
+
+    tcp::acceptor acceptor;
+    shared_keys keys;
+    http_handler handler;
+    std::map<std::uint64_t, std::shared_ptr<http2_connection>> connections;
+    std::uint64_t next_id = 1;
+};
+
+http2_server::http2_server(asio::io_context& io, const tcp::endpoint& at, const shared_keys& keys,
+                           http_handler handler)
+    : self_(std::make_shared<implementation>(io, at, keys, std::move(handler))) {
+    self_->accept();
+}
+
+http2_server::~http2_server() {
+    boost::system::error_code ignored;
+    self_->acceptor.close(ignored);
+    const auto connections = self_->connections;
+    for (const auto& [id, connection] : connections) {
+        connection->close();
+    }
+}
+
+//-----------------------------------------------------------------------------
+// [client]
+//-----------------------------------------------------------------------------
+
+struct http2_client::implementation : std::enable_shared_from_this<http2_client::implementation> {
+    struct waiting_request {
+        std::string path;
+        std::string body;
+        http_callback done;
+        time_point deadline{};
+    };
+
+    implementation(asio::io_context& context, const tcp::endpoint& endpoint, const shared_keys& shared)
+        : io(context), to(endpoint), keys(shared), timer(context) {}
+
+    void connect() {
+        if (connecting || now() < retry_at) {
+            return;
+        }
+        connecting = true;
+        auto socket = std::make_shared<tcp::socket>(io);
+        pending_socket = socket;
+        auto self = shared_from_this();
+        socket->async_connect(to, [self, socket](const boost::system::error_code& error) {
+            self->connecting = false;
+            self->pending_socket.reset();
+            if (error || self->stopped) {
+                self->retry_at = now() + reconnect_pause;
+                self->fail_waiting();
+                return;
+            }
+            self->adopt(std::move(*socket));
+        });
+    }
+
+    void adopt(tcp::socket socket) {
+        std::weak_ptr<implementation> weak = weak_from_this();
+        connection = std::make_shared<http2_connection>(
+            std::move(socket), false,
+            [weak](http2_connection& from, std::int32_t stream) {
+                if (auto self = weak.lock()) {
+                    self->finish(from, stream);
+                }
+            },
+            [weak](http2_connection& from) { fail_streams(from); });
+        connection->start();
+        const auto ready = std::move(waiting);
+        waiting.clear();
+        for (const waiting_request& r : ready) {
+            submit(r);
+        }
+    }
+
+    void submit(const waiting_request& r) {
+        const signed_nonce signature = sign_request(keys, r.path, r.body);
+        if (connection->submit_request(r.path, r.body, signature, r.done, r.deadline) < 0) {
+            asio::post(io, [done = r.done] { done(http_outcome{}); });
+            connection->close(); // out of stream numbers: the next request opens a new connection
+        }
+    }
+
+    void finish(http2_connection& from, std::int32_t id) const {
+        const auto found = from.streams().find(id);
+        if (found == from.streams().end() || !found->second.done) {
+            return;
+        }
+        http2_stream& stream = found->second;
+        http_outcome outcome{.answered = true, .status = stream.status, .body = std::move(stream.body)};
+        const bool genuine = check_reply(keys, stream.sent_signature, outcome.body, stream.signature);
+        if (outcome.status == status_ok && !genuine) {
+            outcome = http_outcome{.answered = false, .status = status_unauthenticated, .body = {}};
+        }
+        const http_callback done = std::move(stream.done);
+        stream.done = nullptr;
+        done(outcome);
+    }
+
+    static void fail_streams(http2_connection& from) {
+        std::vector<http_callback> open;
+        for (auto& [id, stream] : from.streams()) {
+            if (stream.done) {
+                open.push_back(std::move(stream.done));
+                stream.done = nullptr;
+            }
+        }
+        for (const http_callback& done : open) {
+            done(http_outcome{});
+        }
+    }
+
+    void fail_waiting() {
+        const auto failed = std::move(waiting);
+        waiting.clear();
+        for (const waiting_request& r : failed) {
+            r.done(http_outcome{});
+        }
+    }
+
+    // One timer for all requests: cheap, and a timeout may be late by the interval.
+    void watch_deadlines() {
+        if (watching || stopped) {
+            return;
+        }
+        watching = true;
+        timer.expires_after(timeout_check_interval);
+        auto self = shared_from_this();
+        timer.async_wait([self](const boost::system::error_code& error) {
+            self->watching = false;
+            if (error || self->stopped) {
+                return;
+            }
+            if (self->expire()) {
+                self->watch_deadlines();
+            }
+        });
+    }
+
+    // Returns whether anything is still open.
+    bool expire() {
+        const time_point at = now();
+        std::vector<http_callback> late;
+        for (waiting_request& r : waiting) {
+            if (at >= r.deadline) {
+                late.push_back(r.done);
+            }
+        }
+        std::erase_if(waiting, [at](const waiting_request& r) { return at >= r.deadline; });
+        std::vector<std::int32_t> reset;
+        bool open = !waiting.empty();
+        if (connection) {
+            for (auto& [id, stream] : connection->streams()) {
+                if (stream.done && at >= stream.deadline) {
+                    late.push_back(std::move(stream.done));
+                    stream.done = nullptr;
+                    reset.push_back(id);
+                }
+                open = open || stream.done != nullptr;
+            }
+            for (const std::int32_t id : reset) {
+                connection->reset_stream(id);
+            }
+        }
+        for (const http_callback& done : late) {
+            done(http_outcome{});
+        }
+        return open || !waiting.empty();
+    }
+
+    asio::io_context& io;
+    tcp::endpoint to;
+    shared_keys keys;
+    asio::steady_timer timer;
+    std::shared_ptr<http2_connection> connection;
+    std::shared_ptr<tcp::socket> pending_socket;
+    std::deque<waiting_request> waiting;
+    time_point retry_at{};
+    bool connecting = false;
+    bool watching = false;
+    bool stopped = false;
+};
+
+http2_client::http2_client(asio::io_context& io, const tcp::endpoint& to, const shared_keys& keys)
+    : self_(std::make_shared<implementation>(io, to, keys)) {}
+
+http2_client::~http2_client() {
+    self_->stopped = true;
+    self_->timer.cancel();
+    boost::system::error_code ignored;
+    if (self_->pending_socket) {
+        self_->pending_socket->close(ignored);
+    }
+    if (self_->connection) {
+        self_->connection->close();
+    }
+}
+
+void http2_client::post(const std::string& path, const std::string& body, duration timeout,
+                        const http_callback& done) {
+    implementation& me = *self_;
+    const implementation::waiting_request request{
+        .path = path, .body = body, .done = done, .deadline = now() + timeout};
+    if (me.connection && me.connection->is_open()) {
+        me.submit(request);
+    } else if (now() < me.retry_at) {
+        asio::post(me.io, [done] { done(http_outcome{}); }); // it was refused a moment ago
+        return;
+    } else {
+        me.waiting.push_back(request);
+        me.connect();
+    }
+    me.watch_deadlines();
+}
+
+} // namespace larchpin
--- /dev/null
+++ b/src/io/log.hpp
@@ -0,0 +1,33 @@
+// Logs as JSON lines on standard error: time, level, event, instance, failure domain, then the event's fields.
+//
+// Usage
+//   start_log(severity::info, "bkk-1", "bkk-bangna");
+//   log_event(severity::info, "lease_granted", {{"revision", revision}});
+//   log_failure("edit_refused", result_code::revision_conflict, {{"change", id}});
+//
+// Never log statements, parameters, keys or passwords: they are the callers' secrets.
+#pragma once
+
+#include "core/result_codes.hpp"
+
+#include <cstdint>
+#include <initializer_list>
+#include <string>
+#include <string_view>
+#include <variant>
+
+namespace larchpin {
+
+enum class severity : std::uint8_t { debug, info, warning, error };
+
+struct log_field {
+    std::string_view key;
+    std::variant<std::string_view, std::int64_t, std::uint64_t, bool> value;
+};
+using log_fields = std::initializer_list<log_field>;
+
+void start_log(severity lowest, const std::string& instance, const std::string& domain);
+void log_event(severity level, std::string_view event, log_fields fields = {});
+void log_failure(std::string_view event, result_code code, log_fields fields = {});
+
+} // namespace larchpin
--- /dev/null
+++ b/src/io/raft_store.cpp
@@ -0,0 +1,253 @@
+#include "io/raft_store.hpp"
+
+#include "generated/larchpin.pb.h"
+#include "io/codec.hpp"
+
+#include <boost/crc.hpp>
+#include <boost/leaf/error.hpp>
+
+#include <fcntl.h>
+#include <sys/stat.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <filesystem>
+#include <fstream>
+#include <random>
+#include <sstream>
+
+namespace larchpin {
+
+namespace leaf = boost::leaf;
+
+namespace {
+
+constexpr const char* log_name = "control.log";
+constexpr const char* new_log_name = "control.log.new";
+constexpr std::size_t header_bytes = 8;
+constexpr std::uint32_t max_record_bytes = 64U * 1024 * 1024;
+
+std::uint32_t checksum(std::string_view bytes) {
+    boost::crc_32_type crc;
+    crc.process_bytes(bytes.data(), bytes.size());
+    return crc.checksum();
+}
+
+void put_u32(std::string& out, std::uint32_t v) {
+    constexpr unsigned byte_bits = 8;
+    for (unsigned i = 0; i < sizeof(v); ++i) {
+        out.push_back(static_cast<char>((v >> (byte_bits * i)) & 0xffU));
+    }
+}
+
+std::uint32_t get_u32(std::string_view bytes) {
+    constexpr unsigned byte_bits = 8;
+    std::uint32_t v = 0;
+    for (unsigned i = 0; i < sizeof(v); ++i) {
+        v |= static_cast<std::uint32_t>(static_cast<unsigned char>(bytes[i])) << (byte_bits * i);
+    }
+    return v;
+}
+
+bool write_all(int file, std::string_view bytes) {
+    while (!bytes.empty()) {
+        const ssize_t written = ::write(file, bytes.data(), bytes.size());
+        if (written <= 0) {
+            return false;
+        }
+        bytes.remove_prefix(static_cast<std::size_t>(written));
+    }
+    return true;
+}
+
+bool sync_folder(const std::string& folder) {
+    const int descriptor = ::open(folder.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC);
+    if (descriptor < 0) {
+        return false;
+    }
+    const bool synced = ::fsync(descriptor) == 0;
+    ::close(descriptor);
+    return synced;
+}
+
+std::string read_file(const std::string& path) {
+    std::ifstream stream(path, std::ios::binary);
+    std::ostringstream bytes;
+    bytes << stream.rdbuf();
+    return bytes.str();
+}
+
+// The entries after a snapshot stay only where the log held the snapshot's last entry itself: what followed
+// another entry is not known to follow this one.
+void drop_replaced(std::vector<raft::entry>& log, const raft::snapshot& snap) {
+    const bool held = std::any_of(log.begin(), log.end(), [&snap](const raft::entry& e) {
+        return e.index == snap.index && e.term == snap.term;
+    });
+    std::erase_if(log, [&](const raft::entry& e) { return !held || e.index <= snap.index; });
+}
+
+raft::node_id make_node_id() {
+    std::random_device device;
+    constexpr unsigned half = 32;
+    const auto id = (static_cast<std::uint64_t>(device()) << half) | device();
+    return id == 0 ? 1 : id;
+}
+
+} // namespace
+
+std::string encode_record(const raft::record& r, raft::node_id node) {
+    wire::raft_record m;
+    to_wire(r, m);
+    m.set_node(node);
+    const std::string body = m.SerializeAsString();
+    std::string bytes;
+    put_u32(bytes, static_cast<std::uint32_t>(body.size()));
+    put_u32(bytes, checksum(body));
+    return bytes + body;
+}
+
+decoded_log decode_log(const std::string& bytes) {
+    decoded_log log;
+    std::string_view rest = bytes;
+    while (rest.size() >= header_bytes) {
+        const std::uint32_t length = get_u32(rest);
+        const std::uint32_t expected = get_u32(rest.substr(sizeof(std::uint32_t)));
+        if (length > max_record_bytes) {
+            log.damaged = true;
+            return log;
+        }
+        if (rest.size() < header_bytes + length) {
+            return log; // cut off at the end
+        }
+        const std::string_view body = rest.substr(header_bytes, length);
+        const bool is_last = rest.size() == header_bytes + length;
+        wire::raft_record m;
+        if (checksum(body) != expected || !m.ParseFromArray(body.data(), static_cast<int>(body.size()))) {
+            log.damaged = !is_last; // the last one may have been written in part
+            return log;
+        }
+        log.records.push_back(from_wire(m));
+        if (m.node() != 0) {
+            log.node = m.node();
+        }
+        rest.remove_prefix(header_bytes + length);
+        log.good_bytes = bytes.size() - rest.size();
+    }
+    return log;
+}
+
+raft::recovered_state replay_records(const std::vector<raft::record>& records) {
+    raft::recovered_state state;
+    for (const raft::record& r : records) {
+        if (r.hard) {
+            state.hard = *r.hard;
+        }
+        if (r.snap && r.snap->index >= state.snap.index) {
+            drop_replaced(state.log, *r.snap);
+            state.snap = *r.snap;
+        }
+        if (r.log_entry && r.log_entry->index > state.snap.index) {
+            std::erase_if(state.log, [&r](const raft::entry& e) { return e.index >= r.log_entry->index; });
+            state.log.push_back(*r.log_entry);
+        }
+    }
+    return state;
+}
+
+raft_store::~raft_store() {
+    if (file_ >= 0) {
+        ::close(file_);
+    }
+}
+
+leaf::result<recovered_store> raft_store::open(const std::string& folder) {
+    folder_ = folder;
+    std::error_code error;
+    std::filesystem::create_directories(folder, error);
+    std::filesystem::remove(folder + "/" + new_log_name, error);
+    const std::string path = folder + "/" + log_name;
+    file_ = ::open(path.c_str(), O_RDWR | O_CREAT | O_APPEND | O_CLOEXEC, S_IRUSR | S_IWUSR);
+    if (file_ < 0) {
+        return leaf::new_error(result_code::data_folder_unusable);
+    }
+    return read_back();
+}
+
+leaf::result<recovered_store> raft_store::read_back() {
+    const std::string bytes = read_file(folder_ + "/" + log_name);
+    decoded_log log = decode_log(bytes);
+    if (log.damaged) {
+        return leaf::new_error(result_code::log_damaged);
+    }
+    recovered_store found;
+    if (log.good_bytes < bytes.size() && ::ftruncate(file_, static_cast<off_t>(log.good_bytes)) != 0) {
+        return leaf::new_error(result_code::data_folder_unusable);
+    }
+    found.is_new = log.node == 0;
+    node_ = found.is_new ? make_node_id() : log.node;
+    found.node = node_;
+    found.state = replay_records(log.records);
+    found.file_bytes = log.good_bytes;
+    hard_ = found.state.hard;
+    if (found.is_new && write_and_sync(encode_record({}, node_)) != result_code::ok) {
+        return leaf::new_error(result_code::data_folder_unusable);
+    }
+    if (!sync_folder(folder_)) {
+        return leaf::new_error(result_code::data_folder_unusable);
+    }
+    return found;
+}
+
+result_code raft_store::write_and_sync(const std::string& bytes) const {
+    const bool done = write_all(file_, bytes) && ::fdatasync(file_) == 0;
+    return done ? result_code::ok : result_code::data_folder_unusable;
+}
+
+result_code raft_store::append(const std::vector<raft::record>& records) {
+    std::string bytes;
+    for (std::size_t i = 0; i < records.size(); ++i) {
+        const raft::record& r = records[i];
+        if (r.hard) {
+            hard_ = *r.hard;
+        }
+        if (r.snap) {
+            // Everything in front of a snapshot is replaced by it; write what came before it first, so
+            // that log entries after its index are in the file when it is read back.
+            if (!bytes.empty() && write_and_sync(bytes) != result_code::ok) {
+                return result_code::data_folder_unusable;
+            }
+            return rewrite(r, {records.begin() + static_cast<std::ptrdiff_t>(i) + 1, records.end()});
+        }
+        bytes += encode_record(r, 0);
+    }
+    return bytes.empty() ? result_code::ok : write_and_sync(bytes);
+}
+
+result_code raft_store::rewrite(const raft::record& first, const std::vector<raft::record>& rest) {
+    const decoded_log old = decode_log(read_file(folder_ + "/" + log_name));
+    std::vector<raft::record> all = old.records;
+    all.push_back(first);
+    const raft::recovered_state kept = replay_records(all);
+    std::string bytes = encode_record({}, node_);
+    bytes += encode_record({.hard = hard_, .log_entry = {}, .snap = {}}, 0);
+    bytes += encode_record({.hard = {}, .log_entry = {}, .snap = kept.snap}, 0);
+    for (const raft::entry& e : kept.log) {
+        bytes += encode_record({.hard = {}, .log_entry = e, .snap = {}}, 0);
+    }
+    const std::string new_path = folder_ + "/" + new_log_name;
+    const int file = ::open(new_path.c_str(), O_RDWR | O_CREAT | O_TRUNC | O_APPEND | O_CLOEXEC, S_IRUSR | S_IWUSR);
+    if (file < 0) {
+        return result_code::data_folder_unusable;
+    }
+    const bool written = write_all(file, bytes) && ::fdatasync(file) == 0;
+    const bool renamed = written && ::rename(new_path.c_str(), (folder_ + "/" + log_name).c_str()) == 0;
+    if (!renamed || !sync_folder(folder_)) {
+        ::close(file);
+        return result_code::data_folder_unusable;
+    }
+    ::close(file_);
+    file_ = file;
+    return append(rest);
+}
+
+} // namespace larchpin
--- /dev/null
+++ b/src/io/raft_store.hpp
@@ -0,0 +1,70 @@
+// The control log on disk: one file of checksummed records, appended and synced.
+//
+// File `control.log` in the data folder: a record is a length, a CRC-32 and a protobuf raft_record. The
+// first record names the node. A record cut short at the end of the file was never answered for and is cut
+// off; damage before the end means the disk lied, and the store refuses to open. A snapshot rewrites the
+// file under another name and renames it.
+//
+// open() and append() touch the disk and may take milliseconds: append() is called from a worker.
+#pragma once
+
+#include "core/raft.hpp"
+#include "core/result_codes.hpp"
+
+#include <boost/leaf/result.hpp>
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace larchpin {
+
+struct recovered_store {
+    raft::node_id node = 0;
+    raft::recovered_state state;
+    bool is_new = false; // the folder held nothing: the node has a new identity
+    std::uint64_t file_bytes = 0;
+};
+
+class raft_store {
+public:
+    raft_store() = default;
+    ~raft_store();
+    raft_store(const raft_store&) = delete;
+    raft_store& operator=(const raft_store&) = delete;
+    raft_store(raft_store&&) = delete;
+    raft_store& operator=(raft_store&&) = delete;
+
+    // Reads the folder back, or starts a new identity in an empty one. Errors: data_folder_unusable,
+    // log_damaged (as result_code).
+    boost::leaf::result<recovered_store> open(const std::string& folder);
+
+    // Appends and syncs; returns ok or data_folder_unusable. After an error nothing more may be appended.
+    result_code append(const std::vector<raft::record>& records);
+
+private:
+    boost::leaf::result<recovered_store> read_back();
+    result_code write_and_sync(const std::string& bytes) const;
+    result_code rewrite(const raft::record& first, const std::vector<raft::record>& rest);
+
+    std::string folder_;
+    int file_ = -1;
+    raft::node_id node_ = 0;
+    raft::hard_state hard_; // newest, repeated when the file is rewritten
+};
+
+// The bytes of records as the file holds them, and back; for tests and fuzzing.
+std::string encode_record(const raft::record& r, raft::node_id node);
+
+struct decoded_log {
+    raft::node_id node = 0;
+    std::vector<raft::record> records;
+    std::size_t good_bytes = 0; // up to the end of the last whole record
+    bool damaged = false;       // something other than a cut-off end follows
+};
+decoded_log decode_log(const std::string& bytes);
+
+// Folds records, in order, into the state they describe.
+raft::recovered_state replay_records(const std::vector<raft::record>& records);
+
+} // namespace larchpin
--- /dev/null
+++ b/src/io/settings.hpp
@@ -0,0 +1,68 @@
+// A daemon's settings, read from one TOML file. Every key is checked; docs/OPERATING.md lists them.
+//
+// Usage
+//   leaf::result<settings> s = load_settings("larchpin.toml");
+// An error carries a settings_problem: file, line, key, what is allowed, and the numbered code.
+#pragma once
+
+#include "core/result_codes.hpp"
+#include "core/types.hpp"
+#include "io/log.hpp"
+
+#include <boost/leaf/result.hpp>
+
+#include <string>
+#include <vector>
+
+namespace larchpin {
+
+struct settings {
+    // [instance]
+    instance_id id;        // unique in the site
+    failure_domain domain;
+    std::string region = "default";
+    // [entry]
+    std::string entry_listen = "127.0.0.1:6432"; // callers, PostgreSQL protocol
+    unsigned max_clients = 5000;
+    duration drain_time = std::chrono::seconds{30}; // a planned stop waits this long for requests in flight
+    std::string tls_certificate; // PEM; empty: no TLS for callers
+    std::string tls_key;         // PEM
+    // [peer]
+    std::string peer_listen = "127.0.0.1:7432"; // our own processes, backend servers' announcements, operators
+    std::string peer_address;                   // as others reach it; empty: peer_listen
+    std::string key_file;                       // shared key, 32 bytes or more
+    std::string old_key_file;                   // still taken, for a rotation; may be empty
+    // [control]
+    bool control_member = false;                // keeps a copy of the control log; needs data_folder
+    std::vector<std::string> control_addresses; // peer listeners of the control instances
+    std::string data_folder;
+    duration lease = std::chrono::milliseconds{1000};
+    duration heartbeat = std::chrono::milliseconds{75};
+    duration election = std::chrono::milliseconds{450};
+    unsigned snapshot_entries = 4096; // log entries before it is cut by a snapshot
+    // [backend]
+    std::string backend_user;          // empty: the caller's user
+    std::string backend_password_file; // empty: none
+    duration probe_interval = std::chrono::milliseconds{50};
+    duration detect_time = std::chrono::milliseconds{400}; // without an answer for so long: dead
+    // [log]
+    severity log_level = severity::info;
+};
+
+struct settings_problem {
+    result_code code = result_code::settings_unreadable;
+    std::string file;
+    unsigned line = 0; // 0: the whole file
+    std::string key;
+    std::string detail;
+};
+
+boost::leaf::result<settings> load_settings(const std::string& file);
+
+// The same from text, for tests and fuzzing.
+boost::leaf::result<settings> parse_settings(const std::string& text, const std::string& file);
+
+// One line for a person.
+std::string to_string(const settings_problem& p);
+
+} // namespace larchpin
