--- a/src/core/cluster_state.hpp
+++ b/src/core/cluster_state.hpp
@@ -25,10 +25,10 @@
 
 struct service_entry {
     service_id id;
-    unsigned max_connections = 20; // to one backend server, over all daemons, 1..1000
+    unsigned max_connections = 20;               // to one backend server, over all daemons, 1..1000
     duration deadline = std::chrono::seconds{5}; // per request, 10 ms..1 h
-    duration max_staleness{0};     // of reads that state nothing else; 0: read-your-writes
-    bool write_safety = false;     // acknowledge only what a second failure domain holds
+    duration max_staleness{0};                   // of reads that state nothing else; 0: read-your-writes
+    bool write_safety = false;                   // acknowledge only what a second failure domain holds
     unsigned background_share = 50; // percent of a daemon's connections for class "background", 1..100
     auto operator<=>(const service_entry&) const = default;
 };
--- a/src/core/control.cpp
+++ b/src/core/control.cpp
@@ -92,8 +92,8 @@
     record.timeline = a.timeline;
     record.starts = {term_start{.term = 1, .position = 0}};
     c.proposed_groups.insert(group);
-    actions.emplace_back(
-        propose_command{set_group{.expected_term = 0, .expected_phase = group_phase::serving, .next = record}});
+    actions.emplace_back(propose_command{
+        set_group{.expected_term = 0, .expected_phase = group_phase::serving, .next = record}});
 }
 
 //-----------------------------------------------------------------------------
@@ -298,8 +298,8 @@
     // A planned switch waits for its target to hold everything that the old primary holds.
     if (best != nullptr && f.planned && f.wanted) {
         const auto wanted = f.answers.find(*f.wanted);
-        const bool caught_up = wanted != f.answers.end() && wanted->second.answered &&
-                               wanted->second.position >= best->position;
+        const bool caught_up =
+            wanted != f.answers.end() && wanted->second.answered && wanted->second.position >= best->position;
         return caught_up ? &wanted->second : nullptr;
     }
     return best;
@@ -357,7 +357,8 @@
         if (f.open_operations.empty() || now - f.step_at >= c.config.probe_wait) {
             promote_best(c, s, group, f, now, actions);
         }
-        if (f.step == failover_step::probing && now - f.step_at >= c.config.probe_wait + c.config.retry_wait) {
+        if (f.step == failover_step::probing &&
+            now - f.step_at >= c.config.probe_wait + c.config.retry_wait) {
             f.failed.clear(); // one that failed before may be back
             ask_replicas(c, s, group, f, now, actions);
         }
@@ -418,7 +419,8 @@
 }
 
 bool has_live_lease(const daemon_state& d, time_point now) {
-    return std::any_of(d.leases.begin(), d.leases.end(), [now](const granted_lease& g) { return g.until > now; });
+    return std::any_of(d.leases.begin(), d.leases.end(),
+                       [now](const granted_lease& g) { return g.until > now; });
 }
 
 unsigned held_share(const daemon_state& d, const share_key& key) {
--- a/src/core/control.hpp
+++ b/src/core/control.hpp
@@ -35,8 +35,8 @@
 // What an observer last saw of a backend server.
 struct server_observation {
     server_id server;
-    bool alive = false;     // answered within the detection time
-    bool refused = false;   // the connection was refused: no process is there
+    bool alive = false;   // answered within the detection time
+    bool refused = false; // the connection was refused: no process is there
     bool is_primary = false;
     std::uint64_t timeline = 0;
     log_position position = 0;
@@ -124,9 +124,9 @@
 
 struct control_settings {
     duration lease = std::chrono::milliseconds{1000};
-    duration probe_wait = std::chrono::milliseconds{300};    // for the replicas' positions
-    duration promote_wait = std::chrono::milliseconds{2000}; // for one promotion
-    duration retry_wait = std::chrono::milliseconds{200};    // before asking again when no replica answers
+    duration probe_wait = std::chrono::milliseconds{300};       // for the replicas' positions
+    duration promote_wait = std::chrono::milliseconds{2000};    // for one promotion
+    duration retry_wait = std::chrono::milliseconds{200};       // before asking again when no replica answers
     duration switchover_wait = std::chrono::milliseconds{3000}; // for the target to catch up
     duration observation_age = std::chrono::milliseconds{1000}; // older ones count no more
     duration announcement_age = std::chrono::milliseconds{3000};
@@ -150,7 +150,7 @@
     std::deque<granted_lease> leases; // one per revision, the longest
     time_point seen_at{};
     std::map<server_id, server_observation> observations;
-    std::uint64_t replies = 0; // sent to it by this leader
+    std::uint64_t replies = 0;           // sent to it by this leader
     std::deque<sent_shares> unconfirmed; // replies that it may yet act upon
     std::map<share_key, share_claim> claims;
 };
@@ -164,10 +164,10 @@
     revision_number fence_revision = 0; // everyone must have confirmed this
     std::set<std::uint64_t> open_operations;
     std::map<server_id, server_answer> answers;
-    std::set<server_id> failed;         // candidates that did not answer a promotion
+    std::set<server_id> failed; // candidates that did not answer a promotion
     std::optional<server_id> candidate;
-    std::optional<server_id> wanted;    // a switchover's target
-    bool planned = false;               // the old primary may be chosen again
+    std::optional<server_id> wanted; // a switchover's target
+    bool planned = false;            // the old primary may be chosen again
 };
 
 struct seen_server {
--- a/src/core/control_core.cpp
+++ b/src/core/control_core.cpp
@@ -23,7 +23,8 @@
 }
 
 void apply_entry(control_core& c, const raft::entry& e) {
-    const auto decoded = e.command.empty() ? std::optional<command>{std::monostate{}} : c.codec.decode(e.command);
+    const auto decoded =
+        e.command.empty() ? std::optional<command>{std::monostate{}} : c.codec.decode(e.command);
     const change_outcome outcome = apply(c.cluster, e.index, decoded.value_or(std::monostate{}));
     c.recent.push_back(e);
     if (c.recent.size() > max_recent_entries) {
@@ -131,7 +132,8 @@
 bool is_heard(const raft::state& s, raft::node_id id, time_point now) {
     constexpr int heartbeats = 3;
     const auto p = s.peers.find(id);
-    return p != s.peers.end() && p->second.acked && now - p->second.acked_sent_at <= s.config.heartbeat_interval * heartbeats;
+    return p != s.peers.end() && p->second.acked &&
+           now - p->second.acked_sent_at <= s.config.heartbeat_interval * heartbeats;
 }
 
 // The instance came back with an empty disk, under another identity that has caught up.
@@ -157,9 +159,9 @@
         return;
     }
     const auto ready = std::find_if(next.members.begin(), next.members.end(), [&](const raft::member& m) {
-        const bool name_votes = std::any_of(next.members.begin(), next.members.end(), [&m](const raft::member& other) {
-            return other.voter && other.name == m.name;
-        });
+        const bool name_votes =
+            std::any_of(next.members.begin(), next.members.end(),
+                        [&m](const raft::member& other) { return other.voter && other.name == m.name; });
         return !m.voter && !name_votes && has_caught_up(s, m.id) && is_heard(s, m.id, now);
     });
     if (ready != next.members.end()) {
@@ -176,9 +178,9 @@
 // [public functions]
 //-----------------------------------------------------------------------------
 
-control_core make_control_core(const command_codec& codec, const raft::member& self, const raft::settings& timing,
-                               const control_settings& settings, const raft::recovered_state& from, time_point now,
-                               std::mt19937_64& random) {
+control_core make_control_core(const command_codec& codec, const raft::member& self,
+                               const raft::settings& timing, const control_settings& settings,
+                               const raft::recovered_state& from, time_point now, std::mt19937_64& random) {
     control_core c;
     c.codec = codec;
     c.self = self;
@@ -273,7 +275,8 @@
     raft::configuration next = c.consensus.members;
     next.members.push_back(joining);
     next.members.back().voter = false;
-    std::sort(next.members.begin(), next.members.end(), [](const auto& a, const auto& b) { return a.id < b.id; });
+    std::sort(next.members.begin(), next.members.end(),
+              [](const auto& a, const auto& b) { return a.id < b.id; });
     if (raft::propose_members(c.consensus, next, now) != 0) {
         note_event_now(c, "control_learner_added");
     }
--- a/src/core/control_core.hpp
+++ b/src/core/control_core.hpp
@@ -53,9 +53,9 @@
 
 constexpr std::size_t max_recent_entries = 8192;
 
-control_core make_control_core(const command_codec& codec, const raft::member& self, const raft::settings& timing,
-                               const control_settings& settings, const raft::recovered_state& from, time_point now,
-                               std::mt19937_64& random);
+control_core make_control_core(const command_codec& codec, const raft::member& self,
+                               const raft::settings& timing, const control_settings& settings,
+                               const raft::recovered_state& from, time_point now, std::mt19937_64& random);
 
 void tick(control_core& c, time_point now, std::mt19937_64& random);
 void step(control_core& c, const raft::message& m, time_point now, std::mt19937_64& random);
--- a/src/core/health.hpp
+++ b/src/core/health.hpp
@@ -10,10 +10,10 @@
 namespace larchpin {
 
 struct server_health {
-    duration latency{0};       // smoothed; 0: unknown
-    unsigned outstanding = 0;  // requests running or waiting there
-    unsigned failures = 0;     // in a row
-    unsigned ejections = 0;    // in a row, without a success after the ramp
+    duration latency{0};      // smoothed; 0: unknown
+    unsigned outstanding = 0; // requests running or waiting there
+    unsigned failures = 0;    // in a row
+    unsigned ejections = 0;   // in a row, without a success after the ramp
     time_point ejected_until{};
     auto operator<=>(const server_health&) const = default;
 };
--- a/src/core/lease.cpp
+++ b/src/core/lease.cpp
@@ -21,7 +21,8 @@
     return scale(nominal, 1.0 + clock_drift_bound);
 }
 
-void add_grant(lease_state& l, time_point sent, duration nominal, revision_number at, revision_number applied) {
+void add_grant(lease_state& l, time_point sent, duration nominal, revision_number at,
+               revision_number applied) {
     l.awaiting.push_back(lease_grant{.revision = at, .until = sent + holder_length(nominal)});
     if (l.awaiting.size() > max_awaiting_grants) {
         l.awaiting.pop_front();
--- a/src/core/lease.hpp
+++ b/src/core/lease.hpp
@@ -28,7 +28,8 @@
 duration grantor_length(duration nominal);
 
 // A renewal sent at `sent` was granted.
-void add_grant(lease_state& l, time_point sent, duration nominal, revision_number at, revision_number applied);
+void add_grant(lease_state& l, time_point sent, duration nominal, revision_number at,
+               revision_number applied);
 
 // The daemon has applied everything up to this revision.
 void note_applied(lease_state& l, revision_number applied);
--- a/src/core/pool.cpp
+++ b/src/core/pool.cpp
@@ -38,7 +38,8 @@
 
 // The waiter whose turn it is, or nothing where only background waits and has its part already.
 std::deque<pool_waiter>* next_queue(pool_state& p) {
-    for (const request_class klass : {request_class::critical, request_class::normal, request_class::background}) {
+    for (const request_class klass :
+         {request_class::critical, request_class::normal, request_class::background}) {
         const bool held_back = klass == request_class::background && background_is_full(p);
         if (!queue_of(p, klass).empty() && !held_back) {
             return &queue_of(p, klass);
@@ -60,7 +61,8 @@
 }
 
 // Opens one for each waiter, and a spare: opening takes longer than most statements.
-void open_for_waiters(pool_state& p, time_point now, connection_number& next_connection, pool_actions& actions) {
+void open_for_waiters(pool_state& p, time_point now, connection_number& next_connection,
+                      pool_actions& actions) {
     if (now < p.open_retry_at) {
         return;
     }
@@ -111,8 +113,8 @@
     return static_cast<unsigned>(count);
 }
 
-void request_connection(pool_state& p, const pool_waiter& w, time_point now, connection_number& next_connection,
-                        pool_actions& actions) {
+void request_connection(pool_state& p, const pool_waiter& w, time_point now,
+                        connection_number& next_connection, pool_actions& actions) {
     const duration wait = expected_wait(p, w.klass);
     if (waiting_count(p) >= p.max_waiting) {
         actions.emplace_back(
@@ -121,8 +123,9 @@
     }
     const bool opens_first = p.busy.empty() && p.idle.empty();
     if (now + wait + (opens_first ? expected_open_time : duration{0}) > w.deadline) {
-        actions.emplace_back(refuse_request{
-            .request = w.request, .code = result_code::overloaded, .retry_after = std::max(wait, expected_open_time)});
+        actions.emplace_back(refuse_request{.request = w.request,
+                                            .code = result_code::overloaded,
+                                            .retry_after = std::max(wait, expected_open_time)});
         return;
     }
     queue_of(p, w.klass).push_back(w);
@@ -174,12 +177,14 @@
     settle(p, now, next_connection, actions);
 }
 
-void expire_waiters(pool_state& p, time_point now, connection_number& next_connection, pool_actions& actions) {
+void expire_waiters(pool_state& p, time_point now, connection_number& next_connection,
+                    pool_actions& actions) {
     for (auto& queue : p.waiting) {
         for (const pool_waiter& w : queue) {
             if (now >= w.deadline) {
-                actions.emplace_back(refuse_request{
-                    .request = w.request, .code = result_code::deadline_passed, .retry_after = p.service_time});
+                actions.emplace_back(refuse_request{.request = w.request,
+                                                    .code = result_code::deadline_passed,
+                                                    .retry_after = p.service_time});
             }
         }
         std::erase_if(queue, [now](const pool_waiter& w) { return now >= w.deadline; });
--- a/src/core/pool.hpp
+++ b/src/core/pool.hpp
@@ -78,8 +78,8 @@
 //-----------------------------------------------------------------------------
 
 // `next_connection` numbers connections; it is raised by one for each that is opened.
-void request_connection(pool_state& p, const pool_waiter& w, time_point now, connection_number& next_connection,
-                        pool_actions& actions);
+void request_connection(pool_state& p, const pool_waiter& w, time_point now,
+                        connection_number& next_connection, pool_actions& actions);
 
 // The request no longer waits (its caller is gone).
 void cancel_request(pool_state& p, request_number request);
--- a/src/core/positions.cpp
+++ b/src/core/positions.cpp
@@ -46,15 +46,15 @@
     }
 }
 
-std::optional<time_point> fresh_as_of(const group_positions& g, const server_id& server, std::uint64_t timeline) {
+std::optional<time_point> fresh_as_of(const group_positions& g, const server_id& server,
+                                      std::uint64_t timeline) {
     const auto position = known_position(g, server, timeline);
     if (!position) {
         return std::nullopt;
     }
     // Positions rise with time, so the last sample not beyond the replica is the newest it covers.
-    const auto after = std::partition_point(g.primary.begin(), g.primary.end(), [&position](const auto& s) {
-        return s.position <= *position;
-    });
+    const auto after = std::partition_point(g.primary.begin(), g.primary.end(),
+                                            [&position](const auto& s) { return s.position <= *position; });
     if (after == g.primary.begin()) {
         return std::nullopt;
     }
@@ -70,7 +70,8 @@
     return found->second.newest.position;
 }
 
-std::optional<log_position> primary_position_since(const group_positions& g, term_number term, time_point since) {
+std::optional<log_position> primary_position_since(const group_positions& g, term_number term,
+                                                   time_point since) {
     if (g.term != term || g.primary.empty() || g.primary.back().not_before < since) {
         return std::nullopt;
     }
--- a/src/core/positions.hpp
+++ b/src/core/positions.hpp
@@ -30,8 +30,8 @@
 };
 
 struct group_positions {
-    term_number term = 0;                 // that the primary's samples belong to
-    std::deque<position_sample> primary;  // oldest first; thinned out when there are many
+    term_number term = 0;                // that the primary's samples belong to
+    std::deque<position_sample> primary; // oldest first; thinned out when there are many
     std::map<server_id, server_position> servers;
     bool operator==(const group_positions&) const = default;
 };
@@ -40,16 +40,19 @@
 
 // Samples of a new term start afresh; those of an older term are dropped.
 void add_primary_sample(group_positions& g, term_number term, const position_sample& sample);
-void add_server_sample(group_positions& g, const server_id& server, const position_sample& sample, time_point now);
+void add_server_sample(group_positions& g, const server_id& server, const position_sample& sample,
+                       time_point now);
 
 // A moment such that the server holds every write acknowledged before it; nothing where unknown.
-std::optional<time_point> fresh_as_of(const group_positions& g, const server_id& server, std::uint64_t timeline);
+std::optional<time_point> fresh_as_of(const group_positions& g, const server_id& server,
+                                      std::uint64_t timeline);
 
 // The newest known position on this timeline; nothing where unknown.
 std::optional<log_position> known_position(const group_positions& g, const server_id& server,
                                            std::uint64_t timeline);
 
 // The primary's position as asked at or after this moment; nothing where none is known yet.
-std::optional<log_position> primary_position_since(const group_positions& g, term_number term, time_point since);
+std::optional<log_position> primary_position_since(const group_positions& g, term_number term,
+                                                   time_point since);
 
 } // namespace larchpin
--- a/src/core/raft.cpp
+++ b/src/core/raft.cpp
@@ -326,7 +326,8 @@
 //-----------------------------------------------------------------------------
 
 // Returns false for a message of an old leader, which has been answered then.
-bool follow_sender(state& s, const message& m, message_kind reply_kind, time_point now, std::mt19937_64& random) {
+bool follow_sender(state& s, const message& m, message_kind reply_kind, time_point now,
+                   std::mt19937_64& random) {
     if (m.term < s.hard.term) {
         s.out.messages.push_back(make_message(s, reply_kind, m.from));
         return false;
@@ -452,7 +453,8 @@
         return;
     }
     for (auto& [id, p] : s.peers) {
-        if (!p.snapshot_in_flight && p.match + 1 < p.next && now - p.last_send > s.config.heartbeat_interval) {
+        if (!p.snapshot_in_flight && p.match + 1 < p.next &&
+            now - p.last_send > s.config.heartbeat_interval) {
             p.next = p.match + 1; // sent and not answered in time: send again
         }
     }
@@ -466,7 +468,8 @@
 //-----------------------------------------------------------------------------
 
 const member* find_member(const configuration& c, node_id id) {
-    const auto found = std::find_if(c.members.begin(), c.members.end(), [id](const member& m) { return m.id == id; });
+    const auto found =
+        std::find_if(c.members.begin(), c.members.end(), [id](const member& m) { return m.id == id; });
     return found == c.members.end() ? nullptr : &*found;
 }
 
--- a/src/core/raft.hpp
+++ b/src/core/raft.hpp
@@ -111,11 +111,11 @@
 };
 
 struct output {
-    std::vector<record> records;   // sync these in order before sending messages
-    std::vector<message> messages; // to be sent after the records are synced
-    std::vector<entry> committed;  // to be applied, in order
+    std::vector<record> records;      // sync these in order before sending messages
+    std::vector<message> messages;    // to be sent after the records are synced
+    std::vector<entry> committed;     // to be applied, in order
     std::optional<snapshot> restored; // replace the applied state by this before `committed`
-    std::uint64_t persist_index = 0; // pass both to persisted() once the records are synced
+    std::uint64_t persist_index = 0;  // pass both to persisted() once the records are synced
     std::uint64_t persist_term = 0;
 };
 
@@ -149,7 +149,7 @@
     node_id self = 0;
     settings config;
     hard_state hard;
-    snapshot snap;        // base of the log
+    snapshot snap;         // base of the log
     std::deque<entry> log; // entries after the snapshot
     configuration members; // newest one in the log, committed or not
     std::uint64_t members_index = 0;
--- a/src/core/rendezvous.hpp
+++ b/src/core/rendezvous.hpp
@@ -18,7 +18,8 @@
 constexpr std::size_t reserves_per_server = 3;
 
 // The instances that probe this server: the best-ranked one of each failure domain.
-std::vector<instance_id> choose_observers(const std::vector<observer_candidate>& live, const server_id& server);
+std::vector<instance_id> choose_observers(const std::vector<observer_candidate>& live,
+                                          const server_id& server);
 
 // All instances of a failure domain, best-ranked first: whom to ask about a server's position.
 std::vector<instance_id> ranked_instances(const cluster_state& s, const failure_domain& domain,
--- a/src/core/routing.cpp
+++ b/src/core/routing.cpp
@@ -41,7 +41,11 @@
 }
 
 routing_decision to_server(const server_id& id, bool is_primary) {
-    return {.kind = target_kind::server, .server = id, .is_primary = is_primary, .retry_at = {}, .code = result_code::ok};
+    return {.kind = target_kind::server,
+            .server = id,
+            .is_primary = is_primary,
+            .retry_at = {},
+            .code = result_code::ok};
 }
 
 routing_decision refuse(result_code code) {
@@ -49,7 +53,11 @@
 }
 
 routing_decision wait_until(time_point at) {
-    return {.kind = target_kind::wait, .server = {}, .is_primary = false, .retry_at = at, .code = result_code::ok};
+    return {.kind = target_kind::wait,
+            .server = {},
+            .is_primary = false,
+            .retry_at = at,
+            .code = result_code::ok};
 }
 
 bool meets_floor(const group_view& g, const server_view& server, const session_state& s) {
--- a/src/core/routing.hpp
+++ b/src/core/routing.hpp
@@ -22,13 +22,13 @@
 
 struct server_view {
     server_id id;
-    unsigned weight = 100;      // 0: takes no reads
-    bool leaving = false;       // gets no new work
-    bool near = false;          // in this daemon's failure domain
-    unsigned outstanding = 0;   // requests of this daemon running or waiting there
-    duration latency{0};        // smoothed, of this daemon's requests; 0: unknown
-    time_point ejected_until{}; // gets no reads before
-    double ramp = 1.0;          // 0..1, rises slowly after an ejection
+    unsigned weight = 100;       // 0: takes no reads
+    bool leaving = false;        // gets no new work
+    bool near = false;           // in this daemon's failure domain
+    unsigned outstanding = 0;    // requests of this daemon running or waiting there
+    duration latency{0};         // smoothed, of this daemon's requests; 0: unknown
+    time_point ejected_until{};  // gets no reads before
+    double ramp = 1.0;           // 0..1, rises slowly after an ejection
     bool has_connections = true; // this daemon holds, or may open, a connection to it
 };
 
@@ -50,9 +50,9 @@
 };
 
 struct routing_settings {
-    duration replica_wait = std::chrono::milliseconds{25}; // at most this long for a replica to catch up
+    duration replica_wait = std::chrono::milliseconds{25};  // at most this long for a replica to catch up
     duration position_wait = std::chrono::milliseconds{10}; // between two looks
-    double far_penalty = 2.0;                              // factor on the delay of another failure domain
+    double far_penalty = 2.0;                               // factor on the delay of another failure domain
 };
 
 //-----------------------------------------------------------------------------
--- a/src/core/statement.cpp
+++ b/src/core/statement.cpp
@@ -73,11 +73,13 @@
     return semicolon != std::string_view::npos && !skip_blank(text.substr(semicolon + 1)).empty();
 }
 
-template <std::size_t n> bool is_one_of(const std::string& word, const std::array<std::string_view, n>& words) {
+template <std::size_t n>
+bool is_one_of(const std::string& word, const std::array<std::string_view, n>& words) {
     return std::find(words.begin(), words.end(), word) != words.end();
 }
 
-constexpr auto read_words = std::to_array<std::string_view>({"select", "show", "values", "table", "explain", "with"});
+constexpr auto read_words =
+    std::to_array<std::string_view>({"select", "show", "values", "table", "explain", "with"});
 constexpr auto refused_words = std::to_array<std::string_view>(
     {"copy", "listen", "unlisten", "load", "prepare", "execute", "deallocate", "declare", "lock"});
 constexpr auto refused_fragments = std::to_array<std::string_view>(
@@ -115,7 +117,7 @@
     const std::string first = take_word(rest);
     if (first.empty()) {
         return skip_blank(text).empty() || skip_blank(text).front() == ';' ? statement_kind::empty
-                                                                             : statement_kind::write;
+                                                                           : statement_kind::write;
     }
     if (!refused_feature(text).empty()) {
         return statement_kind::refused;
@@ -127,7 +129,8 @@
         return statement_kind::read_hint;
     }
     if (first == "begin" || first == "start") {
-        return contains_word_pair(rest, "read", "only") ? statement_kind::begin_read_only : statement_kind::begin;
+        return contains_word_pair(rest, "read", "only") ? statement_kind::begin_read_only
+                                                        : statement_kind::begin;
     }
     if (first == "commit" || first == "end") {
         return statement_kind::commit;
--- a/src/core/statement.hpp
+++ b/src/core/statement.hpp
@@ -31,8 +31,8 @@
 
 // The name and value of "set name = value", "set name to value" and "reset name" (empty value).
 struct setting_change {
-    std::string name;  // lower case
-    std::string value; // without quotes
+    std::string name;   // lower case
+    std::string value;  // without quotes
     bool local = false; // "set local": ends with the transaction
     bool reset = false;
     auto operator<=>(const setting_change&) const = default;
--- a/src/ctl/main.cpp
+++ b/src/ctl/main.cpp
@@ -84,31 +84,44 @@
 }
 
 json::value status_json(const status_reply& s) {
-    json::object out{{"leader", s.leader()}, {"revision", s.revision()}, {"table_revision", s.table_revision()}};
+    json::object out{
+        {"leader", s.leader()}, {"revision", s.revision()}, {"table_revision", s.table_revision()}};
     json::array groups;
     for (const auto& g : s.groups()) {
-        groups.push_back(json::object{{"group", g.id()}, {"term", g.term()}, {"primary", g.primary()},
-                                      {"phase", g.phase() == 0 ? "serving" : "fencing"}, {"timeline", g.timeline()}});
+        groups.push_back(json::object{{"group", g.id()},
+                                      {"term", g.term()},
+                                      {"primary", g.primary()},
+                                      {"phase", g.phase() == 0 ? "serving" : "fencing"},
+                                      {"timeline", g.timeline()}});
     }
     json::array servers;
     for (const auto& m : s.servers()) {
-        servers.push_back(json::object{{"server", m.record().id()}, {"group", m.record().group()},
-                                       {"failure_domain", m.record().domain()}, {"alive", m.alive()},
-                                       {"primary", m.is_primary()}, {"timeline", m.timeline()},
-                                       {"position", m.position()}, {"weight", m.weight()}, {"leaving", m.leaving()}});
+        servers.push_back(json::object{{"server", m.record().id()},
+                                       {"group", m.record().group()},
+                                       {"failure_domain", m.record().domain()},
+                                       {"alive", m.alive()},
+                                       {"primary", m.is_primary()},
+                                       {"timeline", m.timeline()},
+                                       {"position", m.position()},
+                                       {"weight", m.weight()},
+                                       {"leaving", m.leaving()}});
     }
     json::array daemons;
     for (const auto& d : s.daemons()) {
-        daemons.push_back(json::object{{"instance", d.id()}, {"failure_domain", d.domain()}, {"lease", d.lease()},
+        daemons.push_back(json::object{{"instance", d.id()},
+                                       {"failure_domain", d.domain()},
+                                       {"lease", d.lease()},
                                        {"confirmed", d.confirmed()}});
     }
     json::array shares;
     for (const auto& m : s.services()) {
-        shares.push_back(json::object{{"service", m.service()}, {"server", m.server()}, {"held", m.held()}, {"limit", m.limit()}});
+        shares.push_back(json::object{
+            {"service", m.service()}, {"server", m.server()}, {"held", m.held()}, {"limit", m.limit()}});
     }
     json::array members;
     for (const auto& m : s.members()) {
-        members.push_back(json::object{{"name", m.name()}, {"node", std::to_string(m.id())}, {"voter", m.voter()}});
+        members.push_back(
+            json::object{{"name", m.name()}, {"node", std::to_string(m.id())}, {"voter", m.voter()}});
     }
     out["groups"] = groups;
     out["servers"] = servers;
@@ -119,7 +132,8 @@
 }
 
 void print_group(const status_reply& s, const larchpin::wire::group_record& g) {
-    std::cout << "group " << g.id() << "  term " << g.term() << "  " << (g.phase() == 0 ? "serving" : "FENCING") << "\n";
+    std::cout << "group " << g.id() << "  term " << g.term() << "  "
+              << (g.phase() == 0 ? "serving" : "FENCING") << "\n";
     std::uint64_t head = 0;
     for (const auto& m : s.servers()) {
         head = m.record().group() == g.id() ? std::max(head, m.position()) : head;
@@ -129,25 +143,29 @@
             continue;
         }
         const bool primary = m.record().id() == g.primary();
-        std::cout << "  " << std::left << std::setw(16) << m.record().id() << std::setw(18) << m.record().domain()
-                  << std::setw(9) << (primary ? "primary" : "replica") << std::setw(8) << (m.alive() ? "up" : "DOWN")
-                  << "behind " << std::setw(10) << (m.alive() ? std::to_string(head - m.position()) + "B" : "?")
-                  << "weight " << m.weight() << (m.leaving() ? "  leaving" : "") << "\n";
+        std::cout << "  " << std::left << std::setw(16) << m.record().id() << std::setw(18)
+                  << m.record().domain() << std::setw(9) << (primary ? "primary" : "replica") << std::setw(8)
+                  << (m.alive() ? "up" : "DOWN") << "behind " << std::setw(10)
+                  << (m.alive() ? std::to_string(head - m.position()) + "B" : "?") << "weight " << m.weight()
+                  << (m.leaving() ? "  leaving" : "") << "\n";
     }
 }
 
 void print_status(const status_reply& s) {
-    std::cout << "control leader " << s.leader() << "  revision " << s.revision() << "  table " << s.table_revision() << "\n";
+    std::cout << "control leader " << s.leader() << "  revision " << s.revision() << "  table "
+              << s.table_revision() << "\n";
     for (const auto& m : s.members()) {
-        std::cout << "  " << std::left << std::setw(16) << m.name() << (m.voter() ? "voter" : "learner") << "\n";
+        std::cout << "  " << std::left << std::setw(16) << m.name() << (m.voter() ? "voter" : "learner")
+                  << "\n";
     }
     for (const auto& g : s.groups()) {
         print_group(s, g);
     }
     std::cout << "daemons\n";
     for (const auto& d : s.daemons()) {
-        std::cout << "  " << std::left << std::setw(16) << d.id() << std::setw(18) << d.domain() << std::setw(10)
-                  << (d.lease() ? "lease" : "NO LEASE") << "revision " << d.confirmed() << "\n";
+        std::cout << "  " << std::left << std::setw(16) << d.id() << std::setw(18) << d.domain()
+                  << std::setw(10) << (d.lease() ? "lease" : "NO LEASE") << "revision " << d.confirmed()
+                  << "\n";
     }
     std::map<std::pair<std::string, std::string>, std::pair<unsigned, unsigned>> held;
     for (const auto& m : s.services()) {
@@ -157,7 +175,8 @@
     }
     std::cout << "connections (held / limit)\n";
     for (const auto& [key, sum] : held) {
-        std::cout << "  " << std::left << std::setw(16) << key.first << std::setw(16) << key.second << sum.first << " / " << sum.second << "\n";
+        std::cout << "  " << std::left << std::setw(16) << key.first << std::setw(16) << key.second
+                  << sum.first << " / " << sum.second << "\n";
     }
 }
 
@@ -203,8 +222,11 @@
     } else {
         std::ifstream stream(file);
         if (!stream) {
-            return leaf::new_error(larchpin::settings_problem{
-                .code = result_code::settings_unreadable, .file = file, .line = 0, .key = {}, .detail = "cannot be read"});
+            return leaf::new_error(larchpin::settings_problem{.code = result_code::settings_unreadable,
+                                                              .file = file,
+                                                              .line = 0,
+                                                              .key = {},
+                                                              .detail = "cannot be read"});
         }
         text << stream.rdbuf();
     }
@@ -213,8 +235,9 @@
 
 int send_edit(const arguments& a, const larchpin::table_file& t) {
     larchpin::wire::edit_request request;
-    larchpin::to_wire(larchpin::edit_table{.change_id = a.change_id, .expected_revision = t.revision, .next = t.content},
-                      *request.mutable_edit());
+    larchpin::to_wire(
+        larchpin::edit_table{.change_id = a.change_id, .expected_revision = t.revision, .next = t.content},
+        *request.mutable_edit());
     request.set_wait(a.wait);
     request.set_wait_ms(a.wait_ms);
     return report(larchpin::ask_leader(a.client, "/v1/edit", request.SerializeAsString()),
@@ -246,7 +269,8 @@
     if (!status) {
         return fail_unanswered();
     }
-    larchpin::table_file t{.revision = status->table_revision(), .content = larchpin::from_wire(status->current())};
+    larchpin::table_file t{.revision = status->table_revision(),
+                           .content = larchpin::from_wire(status->current())};
     larchpin::server_entry entry = larchpin::server_settings(t.content, {a.words[1]});
     entry.leaving = true;
     std::erase_if(t.content.servers, [&entry](const auto& s) { return s.id == entry.id; });
@@ -262,7 +286,8 @@
     }
     for (const auto& c : status->changes()) {
         const auto code = static_cast<result_code>(c.code());
-        std::cout << c.table_revision() << "  " << c.change_id() << "  " << larchpin::describe(code).name << "\n";
+        std::cout << c.table_revision() << "  " << c.change_id() << "  " << larchpin::describe(code).name
+                  << "\n";
     }
     return 0;
 }
@@ -274,7 +299,8 @@
     larchpin::wire::switchover_request request;
     request.set_group(a.words[1]);
     request.set_target(a.words[2]);
-    return report(larchpin::ask_leader(a.client, "/v1/switchover", request.SerializeAsString()), "switchover started");
+    return report(larchpin::ask_leader(a.client, "/v1/switchover", request.SerializeAsString()),
+                  "switchover started");
 }
 
 int run_bootstrap(const arguments& a) {
@@ -304,8 +330,9 @@
         return run_apply(a, command == "diff");
     }
     static const std::map<std::string, int (*)(const arguments&)> commands{
-        {"status", run_status},     {"get", run_get},           {"history", run_history}, {"leave", run_leave},
-        {"drain", run_drain},       {"switchover", run_switchover}, {"bootstrap", run_bootstrap}, {"stats", run_stats}};
+        {"status", run_status},       {"get", run_get},     {"history", run_history},
+        {"leave", run_leave},         {"drain", run_drain}, {"switchover", run_switchover},
+        {"bootstrap", run_bootstrap}, {"stats", run_stats}};
     const auto found = commands.find(command);
     if (found == commands.end()) {
         return fail("no such command: " + command, result_code::bad_command_line);
@@ -321,8 +348,11 @@
     std::ifstream stream(key_file);
     std::string key;
     if (!std::getline(stream, key)) {
-        return leaf::new_error(larchpin::settings_problem{
-            .code = result_code::settings_unreadable, .file = key_file, .line = 0, .key = {}, .detail = "the key cannot be read"});
+        return leaf::new_error(larchpin::settings_problem{.code = result_code::settings_unreadable,
+                                                          .file = key_file,
+                                                          .line = 0,
+                                                          .key = {},
+                                                          .detail = "the key cannot be read"});
     }
     a.client.keys.keys = {key};
     if (a.change_id.empty()) {
@@ -347,13 +377,14 @@
                              "  stats                          metrics of each daemon at --to\n"
                              "  bootstrap                      starts a new cluster at --to, once\n");
     options.add_options()("help", "print this")("version", "print the version")(
-        "to", "peer addresses of daemons (ip:port), any control instance first", cxxopts::value(a.client.addresses))(
-        "key-file", "the shared key", cxxopts::value(key_file))("json", "for scripts", cxxopts::value(a.as_json))(
-        "watch", "again every second", cxxopts::value(a.watch))(
-        "wait", "return when the edit is in force everywhere", cxxopts::value(a.wait))(
-        "wait-ms", "at most this long", cxxopts::value(a.wait_ms))(
-        "change-id", "the same id again asks for the first answer", cxxopts::value(a.change_id))(
-        "words", "command", cxxopts::value(a.words));
+        "to", "peer addresses of daemons (ip:port), any control instance first",
+        cxxopts::value(a.client.addresses))("key-file", "the shared key", cxxopts::value(key_file))(
+        "json", "for scripts", cxxopts::value(a.as_json))("watch", "again every second",
+                                                          cxxopts::value(a.watch))(
+        "wait", "return when the edit is in force everywhere",
+        cxxopts::value(a.wait))("wait-ms", "at most this long", cxxopts::value(a.wait_ms))(
+        "change-id", "the same id again asks for the first answer",
+        cxxopts::value(a.change_id))("words", "command", cxxopts::value(a.words));
     options.parse_positional({"words"});
     options.positional_help("COMMAND [ARGUMENTS]");
     try {
@@ -367,7 +398,8 @@
             return 0;
         }
         if (a.words.empty() || a.client.addresses.empty() || key_file.empty()) {
-            return fail("a command, --to and --key-file are needed; see --help", result_code::bad_command_line);
+            return fail("a command, --to and --key-file are needed; see --help",
+                        result_code::bad_command_line);
         }
         return leaf::try_handle_all([&] { return run(a, key_file); },
                                     [](const larchpin::settings_problem& p) {
--- a/src/ctl/operator_client.cpp
+++ b/src/ctl/operator_client.cpp
@@ -1,8 +1,8 @@
 #include "ctl/operator_client.hpp"
 
 #include "core/result_codes.hpp"
-#include "io/addresses.hpp"
 #include "generated/larchpin.pb.h"
+#include "io/addresses.hpp"
 
 #include <boost/asio/io_context.hpp>
 
@@ -18,8 +18,8 @@
 
 } // namespace
 
-std::optional<http_outcome> ask_one(const operator_client& c, const std::string& address, const std::string& path,
-                                    const std::string& body) {
+std::optional<http_outcome> ask_one(const operator_client& c, const std::string& address,
+                                    const std::string& path, const std::string& body) {
     const auto endpoint = parse_endpoint(address);
     if (!endpoint) {
         return std::nullopt;
@@ -36,7 +36,8 @@
     return good ? answer : std::nullopt;
 }
 
-std::optional<std::string> ask_leader(const operator_client& c, const std::string& path, const std::string& body) {
+std::optional<std::string> ask_leader(const operator_client& c, const std::string& path,
+                                      const std::string& body) {
     std::vector<std::string> to_try = c.addresses;
     for (unsigned round = 0; round < rounds; ++round) {
         std::vector<std::string> hints;
--- a/src/ctl/operator_client.hpp
+++ b/src/ctl/operator_client.hpp
@@ -16,10 +16,11 @@
 };
 
 // One request to one address; blocks. Nothing where it was not answered.
-std::optional<http_outcome> ask_one(const operator_client& c, const std::string& address, const std::string& path,
-                                    const std::string& body);
+std::optional<http_outcome> ask_one(const operator_client& c, const std::string& address,
+                                    const std::string& path, const std::string& body);
 
 // Tries all addresses, and the hints they give, until one answers for the leader. Nothing where none does.
-std::optional<std::string> ask_leader(const operator_client& c, const std::string& path, const std::string& body);
+std::optional<std::string> ask_leader(const operator_client& c, const std::string& path,
+                                      const std::string& body);
 
 } // namespace larchpin
--- a/src/ctl/table_file.cpp
+++ b/src/ctl/table_file.cpp
@@ -40,14 +40,14 @@
     return out.str();
 }
 
-leaf::error_id problem(const std::string& file, const toml::node& node, result_code code, const std::string& key,
-                       const std::string& detail) {
-    return leaf::new_error(
-        settings_problem{.code = code, .file = file, .line = node.source().begin.line, .key = key, .detail = detail});
+leaf::error_id problem(const std::string& file, const toml::node& node, result_code code,
+                       const std::string& key, const std::string& detail) {
+    return leaf::new_error(settings_problem{
+        .code = code, .file = file, .line = node.source().begin.line, .key = key, .detail = detail});
 }
 
-leaf::result<std::int64_t> read_number(const std::string& file, const std::string& key, const toml::node& node,
-                                       std::int64_t lowest, std::int64_t highest) {
+leaf::result<std::int64_t> read_number(const std::string& file, const std::string& key,
+                                       const toml::node& node, std::int64_t lowest, std::int64_t highest) {
     const auto value = node.value_exact<std::int64_t>();
     if (!value) {
         return problem(file, node, result_code::settings_wrong_type, key, "takes a whole number");
@@ -173,7 +173,8 @@
     for (const auto& [name, node] : parsed.table()) {
         const std::string section(name.str());
         if (section == "revision") {
-            BOOST_LEAF_ASSIGN(const auto v, read_number(file, section, node, 0, std::numeric_limits<std::int64_t>::max()));
+            BOOST_LEAF_ASSIGN(const auto v,
+                              read_number(file, section, node, 0, std::numeric_limits<std::int64_t>::max()));
             t.revision = static_cast<revision_number>(v);
         } else if (section == "service") {
             BOOST_LEAF_CHECK(read_entries(file, section, node, t.content.services, read_service_key));
--- a/src/daemon/agent.cpp
+++ b/src/daemon/agent.cpp
@@ -5,8 +5,8 @@
 #include "daemon/agent.hpp"
 
 #include "core/rendezvous.hpp"
-#include "io/addresses.hpp"
 #include "generated/larchpin.pb.h"
+#include "io/addresses.hpp"
 #include "io/backend_sql.hpp"
 #include "io/clock.hpp"
 #include "io/codec.hpp"
@@ -40,7 +40,8 @@
 std::uint64_t make_incarnation() {
     // Wall time orders the lives of one instance; a clock set back makes control wait out the old lease.
     const auto since_epoch = std::chrono::system_clock::now().time_since_epoch();
-    return static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::microseconds>(since_epoch).count());
+    return static_cast<std::uint64_t>(
+        std::chrono::duration_cast<std::chrono::microseconds>(since_epoch).count());
 }
 
 } // namespace
@@ -104,9 +105,8 @@
     if (!has) {
         for (const auto& [key, share] : pools_.shares()) {
             const auto server = cluster_.servers.find(key.server);
-            const auto holders = server == cluster_.servers.end()
-                                     ? std::vector<instance_id>{}
-                                     : reserve_holders(cluster_, server->second);
+            const auto holders = server == cluster_.servers.end() ? std::vector<instance_id>{}
+                                                                  : reserve_holders(cluster_, server->second);
             const bool reserved = std::find(holders.begin(), holders.end(), config_.id) != holders.end();
             pools_.set_share(key, reserved && !stopping_ ? std::min(share, 1U) : 0);
         }
@@ -253,7 +253,8 @@
         if (e.index != cluster_.revision + 1) {
             continue;
         }
-        const auto c = e.command.empty() ? std::optional<command>{std::monostate{}} : decode_command(e.command);
+        const auto c =
+            e.command.empty() ? std::optional<command>{std::monostate{}} : decode_command(e.command);
         apply(cluster_, e.index, c.value_or(std::monostate{}));
     }
     confirmed_once_ = true;
@@ -385,7 +386,9 @@
     request.text = probe_sql;
     backend_sink sink;
     sink.keep_first_row = true;
-    sink.on_done = [this, id, asked_at = p.asked_at](const backend_outcome& o) { on_probed(id, o, asked_at); };
+    sink.on_done = [this, id, asked_at = p.asked_at](const backend_outcome& o) {
+        on_probed(id, o, asked_at);
+    };
     p.connection->run(request, sink);
 }
 
@@ -488,23 +491,22 @@
             continue;
         }
         pulling_[address] = true;
-        client_to(address).post("/v1/positions", request.SerializeAsString(), pull_timeout,
-                                [this, key = address, at](const http_outcome& o) {
-                                    pulling_[key] = false;
-                                    wire::position_reply reply;
-                                    if (!o.answered || o.status != 200 || !reply.ParseFromString(o.body)) {
-                                        return;
-                                    }
-                                    for (const auto& e : reply.entries()) {
-                                        // Its age was told after we asked, so the sample is at most that
-                                        // much older than our question.
-                                        const auto age = grantor_length(duration{static_cast<std::int64_t>(e.age_ns())});
-                                        take_sample({e.server()}, e.is_primary(),
-                                                    {.not_before = at - age,
-                                                     .timeline = e.timeline(),
-                                                     .position = e.position()});
-                                    }
-                                });
+        client_to(address).post(
+            "/v1/positions", request.SerializeAsString(), pull_timeout,
+            [this, key = address, at](const http_outcome& o) {
+                pulling_[key] = false;
+                wire::position_reply reply;
+                if (!o.answered || o.status != 200 || !reply.ParseFromString(o.body)) {
+                    return;
+                }
+                for (const auto& e : reply.entries()) {
+                    // Its age was told after we asked, so the sample is at most that
+                    // much older than our question.
+                    const auto age = grantor_length(duration{static_cast<std::int64_t>(e.age_ns())});
+                    take_sample({e.server()}, e.is_primary(),
+                                {.not_before = at - age, .timeline = e.timeline(), .position = e.position()});
+                }
+            });
     }
 }
 
--- a/src/daemon/client_request.cpp
+++ b/src/daemon/client_request.cpp
@@ -80,7 +80,8 @@
     r.serial = next_serial_++;
     const bool may_read = kind == statement_kind::read_hint || kind == statement_kind::begin_read_only ||
                           (kind == statement_kind::begin && state_.settings.mode == read_mode::read);
-    r.is_read = may_read && state_.settings.mode != read_mode::primary && state_.settings.idempotency_key.empty();
+    r.is_read =
+        may_read && state_.settings.mode != read_mode::primary && state_.settings.idempotency_key.empty();
     const bool uses_key = !pinned_ && !r.is_read;
     if (uses_key) {
         r.idempotency_key.swap(state_.settings.idempotency_key);
@@ -195,17 +196,18 @@
     const share_key key{.service = state_.service, .server = r.server};
     const std::uint64_t serial = r.serial;
     const auto self = shared_from_this();
-    const request_number number = owner_.pools.request(
-        key, server->second, service_.background_share, state_.settings.klass, r.deadline,
-        [self, serial, key](const pool_answer& answer) {
-            const bool awaited = self->active_ && self->active_->serial == serial &&
-                                 self->active_->step == request_step::queued && !self->closed_;
-            if (awaited) {
-                self->on_connection(answer);
-            } else if (answer.connection) {
-                self->owner_.pools.release(key, answer.number, true, duration{0});
-            }
-        });
+    const request_number number =
+        owner_.pools.request(key, server->second, service_.background_share, state_.settings.klass,
+                             r.deadline, [self, serial, key](const pool_answer& answer) {
+                                 const bool awaited = self->active_ && self->active_->serial == serial &&
+                                                      self->active_->step == request_step::queued &&
+                                                      !self->closed_;
+                                 if (awaited) {
+                                     self->on_connection(answer);
+                                 } else if (answer.connection) {
+                                     self->owner_.pools.release(key, answer.number, true, duration{0});
+                                 }
+                             });
     if (active_ && active_->serial == serial && active_->step == request_step::queued) {
         active_->waiting = number;
     }
@@ -216,7 +218,8 @@
     if (!answer.connection) {
         owner_.cluster.note_request_ended(r.server, true, duration{0});
         r.serial = next_serial_++;
-        finish_with_error(answer.code, run_state::not_run, std::max(answer.retry_after, duration{std::chrono::milliseconds{1}}));
+        finish_with_error(answer.code, run_state::not_run,
+                          std::max(answer.retry_after, duration{std::chrono::milliseconds{1}}));
         return;
     }
     r.used_from = now();
@@ -338,7 +341,7 @@
     sink.hold_errors = true;
     const std::uint64_t serial = r.serial;
     // Inside a transaction nothing acknowledges a write but its commit.
-    const bool hold = r.on_primary && (!pinned_->in_transaction || r.kind == statement_kind::commit ||
+    const bool hold = r.on_primary && (!pinned_->in_transaction() || r.kind == statement_kind::commit ||
                                        r.request.shape == request_shape::simple);
     sink.on_bytes = [self = shared_from_this(), serial, hold](std::string_view bytes) {
         if (!self->active_ || self->active_->serial != serial || self->closed_) {
@@ -355,7 +358,9 @@
             }
         }
         const bool pass_all = !hold && active.kind != statement_kind::begin;
-        const std::size_t split = pass_all ? text.size() : active.held.empty() ? find_acknowledgement(text) : 0;
+        const std::size_t split = pass_all              ? text.size()
+                                  : active.held.empty() ? find_acknowledgement(text)
+                                                        : 0;
         if (split > 0) {
             active.forwarded = true;
             self->forward(std::string_view(text).substr(0, split));
@@ -377,8 +382,8 @@
         on_connection_lost();
         return;
     }
-    const bool was_in_transaction = pinned_->in_transaction;
-    pinned_->in_transaction = outcome.transaction != 'I';
+    const bool was_in_transaction = pinned_->in_transaction();
+    pinned_->transaction = outcome.transaction;
     if (outcome.failed) {
         const bool refused_write = outcome.sqlstate == sqlstate_read_only && !r.on_primary && r.is_read &&
                                    !was_in_transaction && !r.forwarded && r.kind == statement_kind::read_hint;
@@ -400,7 +405,8 @@
         run_claim();
     } else if (!r.idempotency_key.empty()) {
         run_commit();
-    } else if (r.on_primary && !pinned_->in_transaction && r.request.shape != request_shape::describe && r.was_write) {
+    } else if (r.on_primary && !pinned_->in_transaction() && r.request.shape != request_shape::describe &&
+               r.was_write) {
         run_position();
     } else {
         finish_success();
@@ -419,7 +425,7 @@
             finish_with_server_error(outcome);
             return;
         }
-        pinned_->in_transaction = false;
+        pinned_->transaction = 'I';
         run_position();
     });
 }
@@ -434,8 +440,8 @@
         active_request& r = *active_;
         const auto probed = parse_probe_row(outcome);
         const auto group = owner_.cluster.cluster().groups.find(state_.group);
-        const bool true_primary = probed && probed->is_primary && term_still_holds() &&
-                                  group->second.timeline == probed->timeline;
+        const bool true_primary =
+            probed && probed->is_primary && term_still_holds() && group->second.timeline == probed->timeline;
         if (!true_primary) {
             drop_connection();
             finish_with_error(result_code::term_changed, run_state::unknown);
@@ -491,7 +497,7 @@
 void client_session::finish_success() {
     active_request& r = *active_;
     const time_point at = now();
-    if (r.on_primary && !term_still_holds() && !(pinned_ && pinned_->in_transaction)) {
+    if (r.on_primary && !term_still_holds() && !(pinned_ && pinned_->in_transaction())) {
         drop_connection();
         // A read of a replaced primary may miss others' writes; a write on it may be lost.
         finish_with_error(result_code::term_changed, r.was_write ? run_state::unknown : run_state::not_run);
@@ -545,7 +551,7 @@
 }
 
 void client_session::release_if_done() {
-    if (!pinned_ || pinned_->in_transaction) {
+    if (!pinned_ || pinned_->in_transaction()) {
         return;
     }
     const pinned_connection held = *pinned_;
@@ -580,20 +586,21 @@
     if (!r.on_primary || r.request.shape == request_shape::describe) {
         return run_state::not_run;
     }
-    const bool uncommitted = (pinned_ && pinned_->in_transaction && r.kind != statement_kind::commit &&
+    const bool uncommitted = (pinned_ && pinned_->in_transaction() && r.kind != statement_kind::commit &&
                               r.request.shape == request_shape::extended) ||
                              !r.idempotency_key.empty() || r.kind == statement_kind::begin ||
                              r.kind == statement_kind::begin_read_only || r.kind == statement_kind::rollback;
     const bool one_statement = r.request.text.find(';') == std::string::npos ||
                                r.request.text.find(';') + 1 == r.request.text.size();
-    const bool inside = pinned_ && pinned_->in_transaction && r.kind != statement_kind::commit && one_statement;
+    const bool inside =
+        pinned_ && pinned_->in_transaction() && r.kind != statement_kind::commit && one_statement;
     const bool vouched_read = r.is_read && state_.settings.mode == read_mode::read;
     return uncommitted || inside || vouched_read ? run_state::not_run : run_state::unknown;
 }
 
 bool client_session::may_retry() {
     active_request& r = *active_;
-    const bool harmless = r.is_read && !r.on_primary && !r.forwarded && !pinned_->in_transaction;
+    const bool harmless = r.is_read && !r.on_primary && !r.forwarded && !pinned_->in_transaction();
     const bool unsent = r.step == request_step::settings || r.step == request_step::begin;
     return (harmless || unsent) && ++r.attempts < max_attempts && now() < r.deadline &&
            take_retry(owner_.cluster.budget(state_.group));
@@ -602,7 +609,7 @@
 void client_session::on_connection_lost() {
     active_request& r = *active_;
     owner_.cluster.note_request_ended(r.server, false, now() - r.used_from);
-    const bool in_transaction = pinned_ && pinned_->in_transaction;
+    const bool in_transaction = pinned_ && pinned_->in_transaction();
     const bool retry = may_retry();
     const run_state run = outcome_if_lost();
     drop_connection();
@@ -613,13 +620,16 @@
         route();
         return;
     }
-    failed_transaction_ = in_transaction && r.kind != statement_kind::commit && r.kind != statement_kind::rollback;
-    finish_with_error(result_code::connection_lost, run, run == run_state::not_run ? come_back_after : duration{0});
+    failed_transaction_ =
+        in_transaction && r.kind != statement_kind::commit && r.kind != statement_kind::rollback;
+    finish_with_error(result_code::connection_lost, run,
+                      run == run_state::not_run ? come_back_after : duration{0});
 }
 
 void client_session::arm_timer(time_point at) {
     const std::uint64_t serial = ++timer_serial_;
-    timer_.expires_at(std::chrono::steady_clock::time_point(std::chrono::duration_cast<std::chrono::steady_clock::duration>(at)));
+    timer_.expires_at(std::chrono::steady_clock::time_point(
+        std::chrono::duration_cast<std::chrono::steady_clock::duration>(at)));
     timer_.async_wait([self = shared_from_this(), serial](const boost::system::error_code& error) {
         if (error || serial != self->timer_serial_ || !self->active_ || self->closed_) {
             return;
@@ -635,7 +645,8 @@
 void client_session::on_deadline() {
     active_request& r = *active_;
     if (r.step == request_step::routed) {
-        finish_with_error(r.is_read ? result_code::deadline_passed : r.last_refusal, run_state::not_run, come_back_after);
+        finish_with_error(r.is_read ? result_code::deadline_passed : r.last_refusal, run_state::not_run,
+                          come_back_after);
         return;
     }
     if (r.step == request_step::queued) {
@@ -650,15 +661,17 @@
         return;
     }
     const run_state run = outcome_if_lost();
-    const bool in_transaction = pinned_ && pinned_->in_transaction;
+    const bool in_transaction = pinned_ && pinned_->in_transaction();
     owner_.cluster.note_request_ended(r.server, false, now() - r.used_from);
     r.serial = next_serial_++; // a late answer reaches nobody
     if (pinned_) {
         pinned_->connection->cancel_running();
     }
     drop_connection();
-    failed_transaction_ = in_transaction && r.kind != statement_kind::commit && r.kind != statement_kind::rollback;
-    finish_with_error(result_code::deadline_passed, run, run == run_state::not_run ? come_back_after : duration{0});
+    failed_transaction_ =
+        in_transaction && r.kind != statement_kind::commit && r.kind != statement_kind::rollback;
+    finish_with_error(result_code::deadline_passed, run,
+                      run == run_state::not_run ? come_back_after : duration{0});
 }
 
 void client_session::cancel() {
--- a/src/daemon/client_session.cpp
+++ b/src/daemon/client_session.cpp
@@ -20,7 +20,7 @@
 
 constexpr std::size_t max_prepared = 1000;
 constexpr std::size_t max_session_settings = 100;
-constexpr std::size_t pause_above = 1U << 20U;  // bytes not yet taken by the caller
+constexpr std::size_t pause_above = 1U << 20U; // bytes not yet taken by the caller
 constexpr std::size_t resume_below = 1U << 18U;
 constexpr std::string_view own_prefix = "larchpin.";
 
@@ -102,7 +102,8 @@
 }
 
 void client_session::protocol_error(const std::string& what) {
-    fail_session({.code = result_code::protocol_violation, .run = run_state::not_run, .detail = what, .fatal = true});
+    fail_session(
+        {.code = result_code::protocol_violation, .run = run_state::not_run, .detail = what, .fatal = true});
 }
 
 //-----------------------------------------------------------------------------
@@ -246,9 +247,11 @@
             if (word == "-c") {
                 continue;
             }
-            const std::string text = word.starts_with("-c") ? word.substr(2) : word.substr(word.starts_with("--") ? 2 : 0);
+            const std::string text =
+                word.starts_with("-c") ? word.substr(2) : word.substr(word.starts_with("--") ? 2 : 0);
             const auto equals = text.find('=');
-            if (equals == std::string::npos || !change_setting("set " + text.substr(0, equals) + " = " + quote(text.substr(equals + 1)))) {
+            if (equals == std::string::npos ||
+                !change_setting("set " + text.substr(0, equals) + " = " + quote(text.substr(equals + 1)))) {
                 return false;
             }
         }
@@ -280,7 +283,10 @@
         return;
     }
     if (request.parameters.contains("replication")) {
-        fail_session({.code = result_code::unsupported, .run = run_state::not_run, .detail = "replication", .fatal = true});
+        fail_session({.code = result_code::unsupported,
+                      .run = run_state::not_run,
+                      .detail = "replication",
+                      .fatal = true});
         return;
     }
     const service_entry* service = find_service(owner_.cluster.cluster().current, state_.service);
@@ -350,7 +356,7 @@
 
 void client_session::handle_simple(const std::string& text) {
     const statement_kind kind = classify_statement(text);
-    if (answer_locally(kind, text)) {
+    if (answer_locally(kind, text) != local_answer::none) {
         put_token();
         put_ready(out_, transaction_status());
         return;
@@ -372,7 +378,9 @@
         return;
     }
     if (statements_.size() >= max_prepared && !statements_.contains(request->statement)) {
-        put_error(out_, {.code = result_code::overloaded, .run = run_state::not_run, .detail = "too many prepared statements"});
+        put_error(out_, {.code = result_code::overloaded,
+                         .run = run_state::not_run,
+                         .detail = "too many prepared statements"});
         skip_to_sync_ = true;
         return;
     }
@@ -383,13 +391,17 @@
 void client_session::handle_bind(const pg_message& m) {
     const auto request = parse_bind(m.body);
     if (!request || !statements_.contains(request->statement)) {
-        put_error(out_, {.code = result_code::protocol_violation, .run = run_state::not_run, .detail = "no such prepared statement"});
+        put_error(out_, {.code = result_code::protocol_violation,
+                         .run = run_state::not_run,
+                         .detail = "no such prepared statement"});
         skip_to_sync_ = true;
         return;
     }
     const auto& formats = request->result_formats;
     if (std::adjacent_find(formats.begin(), formats.end(), std::not_equal_to<>()) != formats.end()) {
-        put_error(out_, {.code = result_code::unsupported, .run = run_state::not_run, .detail = "different formats for result columns"});
+        put_error(out_, {.code = result_code::unsupported,
+                         .run = run_state::not_run,
+                         .detail = "different formats for result columns"});
         skip_to_sync_ = true;
         return;
     }
@@ -413,7 +425,9 @@
     }
     const auto statement = statements_.find(target->name);
     if (statement == statements_.end()) {
-        put_error(out_, {.code = result_code::protocol_violation, .run = run_state::not_run, .detail = "no such prepared statement"});
+        put_error(out_, {.code = result_code::protocol_violation,
+                         .run = run_state::not_run,
+                         .detail = "no such prepared statement"});
         skip_to_sync_ = true;
         return;
     }
@@ -436,12 +450,16 @@
     const auto request = parse_execute(m.body);
     const auto portal = request ? portals_.find(request->portal) : portals_.end();
     if (portal == portals_.end() || !statements_.contains(portal->second.statement)) {
-        put_error(out_, {.code = result_code::protocol_violation, .run = run_state::not_run, .detail = "no such portal"});
+        put_error(
+            out_,
+            {.code = result_code::protocol_violation, .run = run_state::not_run, .detail = "no such portal"});
         skip_to_sync_ = true;
         return;
     }
     if (request->max_rows != 0) {
-        put_error(out_, {.code = result_code::unsupported, .run = run_state::not_run, .detail = "fetching a portal in parts"});
+        put_error(out_, {.code = result_code::unsupported,
+                         .run = run_state::not_run,
+                         .detail = "fetching a portal in parts"});
         skip_to_sync_ = true;
         return;
     }
@@ -452,7 +470,9 @@
     if (described && kind != statement_kind::read_hint && kind != statement_kind::write) {
         put_message(out_, 'n', "");
     }
-    if (answer_locally(kind, statement.query)) {
+    const local_answer answer = answer_locally(kind, statement.query);
+    if (answer != local_answer::none) {
+        skip_to_sync_ = answer == local_answer::refused;
         return;
     }
     backend_request sent;
@@ -493,51 +513,54 @@
 // [answers made here]
 //-----------------------------------------------------------------------------
 
-// True where the statement needs no backend server and has been answered.
-bool client_session::answer_locally(statement_kind kind, const std::string& text) {
+// Answers a statement that needs no backend server.
+client_session::local_answer client_session::answer_locally(statement_kind kind, const std::string& text) {
     const bool in_transaction = pinned_.has_value();
     if (failed_transaction_) {
         if (kind == statement_kind::commit || kind == statement_kind::rollback) {
             failed_transaction_ = false;
             put_command_complete(out_, "ROLLBACK");
         } else {
-            put_error(out_, {.code = result_code::connection_lost, .run = run_state::not_run, .detail = "the transaction was lost; end it with ROLLBACK"});
-            skip_to_sync_ = true;
+            put_error(out_, {.code = result_code::connection_lost,
+                             .run = run_state::not_run,
+                             .detail = "the transaction was lost; end it with ROLLBACK"});
+            return local_answer::refused;
         }
-        return true;
+        return local_answer::done;
     }
     switch (kind) {
-    case statement_kind::empty: put_message(out_, 'I', ""); return true;
+    case statement_kind::empty: put_message(out_, 'I', ""); return local_answer::done;
     case statement_kind::refused:
-        put_error(out_, {.code = result_code::unsupported, .run = run_state::not_run, .detail = std::string(refused_feature(text))});
-        skip_to_sync_ = true;
-        return true;
+        put_error(out_, {.code = result_code::unsupported,
+                         .run = run_state::not_run,
+                         .detail = std::string(refused_feature(text))});
+        return local_answer::refused;
     case statement_kind::discard:
         settings_.clear();
         settings_text_.clear();
         statements_.clear();
         put_command_complete(out_, "DISCARD ALL");
-        return true;
+        return local_answer::done;
     case statement_kind::set_session: {
         const setting_change change = parse_setting(text);
         if (in_transaction && !change.name.starts_with(own_prefix)) {
-            return false; // ends with the transaction if that is rolled back: the server knows how
+            return local_answer::none; // ends with the transaction if that is rolled back: the server knows how
         }
         if (!change_setting(text)) {
-            put_error(out_, {.code = result_code::bad_setting, .run = run_state::not_run, .detail = change.name});
-            skip_to_sync_ = true;
-            return true;
+            put_error(out_,
+                      {.code = result_code::bad_setting, .run = run_state::not_run, .detail = change.name});
+            return local_answer::refused;
         }
         put_command_complete(out_, change.reset ? "RESET" : "SET");
-        return true;
+        return local_answer::done;
     }
     case statement_kind::commit:
     case statement_kind::rollback:
         if (!in_transaction) {
             put_command_complete(out_, kind == statement_kind::commit ? "COMMIT" : "ROLLBACK");
         }
-        return !in_transaction;
-    default: return false;
+        return in_transaction ? local_answer::none : local_answer::done;
+    default: return local_answer::none;
     }
 }
 
@@ -575,7 +598,7 @@
     if (failed_transaction_) {
         return 'E';
     }
-    return pinned_ && pinned_->in_transaction ? 'T' : 'I';
+    return pinned_ ? pinned_->transaction : 'I';
 }
 
 metric_key client_session::metric() const {
--- a/src/daemon/client_session.hpp
+++ b/src/daemon/client_session.hpp
@@ -10,8 +10,9 @@
 //   judged      the lease and the term must still be what they were when the write was sent; otherwise the
 //               caller is told "unknown", never a success
 //
-// Outcomes on failure: not-run where the statement was not sent, or was sent inside a transaction whose commit
-// was not sent, or only reads; unknown where an autocommitted write or a commit was sent and not answered.
+// Outcomes on failure: not-run where the statement was not sent, or was sent inside a transaction whose
+// commit was not sent, or only reads; unknown where an autocommitted write or a commit was sent and not
+// answered.
 //
 // Index
 //   [lifetime]  [messages]  [one request]  [state]
@@ -37,7 +38,8 @@
 
 class client_session : public std::enable_shared_from_this<client_session> {
 public:
-    client_session(entry& owner, session_number number, std::uint32_t secret, boost::asio::ip::tcp::socket socket);
+    client_session(entry& owner, session_number number, std::uint32_t secret,
+                   boost::asio::ip::tcp::socket socket);
 
     // [lifetime]
     void start();
@@ -95,7 +97,9 @@
         bool on_primary = false;
         term_number term = 0;
         time_point since{};
-        bool in_transaction = false;
+        char transaction = 'I'; // I none, T open, E open and failed
+
+        [[nodiscard]] bool in_transaction() const { return transaction != 'I'; }
     };
 
     // [messages]
@@ -112,14 +116,16 @@
     void handle_sync();
     void greet(const startup_request& request);
     bool apply_startup_options(const startup_request& request);
-    bool answer_locally(statement_kind kind, const std::string& text);
+    enum class local_answer : std::uint8_t { none, done, refused };
+    local_answer answer_locally(statement_kind kind, const std::string& text);
     bool change_setting(const std::string& text);
     void send();
     void fail_session(const caller_error& error);
     void protocol_error(const std::string& what);
 
     // [one request]
-    void begin_request(statement_kind kind, const backend_request& request, bool extended, bool want_description);
+    void begin_request(statement_kind kind, const backend_request& request, bool extended,
+                       bool want_description);
     void route();
     void wait_for_news(time_point retry_at);
     void queue();
@@ -141,7 +147,8 @@
     void drop_connection();
     void release_if_done();
     bool may_retry();
-    void run_plain(const std::string& text, request_step step, const std::function<void(const backend_outcome&)>& next);
+    void run_plain(const std::string& text, request_step step,
+                   const std::function<void(const backend_outcome&)>& next);
     void forward(std::string_view bytes);
     void arm_timer(time_point at);
     [[nodiscard]] run_state outcome_if_lost() const;
--- a/src/daemon/control_node.cpp
+++ b/src/daemon/control_node.cpp
@@ -4,8 +4,8 @@
 //   [loop]  [log and messages]  [actions]  [joining]  [answers to daemons]  [answers to operators]
 #include "daemon/control_node.hpp"
 
-#include "io/addresses.hpp"
 #include "generated/larchpin.pb.h"
+#include "io/addresses.hpp"
 #include "io/backend_connection.hpp"
 #include "io/backend_sql.hpp"
 #include "io/clock.hpp"
@@ -221,12 +221,14 @@
     }
 }
 
-void control_node::start_operation(std::uint64_t number, const server_record& server, std::uint64_t promote_from) {
+void control_node::start_operation(std::uint64_t number, const server_record& server,
+                                   std::uint64_t promote_from) {
     server_operation operation;
     operation.number = number;
     operation.server = server;
     operation.promote_from = promote_from;
-    operation.deadline = now() + (promote_from != 0 ? core_.control.config.promote_wait : core_.control.config.probe_wait);
+    operation.deadline =
+        now() + (promote_from != 0 ? core_.control.config.promote_wait : core_.control.config.probe_wait);
     operation.connection = std::make_shared<backend_connection>(io_, make_probe_target(config_, server));
     operations_[number] = operation;
     operation.connection->connect([this, number](bool connected) {
@@ -267,7 +269,8 @@
         const bool wait_for_promotion = open->second.promote_from != 0 && probed && !probed->is_primary;
         if (wait_for_promotion && now() < open->second.deadline) {
             auto timer = std::make_shared<asio::steady_timer>(io_, probe_again_after);
-            timer->async_wait([this, number, timer](const boost::system::error_code&) { run_operation(number); });
+            timer->async_wait(
+                [this, number, timer](const boost::system::error_code&) { run_operation(number); });
             return;
         }
         server_answer answer{.operation = number, .server = open->second.server.id};
@@ -311,7 +314,8 @@
     }
     wire::join_request request;
     to_wire(core_.self, *request.mutable_member());
-    client_to(address).post("/v1/join", request.SerializeAsString(), message_timeout, [](const http_outcome&) {});
+    client_to(address).post("/v1/join", request.SerializeAsString(), message_timeout,
+                            [](const http_outcome&) {});
 }
 
 std::string control_node::answer_join(const std::string& body) {
@@ -402,7 +406,8 @@
             ready.push_back(w);
         }
     }
-    std::erase_if(watchers_, [&](const watcher& w) { return w.applied < core_.cluster.revision || at >= w.deadline; });
+    std::erase_if(watchers_,
+                  [&](const watcher& w) { return w.applied < core_.cluster.revision || at >= w.deadline; });
     // Most watchers are at the same revision and get the same bytes.
     std::map<revision_number, std::string> bodies;
     for (const watcher& w : ready) {
@@ -442,8 +447,9 @@
     waiting.respond = respond;
     waiting.until_in_force = request.wait();
     waiting.deadline =
-        now() + (request.wait_ms() == 0 ? edit_patience
-                                        : duration{std::chrono::milliseconds{static_cast<std::int64_t>(request.wait_ms())}});
+        now() + (request.wait_ms() == 0
+                     ? edit_patience
+                     : duration{std::chrono::milliseconds{static_cast<std::int64_t>(request.wait_ms())}});
     if (const auto earlier = propose_edit(core_, edit, now())) {
         waiting.applied = true;
         waiting.outcome = *earlier;
@@ -460,8 +466,8 @@
     open.swap(edits_);
     for (waiting_edit& w : open) {
         const bool refused = w.applied && w.outcome.code != result_code::ok;
-        const bool in_force = w.applied && may_lead(core_, at) &&
-                              is_in_force(core_.control, w.outcome.revision, at);
+        const bool in_force =
+            w.applied && may_lead(core_, at) && is_in_force(core_.control, w.outcome.revision, at);
         std::string reply;
         if (refused || (w.applied && (!w.until_in_force || in_force))) {
             reply = operator_reply(w.outcome.code, w.until_in_force && !refused ? "in force" : "",
@@ -539,7 +545,8 @@
         to_wire(member, *reply.add_members());
     }
     constexpr std::size_t shown_changes = 20;
-    const std::size_t first = core_.cluster.changes.size() > shown_changes ? core_.cluster.changes.size() - shown_changes : 0;
+    const std::size_t first =
+        core_.cluster.changes.size() > shown_changes ? core_.cluster.changes.size() - shown_changes : 0;
     for (std::size_t i = first; i < core_.cluster.changes.size(); ++i) {
         auto* m = reply.add_changes();
         m->set_change_id(core_.cluster.changes[i].change_id);
--- a/src/daemon/control_node.hpp
+++ b/src/daemon/control_node.hpp
@@ -1,5 +1,5 @@
-// A control instance: the I/O round core/raft and core/control. Keeps the log on disk, exchanges messages with
-// the other control instances, answers renewals and watches, and carries out what the leader decides.
+// A control instance: the I/O round core/raft and core/control. Keeps the log on disk, exchanges messages
+// with the other control instances, answers renewals and watches, and carries out what the leader decides.
 //
 // Everything runs on the event loop's thread; only syncing the log goes to a worker. A batch's messages
 // leave after its records are synced, in order.
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -4,15 +4,15 @@
 //   [starting and stopping]  [requests of other processes]
 #include "daemon/daemon.hpp"
 
-#include "io/addresses.hpp"
 #include "generated/larchpin.pb.h"
+#include "io/addresses.hpp"
 #include "io/log.hpp"
 
 #include <boost/asio/post.hpp>
 #include <boost/leaf/error.hpp>
 
-#include <csignal>
 #include <charconv>
+#include <csignal>
 
 namespace larchpin {
 
@@ -83,7 +83,9 @@
         }
     });
     log_event(severity::info, "daemon_started",
-              {{"entry", config_.entry_listen}, {"peer", config_.peer_listen}, {"control", config_.control_member}});
+              {{"entry", config_.entry_listen},
+               {"peer", config_.peer_listen},
+               {"control", config_.control_member}});
     return {};
 }
 
@@ -143,7 +145,8 @@
 
 void daemon::serve_control(const http_request& request, const http_respond& respond) {
     const auto reply = [&respond](const std::string& body) { respond({.status = 200, .body = body}); };
-    const bool for_operators = request.path == "/v1/edit" || request.path == "/v1/status" || request.path == "/v1/switchover";
+    const bool for_operators =
+        request.path == "/v1/edit" || request.path == "/v1/status" || request.path == "/v1/switchover";
     if (!control_) {
         if (for_operators) {
             forward_to_control(request, respond, config_.control_addresses.front(), 0);
@@ -179,19 +182,23 @@
                                 const std::string& address, unsigned hops) {
     auto& client = clients_[address];
     if (!client) {
-        client = std::make_unique<http2_client>(io_, parse_endpoint(address).value_or(asio::ip::tcp::endpoint{}), keys_);
+        client = std::make_unique<http2_client>(
+            io_, parse_endpoint(address).value_or(asio::ip::tcp::endpoint{}), keys_);
     }
-    client->post(request.path, request.body, control_timeout, [this, request, respond, hops](const http_outcome& o) {
-        const auto reply = o.answered ? peek_reply(o.body) : std::nullopt;
-        const bool other_leads = !reply || reply->code() == static_cast<std::uint32_t>(result_code::not_leader);
-        if (!other_leads || hops >= max_hops) {
-            respond({.status = 200, .body = o.answered ? o.body : encode_reply(result_code::no_quorum)});
-            return;
-        }
-        const std::size_t next = (hops + 1) % config_.control_addresses.size();
-        const bool has_hint = reply && !reply->detail().empty();
-        forward_to_control(request, respond, has_hint ? reply->detail() : config_.control_addresses[next], hops + 1);
-    });
+    client->post(
+        request.path, request.body, control_timeout, [this, request, respond, hops](const http_outcome& o) {
+            const auto reply = o.answered ? peek_reply(o.body) : std::nullopt;
+            const bool other_leads =
+                !reply || reply->code() == static_cast<std::uint32_t>(result_code::not_leader);
+            if (!other_leads || hops >= max_hops) {
+                respond({.status = 200, .body = o.answered ? o.body : encode_reply(result_code::no_quorum)});
+                return;
+            }
+            const std::size_t next = (hops + 1) % config_.control_addresses.size();
+            const bool has_hint = reply && !reply->detail().empty();
+            forward_to_control(request, respond, has_hint ? reply->detail() : config_.control_addresses[next],
+                               hops + 1);
+        });
 }
 
 } // namespace larchpin
--- a/src/daemon/daemon.hpp
+++ b/src/daemon/daemon.hpp
@@ -26,8 +26,8 @@
 private:
     void serve(const http_request& request, const http_respond& respond);
     void serve_control(const http_request& request, const http_respond& respond);
-    void forward_to_control(const http_request& request, const http_respond& respond, const std::string& address,
-                            unsigned hops);
+    void forward_to_control(const http_request& request, const http_respond& respond,
+                            const std::string& address, unsigned hops);
     void refresh_gauges();
     void stop();
 
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -30,11 +30,12 @@
     std::ifstream stream(file);
     std::string key;
     if (!std::getline(stream, key) || key.size() < shortest_key) {
-        return leaf::new_error(larchpin::settings_problem{.code = result_code::settings_out_of_range,
-                                                          .file = file,
-                                                          .line = 1,
-                                                          .key = "peer.key_file",
-                                                          .detail = "must hold a line of 32 characters or more"});
+        return leaf::new_error(
+            larchpin::settings_problem{.code = result_code::settings_out_of_range,
+                                       .file = file,
+                                       .line = 1,
+                                       .key = "peer.key_file",
+                                       .detail = "must hold a line of 32 characters or more"});
     }
     return key;
 }
@@ -71,7 +72,8 @@
     cxxopts::Options options("larchpind", "A database proxy with session consistency: the daemon.");
     std::string file;
     options.add_options()("help", "print this")("version", "print the version")(
-        "settings", "the settings file (TOML)", cxxopts::value(file))("check-settings", "read the settings and stop");
+        "settings", "the settings file (TOML)", cxxopts::value(file))("check-settings",
+                                                                      "read the settings and stop");
     try {
         const auto given = options.parse(argc, argv);
         if (given.count("help") != 0) {
@@ -85,14 +87,13 @@
         if (file.empty() || !given.unmatched().empty()) {
             return fail("--settings FILE is needed", result_code::bad_command_line);
         }
-        return leaf::try_handle_all(
-            [&] { return run(file, given.count("check-settings") != 0); },
-            [](const larchpin::settings_problem& p) {
-                std::cerr << "larchpind: " << larchpin::to_string(p) << "\n";
-                return exit_failure;
-            },
-            [](result_code code) { return fail("cannot start", code); },
-            [] { return fail("cannot start", result_code::settings_unreadable); });
+        return leaf::try_handle_all([&] { return run(file, given.count("check-settings") != 0); },
+                                    [](const larchpin::settings_problem& p) {
+                                        std::cerr << "larchpind: " << larchpin::to_string(p) << "\n";
+                                        return exit_failure;
+                                    },
+                                    [](result_code code) { return fail("cannot start", code); },
+                                    [] { return fail("cannot start", result_code::settings_unreadable); });
     } catch (const cxxopts::exceptions::exception& e) {
         return fail(e.what(), result_code::bad_command_line);
     } catch (const std::exception& e) {
--- a/src/daemon/pools.cpp
+++ b/src/daemon/pools.cpp
@@ -17,7 +17,8 @@
 
 } // namespace
 
-backend_pools::backend_pools(asio::io_context& io, const settings& config) : io_(io), config_(config), timer_(io) {
+backend_pools::backend_pools(asio::io_context& io, const settings& config)
+    : io_(io), config_(config), timer_(io) {
     on_tick();
 }
 
@@ -25,8 +26,9 @@
     return pools_[key];
 }
 
-request_number backend_pools::request(const share_key& key, const server_record& server, unsigned background_share,
-                                      request_class klass, time_point deadline, pool_callback done) {
+request_number backend_pools::request(const share_key& key, const server_record& server,
+                                      unsigned background_share, request_class klass, time_point deadline,
+                                      pool_callback done) {
     pool& p = find_or_make(key);
     p.server = server;
     p.used_at = now();
@@ -49,7 +51,8 @@
     cancel_request(found->second.state, request);
 }
 
-void backend_pools::release(const share_key& key, connection_number number, bool reusable, duration used_for) {
+void backend_pools::release(const share_key& key, connection_number number, bool reusable,
+                            duration used_for) {
     const auto found = pools_.find(key);
     if (found == pools_.end()) {
         return;
@@ -91,7 +94,8 @@
 
 bool backend_pools::may_serve(const share_key& key) const {
     const auto found = pools_.find(key);
-    return found == pools_.end() || found->second.state.share > 0 || now() >= found->second.state.open_retry_at;
+    return found == pools_.end() || found->second.state.share > 0 ||
+           now() >= found->second.state.open_retry_at;
 }
 
 void backend_pools::carry_out(const share_key& key, const pool_actions& actions) {
@@ -123,7 +127,10 @@
             ++counters_.refused;
             const pool_callback done = std::move(request->second.done);
             p.requests.erase(request);
-            done({.connection = nullptr, .number = 0, .code = refuse->code, .retry_after = refuse->retry_after});
+            done({.connection = nullptr,
+                  .number = 0,
+                  .code = refuse->code,
+                  .retry_after = refuse->retry_after});
         }
     }
 }
--- a/src/io/auth.cpp
+++ b/src/io/auth.cpp
@@ -25,7 +25,8 @@
     return text;
 }
 
-std::string mac(const std::string& key, std::string_view first, std::string_view second, std::string_view third) {
+std::string mac(const std::string& key, std::string_view first, std::string_view second,
+                std::string_view third) {
     // Lengths in front keep ("ab", "c") and ("a", "bc") apart.
     std::string text = std::to_string(first.size()) + "," + std::to_string(second.size()) + ",";
     text.append(first).append(second).append(third);
@@ -45,7 +46,8 @@
 
 std::string random_hex(std::size_t bytes) {
     std::string raw(bytes, '\0');
-    RAND_bytes(reinterpret_cast<unsigned char*>(raw.data()), static_cast<int>(bytes)); // NOLINT(*-reinterpret-cast)
+    RAND_bytes(reinterpret_cast<unsigned char*>(raw.data()),
+               static_cast<int>(bytes)); // NOLINT(*-reinterpret-cast)
     return to_hex(raw);
 }
 
@@ -56,7 +58,8 @@
     return s;
 }
 
-bool check_request(const shared_keys& keys, std::string_view path, std::string_view body, const signed_nonce& s) {
+bool check_request(const shared_keys& keys, std::string_view path, std::string_view body,
+                   const signed_nonce& s) {
     return std::any_of(keys.keys.begin(), keys.keys.end(), [&](const std::string& key) {
         return same(mac(key, path, s.nonce, body), s.signature);
     });
--- a/src/io/auth.hpp
+++ b/src/io/auth.hpp
@@ -24,7 +24,8 @@
 };
 
 signed_nonce sign_request(const shared_keys& keys, std::string_view path, std::string_view body);
-bool check_request(const shared_keys& keys, std::string_view path, std::string_view body, const signed_nonce& s);
+bool check_request(const shared_keys& keys, std::string_view path, std::string_view body,
+                   const signed_nonce& s);
 
 std::string sign_reply(const shared_keys& keys, std::string_view request_signature, std::string_view body);
 bool check_reply(const shared_keys& keys, std::string_view request_signature, std::string_view body,
--- a/src/io/backend_connection.cpp
+++ b/src/io/backend_connection.cpp
@@ -121,17 +121,23 @@
 void backend_connection::connect(std::function<void(bool)> done) {
     on_connect_ = std::move(done);
     const std::string port = std::to_string(target_.port);
-    const std::array<const char*, 8> keys{"hostaddr", "port",           "dbname",          "user",
-                                          "password", "application_name", "client_encoding", nullptr};
-    const std::array<const char*, 8> values{target_.host.c_str(),     port.c_str(), target_.database.c_str(),
-                                            target_.user.c_str(),     target_.password.c_str(), "larchpin",
-                                            "UTF8",                   nullptr};
+    const std::array<const char*, 8> keys{
+        "hostaddr", "port", "dbname", "user", "password", "application_name", "client_encoding", nullptr};
+    const std::array<const char*, 8> values{target_.host.c_str(),
+                                            port.c_str(),
+                                            target_.database.c_str(),
+                                            target_.user.c_str(),
+                                            target_.password.c_str(),
+                                            "larchpin",
+                                            "UTF8",
+                                            nullptr};
     connection_ = PQconnectStartParams(keys.data(), values.data(), 0);
     if (connection_ == nullptr || PQstatus(connection_) == CONNECTION_BAD || PQsocket(connection_) < 0) {
         asio::post(io_, [self = shared_from_this()] { self->fail(); });
         return;
     }
-    PQsetNoticeProcessor(connection_, [](void*, const char*) {}, nullptr);
+    PQsetNoticeProcessor(
+        connection_, [](void*, const char*) {}, nullptr);
     socket_.emplace(io_, PQsocket(connection_));
     connect_timer_.expires_after(target_.connect_timeout);
     connect_timer_.async_wait([self = shared_from_this()](const boost::system::error_code& error) {
@@ -164,7 +170,9 @@
     };
     switch (status) {
     case PGRES_POLLING_READING: socket_->async_wait(asio::posix::stream_descriptor::wait_read, again); return;
-    case PGRES_POLLING_WRITING: socket_->async_wait(asio::posix::stream_descriptor::wait_write, again); return;
+    case PGRES_POLLING_WRITING:
+        socket_->async_wait(asio::posix::stream_descriptor::wait_write, again);
+        return;
     case PGRES_POLLING_OK: break;
     default: fail(); return;
     }
@@ -199,8 +207,8 @@
     switch (request.shape) {
     case request_shape::simple: accepted = PQsendQuery(connection_, request.text.c_str()); break;
     case request_shape::describe:
-        accepted = PQsendPrepare(connection_, "", request.text.c_str(), static_cast<int>(request.types.size()),
-                                 request.types.data());
+        accepted = PQsendPrepare(connection_, "", request.text.c_str(),
+                                 static_cast<int>(request.types.size()), request.types.data());
         break;
     case request_shape::extended: {
         std::vector<const char*> values;
--- a/src/io/backend_connection.hpp
+++ b/src/io/backend_connection.hpp
@@ -91,7 +91,9 @@
 
     [[nodiscard]] bool is_open() const { return connection_ != nullptr && !broken_; }
     [[nodiscard]] bool is_running() const { return running_; }
-    [[nodiscard]] bool has_sent() const { return sent_; } // the running request left this process, or may have
+    [[nodiscard]] bool has_sent() const {
+        return sent_;
+    } // the running request left this process, or may have
 
     // Session settings in effect on this connection, as the pool's user wants them (see client_session).
     std::string applied_settings;
--- a/src/io/backend_sql.hpp
+++ b/src/io/backend_sql.hpp
@@ -7,10 +7,10 @@
 
 // A server's timeline: a primary's own; a replica's by what it receives, or, once nobody sends, by how far it
 // has recovered.
-#define LARCHPIN_TIMELINE_SQL                                                                                    \
-    "case when pg_is_in_recovery() then coalesce((select received_tli from pg_stat_wal_receiver), "            \
-    "greatest((select timeline_id from pg_control_checkpoint()), "                                             \
-    "(select min_recovery_end_timeline from pg_control_recovery()))) "                                         \
+#define LARCHPIN_TIMELINE_SQL                                                                                \
+    "case when pg_is_in_recovery() then coalesce((select received_tli from pg_stat_wal_receiver), "          \
+    "greatest((select timeline_id from pg_control_checkpoint()), "                                           \
+    "(select min_recovery_end_timeline from pg_control_recovery()))) "                                       \
     "else ('x' || substr(pg_walfile_name(pg_current_wal_lsn()), 1, 8))::bit(32)::int end"
 
 // One row: in recovery (t or f), timeline, position in bytes.
@@ -21,7 +21,8 @@
 
 // Only while the server is still where the choice was made: a statement that lay in a frozen server's socket
 // must not promote it after it has followed another primary. The timeline's number follows.
-constexpr std::string_view promote_sql = "/* larchpin promote */ select pg_promote() where " LARCHPIN_TIMELINE_SQL " = ";
+constexpr std::string_view promote_sql =
+    "/* larchpin promote */ select pg_promote() where " LARCHPIN_TIMELINE_SQL " = ";
 
 #undef LARCHPIN_TIMELINE_SQL
 
--- a/src/io/caller_stream.cpp
+++ b/src/io/caller_stream.cpp
@@ -13,7 +13,9 @@
 }
 
 void caller_stream::read_some(std::span<char> buffer, const std::function<void(bool, std::size_t)>& done) {
-    const auto handler = [done](const boost::system::error_code& error, std::size_t length) { done(!error, length); };
+    const auto handler = [done](const boost::system::error_code& error, std::size_t length) {
+        done(!error, length);
+    };
     const auto target = asio::buffer(buffer.data(), buffer.size());
     if (tls_) {
         tls_->async_read_some(target, handler);
@@ -23,7 +25,9 @@
 }
 
 void caller_stream::write(const std::string& bytes, const std::function<void(bool)>& done) {
-    const auto handler = [done](const boost::system::error_code& error, std::size_t /*length*/) { done(!error); };
+    const auto handler = [done](const boost::system::error_code& error, std::size_t /*length*/) {
+        done(!error);
+    };
     if (tls_) {
         asio::async_write(*tls_, asio::buffer(bytes), handler);
     } else {
--- a/src/io/codec.cpp
+++ b/src/io/codec.cpp
@@ -60,7 +60,8 @@
 }
 
 edit_table from_wire(const wire::edit_table& m) {
-    return {.change_id = m.change_id(), .expected_revision = m.expected_revision(), .next = from_wire(m.next())};
+    return {
+        .change_id = m.change_id(), .expected_revision = m.expected_revision(), .next = from_wire(m.next())};
 }
 
 void to_wire(const edit_table& v, wire::edit_table& m) {
--- a/src/io/http2.hpp
+++ b/src/io/http2.hpp
@@ -62,8 +62,8 @@
 class http2_server {
 public:
     // Throws boost::system::system_error where the address cannot be listened to.
-    http2_server(boost::asio::io_context& io, const boost::asio::ip::tcp::endpoint& at, const shared_keys& keys,
-                 http_handler handler);
+    http2_server(boost::asio::io_context& io, const boost::asio::ip::tcp::endpoint& at,
+                 const shared_keys& keys, http_handler handler);
     ~http2_server();
     http2_server(const http2_server&) = delete;
     http2_server& operator=(const http2_server&) = delete;
@@ -81,7 +81,8 @@
 
 class http2_client {
 public:
-    http2_client(boost::asio::io_context& io, const boost::asio::ip::tcp::endpoint& to, const shared_keys& keys);
+    http2_client(boost::asio::io_context& io, const boost::asio::ip::tcp::endpoint& to,
+                 const shared_keys& keys);
     ~http2_client();
     http2_client(const http2_client&) = delete;
     http2_client& operator=(const http2_client&) = delete;
--- a/src/io/http2_connection.cpp
+++ b/src/io/http2_connection.cpp
@@ -33,8 +33,8 @@
 
 } // namespace
 
-http2_connection::http2_connection(boost::asio::ip::tcp::socket socket, bool is_server, stream_handler on_message,
-                                   close_handler on_close)
+http2_connection::http2_connection(boost::asio::ip::tcp::socket socket, bool is_server,
+                                   stream_handler on_message, close_handler on_close)
     : socket_(std::move(socket)), is_server_(is_server), on_message_(std::move(on_message)),
       on_close_(std::move(on_close)) {
     nghttp2_session_callbacks* callbacks = nullptr;
@@ -60,7 +60,8 @@
     socket_.set_option(boost::asio::ip::tcp::no_delay(true), ignored);
     const std::array<nghttp2_settings_entry, 2> entries{{
         {.settings_id = NGHTTP2_SETTINGS_MAX_CONCURRENT_STREAMS, .value = max_streams},
-        {.settings_id = NGHTTP2_SETTINGS_INITIAL_WINDOW_SIZE, .value = static_cast<std::uint32_t>(window_bytes)},
+        {.settings_id = NGHTTP2_SETTINGS_INITIAL_WINDOW_SIZE,
+         .value = static_cast<std::uint32_t>(window_bytes)},
     }};
     nghttp2_submit_settings(session_, NGHTTP2_FLAG_NONE, entries.data(), entries.size());
     nghttp2_session_set_local_window_size(session_, NGHTTP2_FLAG_NONE, 0, window_bytes);
@@ -81,9 +82,12 @@
 std::int32_t http2_connection::submit_request(const std::string& path, const std::string& body,
                                               const signed_nonce& signature, const http_callback& done,
                                               time_point deadline) {
-    const std::array<nghttp2_nv, 6> headers{
-        header(":method", "POST"), header(":scheme", "http"),        header(":authority", "larchpin"),
-        header(":path", path),     header(header_nonce, signature.nonce), header(header_signature, signature.signature)};
+    const std::array<nghttp2_nv, 6> headers{header(":method", "POST"),
+                                            header(":scheme", "http"),
+                                            header(":authority", "larchpin"),
+                                            header(":path", path),
+                                            header(header_nonce, signature.nonce),
+                                            header(header_signature, signature.signature)};
     nghttp2_data_provider provider{};
     provider.read_callback = &http2_connection::read_body;
     const std::int32_t id =
@@ -108,7 +112,8 @@
     }
     found->second.outgoing = body;
     const std::string status_text = std::to_string(status);
-    const std::array<nghttp2_nv, 2> headers{header(":status", status_text), header(header_signature, signature)};
+    const std::array<nghttp2_nv, 2> headers{header(":status", status_text),
+                                            header(header_signature, signature)};
     nghttp2_data_provider provider{};
     provider.read_callback = &http2_connection::read_body;
     nghttp2_submit_response(session_, stream, headers.data(), headers.size(), &provider);
@@ -120,9 +125,9 @@
     write_some();
 }
 
-int http2_connection::on_header(nghttp2_session* /*session*/, const nghttp2_frame* frame, const std::uint8_t* name,
-                                std::size_t name_length, const std::uint8_t* value, std::size_t value_length,
-                                std::uint8_t /*flags*/, void* user) {
+int http2_connection::on_header(nghttp2_session* /*session*/, const nghttp2_frame* frame,
+                                const std::uint8_t* name, std::size_t name_length, const std::uint8_t* value,
+                                std::size_t value_length, std::uint8_t /*flags*/, void* user) {
     http2_stream& stream = self_of(user).streams_[frame->hd.stream_id];
     const std::string_view key(reinterpret_cast<const char*>(name), name_length);
     const std::string_view text(reinterpret_cast<const char*>(value), value_length);
@@ -192,19 +197,19 @@
 
 void http2_connection::read_some() {
     auto self = shared_from_this();
-    socket_.async_read_some(boost::asio::buffer(read_buffer_),
-                            [self](const boost::system::error_code& error, std::size_t length) {
-                                if (error || !self->open_) {
-                                    self->close();
-                                    return;
-                                }
-                                if (nghttp2_session_mem_recv(self->session_, self->read_buffer_.data(), length) < 0) {
-                                    self->close();
-                                    return;
-                                }
-                                self->write_some();
-                                self->read_some();
-                            });
+    socket_.async_read_some(boost::asio::buffer(read_buffer_), [self](const boost::system::error_code& error,
+                                                                      std::size_t length) {
+        if (error || !self->open_) {
+            self->close();
+            return;
+        }
+        if (nghttp2_session_mem_recv(self->session_, self->read_buffer_.data(), length) < 0) {
+            self->close();
+            return;
+        }
+        self->write_some();
+        self->read_some();
+    });
 }
 
 void http2_connection::write_some() {
--- a/src/io/http2_internal.hpp
+++ b/src/io/http2_internal.hpp
@@ -21,8 +21,8 @@
     std::string outgoing;
     std::size_t outgoing_offset = 0;
     bool too_large = false;
-    http_callback done;      // client side
-    time_point deadline{};   // client side
+    http_callback done;    // client side
+    time_point deadline{}; // client side
 };
 
 class http2_connection : public std::enable_shared_from_this<http2_connection> {
@@ -43,10 +43,12 @@
     [[nodiscard]] bool is_open() const { return open_; }
 
     // Client side: sends a request; returns its stream, or a negative number.
-    std::int32_t submit_request(const std::string& path, const std::string& body, const signed_nonce& signature,
-                                const http_callback& done, time_point deadline);
+    std::int32_t submit_request(const std::string& path, const std::string& body,
+                                const signed_nonce& signature, const http_callback& done,
+                                time_point deadline);
     // Server side: answers a request. Nothing happens where the stream is gone.
-    void submit_response(std::int32_t stream, int status, const std::string& body, const std::string& signature);
+    void submit_response(std::int32_t stream, int status, const std::string& body,
+                         const std::string& signature);
     void reset_stream(std::int32_t stream);
 
     std::map<std::int32_t, http2_stream>& streams() { return streams_; }
@@ -55,12 +57,13 @@
     static int on_header(nghttp2_session* session, const nghttp2_frame* frame, const std::uint8_t* name,
                          std::size_t name_length, const std::uint8_t* value, std::size_t value_length,
                          std::uint8_t flags, void* user);
-    static int on_data(nghttp2_session* session, std::uint8_t flags, std::int32_t stream, const std::uint8_t* data,
-                       std::size_t length, void* user);
+    static int on_data(nghttp2_session* session, std::uint8_t flags, std::int32_t stream,
+                       const std::uint8_t* data, std::size_t length, void* user);
     static int on_frame(nghttp2_session* session, const nghttp2_frame* frame, void* user);
     static int on_stream_close(nghttp2_session* session, std::int32_t stream, std::uint32_t code, void* user);
     static ssize_t read_body(nghttp2_session* session, std::int32_t stream, std::uint8_t* buffer,
-                             std::size_t length, std::uint32_t* flags, nghttp2_data_source* source, void* user);
+                             std::size_t length, std::uint32_t* flags, nghttp2_data_source* source,
+                             void* user);
     void read_some();
     void write_some();
 
--- a/src/io/log.hpp
+++ b/src/io/log.hpp
@@ -1,4 +1,5 @@
-// Logs as JSON lines on standard error: time, level, event, instance, failure domain, then the event's fields.
+// Logs as JSON lines on standard error: time, level, event, instance, failure domain, then the event's
+// fields.
 //
 // Usage
 //   start_log(severity::info, "bkk-1", "bkk-bangna");
--- a/src/io/metrics.cpp
+++ b/src/io/metrics.cpp
@@ -16,7 +16,8 @@
 }
 
 std::string labels(const metric_key& key, const std::string& more = {}) {
-    return "{service=\"" + key.service.value + "\",class=\"" + std::string(to_string(key.klass)) + "\"" + more + "}";
+    return "{service=\"" + key.service.value + "\",class=\"" + std::string(to_string(key.klass)) + "\"" +
+           more + "}";
 }
 
 } // namespace
@@ -66,7 +67,8 @@
         out << "larchpin_latency_ms_count" << plain << " " << acc::count(m.latency_ms) << "\n";
         if (acc::count(m.latency_ms) > 0) {
             for (std::size_t i = 0; i < quantiles.size(); ++i) {
-                out << "larchpin_latency_ms" << labels(key, ",quantile=\"" + std::to_string(quantiles.at(i)).substr(0, 4) + "\"")
+                out << "larchpin_latency_ms"
+                    << labels(key, ",quantile=\"" + std::to_string(quantiles.at(i)).substr(0, 4) + "\"")
                     << " " << acc::extended_p_square(m.latency_ms)[i] << "\n";
             }
             out << "larchpin_latency_ms_max" << plain << " " << acc::max(m.latency_ms) << "\n";
--- a/src/io/metrics.hpp
+++ b/src/io/metrics.hpp
@@ -31,8 +31,9 @@
 enum class request_target : std::uint8_t { primary, replica, none };
 
 using latency_statistics = boost::accumulators::accumulator_set<
-    double, boost::accumulators::stats<boost::accumulators::tag::count, boost::accumulators::tag::mean,
-                                       boost::accumulators::tag::max, boost::accumulators::tag::extended_p_square>>;
+    double,
+    boost::accumulators::stats<boost::accumulators::tag::count, boost::accumulators::tag::mean,
+                               boost::accumulators::tag::max, boost::accumulators::tag::extended_p_square>>;
 
 struct request_metrics {
     request_metrics();
--- a/src/io/raft_store.cpp
+++ b/src/io/raft_store.cpp
@@ -235,7 +235,8 @@
         bytes += encode_record({.hard = {}, .log_entry = e, .snap = {}}, 0);
     }
     const std::string new_path = folder_ + "/" + new_log_name;
-    const int file = ::open(new_path.c_str(), O_RDWR | O_CREAT | O_TRUNC | O_APPEND | O_CLOEXEC, S_IRUSR | S_IWUSR);
+    const int file =
+        ::open(new_path.c_str(), O_RDWR | O_CREAT | O_TRUNC | O_APPEND | O_CLOEXEC, S_IRUSR | S_IWUSR);
     if (file < 0) {
         return result_code::data_folder_unusable;
     }
--- a/src/io/server_probe.cpp
+++ b/src/io/server_probe.cpp
@@ -57,7 +57,8 @@
     return make_target(config, server, default_probe_user);
 }
 
-backend_target make_service_target(const settings& config, const server_record& server, const service_id& service) {
+backend_target make_service_target(const settings& config, const server_record& server,
+                                   const service_id& service) {
     return make_target(config, server, service.value);
 }
 
--- a/src/io/server_probe.hpp
+++ b/src/io/server_probe.hpp
@@ -23,6 +23,7 @@
 backend_target make_probe_target(const settings& config, const server_record& server);
 
 // Where a service's requests connect.
-backend_target make_service_target(const settings& config, const server_record& server, const service_id& service);
+backend_target make_service_target(const settings& config, const server_record& server,
+                                   const service_id& service);
 
 } // namespace larchpin
--- a/src/io/settings.cpp
+++ b/src/io/settings.cpp
@@ -34,7 +34,8 @@
     return node.source().begin.line;
 }
 
-settings_problem problem(const key_context& at, const toml::node& node, result_code code, std::string detail) {
+settings_problem problem(const key_context& at, const toml::node& node, result_code code,
+                         std::string detail) {
     return {.code = code, .file = at.file, .line = line_of(node), .key = at.key, .detail = std::move(detail)};
 }
 
@@ -70,15 +71,16 @@
     std::int64_t highest = 0;
 };
 
-leaf::result<std::int64_t> read_number(const key_context& at, const toml::node& node, const number_range& range) {
+leaf::result<std::int64_t> read_number(const key_context& at, const toml::node& node,
+                                       const number_range& range) {
     const auto value = node.value_exact<std::int64_t>();
     if (!value) {
         return leaf::new_error(problem(at, node, result_code::settings_wrong_type, "takes a whole number"));
     }
     if (*value < range.lowest || *value > range.highest) {
-        return leaf::new_error(problem(at, node, result_code::settings_out_of_range,
-                                       "takes " + std::to_string(range.lowest) + " to " +
-                                           std::to_string(range.highest)));
+        return leaf::new_error(
+            problem(at, node, result_code::settings_out_of_range,
+                    "takes " + std::to_string(range.lowest) + " to " + std::to_string(range.highest)));
     }
     return *value;
 }
@@ -97,10 +99,12 @@
     return {};
 }
 
-leaf::result<void> read_addresses(const key_context& at, const toml::node& node, std::vector<std::string>& target) {
+leaf::result<void> read_addresses(const key_context& at, const toml::node& node,
+                                  std::vector<std::string>& target) {
     const toml::array* list = node.as_array();
     if (list == nullptr) {
-        return leaf::new_error(problem(at, node, result_code::settings_wrong_type, "takes a list of \"ip:port\""));
+        return leaf::new_error(
+            problem(at, node, result_code::settings_wrong_type, "takes a list of \"ip:port\""));
     }
     for (const toml::node& item : *list) {
         std::string address;
@@ -136,7 +140,8 @@
     return [member](const auto& at, const auto& node, settings& s) { return read_text(at, node, s.*member); };
 }
 key_reader address(std::string settings::*member) {
-    return [member](const auto& at, const auto& node, settings& s) { return read_address(at, node, s.*member); };
+    return
+        [member](const auto& at, const auto& node, settings& s) { return read_address(at, node, s.*member); };
 }
 key_reader count(unsigned settings::*member, number_range range) {
     return [member, range](const auto& at, const auto& node, settings& s) {
@@ -151,7 +156,8 @@
 
 const std::map<std::string, key_reader>& readers() {
     static const std::map<std::string, key_reader> all{
-        {"instance.id", [](const auto& at, const auto& n, settings& s) { return read_text(at, n, s.id.value); }},
+        {"instance.id",
+         [](const auto& at, const auto& n, settings& s) { return read_text(at, n, s.id.value); }},
         {"instance.failure_domain",
          [](const auto& at, const auto& n, settings& s) { return read_text(at, n, s.domain.value); }},
         {"instance.region", text(&settings::region)},
@@ -166,8 +172,8 @@
         {"peer.old_key_file", text(&settings::old_key_file)},
         {"control.member",
          [](const auto& at, const auto& n, settings& s) { return read_flag(at, n, s.control_member); }},
-        {"control.addresses",
-         [](const auto& at, const auto& n, settings& s) { return read_addresses(at, n, s.control_addresses); }},
+        {"control.addresses", [](const auto& at, const auto& n,
+                                 settings& s) { return read_addresses(at, n, s.control_addresses); }},
         {"control.data_folder", text(&settings::data_folder)},
         {"control.lease_ms", milliseconds(&settings::lease, {200, 60'000})},
         {"control.heartbeat_ms", milliseconds(&settings::heartbeat, {10, 5'000})},
@@ -177,7 +183,8 @@
         {"backend.password_file", text(&settings::backend_password_file)},
         {"backend.probe_ms", milliseconds(&settings::probe_interval, {10, 10'000})},
         {"backend.detect_ms", milliseconds(&settings::detect_time, {50, 60'000})},
-        {"log.level", [](const auto& at, const auto& n, settings& s) { return read_level(at, n, s.log_level); }},
+        {"log.level",
+         [](const auto& at, const auto& n, settings& s) { return read_level(at, n, s.log_level); }},
     };
     return all;
 }
@@ -218,7 +225,8 @@
     }
     const bool half_tls = s.tls_certificate.empty() != s.tls_key.empty();
     if (half_tls) {
-        return missing(file, s.tls_key.empty() ? "entry.tls_key" : "entry.tls_certificate", "the two go together");
+        return missing(file, s.tls_key.empty() ? "entry.tls_key" : "entry.tls_certificate",
+                       "the two go together");
     }
     if (s.heartbeat * 3 > s.election) {
         return leaf::new_error(settings_problem{.code = result_code::settings_out_of_range,
--- a/src/io/settings.hpp
+++ b/src/io/settings.hpp
@@ -18,20 +18,21 @@
 
 struct settings {
     // [instance]
-    instance_id id;        // unique in the site
+    instance_id id; // unique in the site
     failure_domain domain;
     std::string region = "default";
     // [entry]
     std::string entry_listen = "127.0.0.1:6432"; // callers, PostgreSQL protocol
     unsigned max_clients = 5000;
     duration drain_time = std::chrono::seconds{30}; // a planned stop waits this long for requests in flight
-    std::string tls_certificate; // PEM; empty: no TLS for callers
-    std::string tls_key;         // PEM
+    std::string tls_certificate;                    // PEM; empty: no TLS for callers
+    std::string tls_key;                            // PEM
     // [peer]
-    std::string peer_listen = "127.0.0.1:7432"; // our own processes, backend servers' announcements, operators
-    std::string peer_address;                   // as others reach it; empty: peer_listen
-    std::string key_file;                       // shared key, 32 bytes or more
-    std::string old_key_file;                   // still taken, for a rotation; may be empty
+    std::string peer_listen =
+        "127.0.0.1:7432";     // our own processes, backend servers' announcements, operators
+    std::string peer_address; // as others reach it; empty: peer_listen
+    std::string key_file;     // shared key, 32 bytes or more
+    std::string old_key_file; // still taken, for a rotation; may be empty
     // [control]
     bool control_member = false;                // keeps a copy of the control log; needs data_folder
     std::vector<std::string> control_addresses; // peer listeners of the control instances
--- a/tests/cluster_fuzz_test.cpp
+++ b/tests/cluster_fuzz_test.cpp
@@ -107,7 +107,8 @@
 }
 
 TEST(cluster_fuzz, notices_a_leader_that_acts_without_its_lease) {
-    const fault_rates rates{.loss = 0, .repeat = 0, .max_delay_ms = 10, .server_crash = 0.01, .peer_cut = 0.004};
+    const fault_rates rates{
+        .loss = 0, .repeat = 0, .max_delay_ms = 10, .server_crash = 0.01, .peer_cut = 0.004};
     expect_violation(rates, {.leader_without_lease = true});
 }
 
--- a/tests/cluster_model.cpp
+++ b/tests/cluster_model.cpp
@@ -48,11 +48,13 @@
 }
 
 time_point cluster_model::clock_of(const model_control& c) const {
-    return c.clock_offset + duration{static_cast<std::int64_t>(static_cast<double>(now_.count()) * c.clock_rate)};
+    return c.clock_offset +
+           duration{static_cast<std::int64_t>(static_cast<double>(now_.count()) * c.clock_rate)};
 }
 
 time_point cluster_model::clock_of(const model_daemon& d) const {
-    return d.clock_offset + duration{static_cast<std::int64_t>(static_cast<double>(now_.count()) * d.clock_rate)};
+    return d.clock_offset +
+           duration{static_cast<std::int64_t>(static_cast<double>(now_.count()) * d.clock_rate)};
 }
 
 void cluster_model::violate(const std::string& what) {
@@ -132,7 +134,8 @@
         persisted(self.core, log.persist_index, log.persist_term, clock_of(self));
         for (const raft::message& m : log.messages) {
             for (std::size_t to = 0; to < controls_.size(); ++to) {
-                if (controls_[to].core.self.id == m.to && now_ >= self.cut_until && now_ >= self.peer_cut_until) {
+                if (controls_[to].core.self.id == m.to && now_ >= self.cut_until &&
+                    now_ >= self.peer_cut_until) {
                     deliver_later([this, to, m] {
                         model_control& target = controls_[to];
                         if (runs(target) && now_ >= target.cut_until && now_ >= target.peer_cut_until) {
@@ -171,7 +174,8 @@
 void cluster_model::server_operation(std::size_t control, std::uint64_t operation, const server_id& id,
                                      std::uint64_t promote_from) {
     deliver_later([this, control, operation, id, promote_from] {
-        const auto s = std::find_if(servers_.begin(), servers_.end(), [&id](const auto& m) { return m.record.id == id; });
+        const auto s = std::find_if(servers_.begin(), servers_.end(),
+                                    [&id](const auto& m) { return m.record.id == id; });
         if (!runs(*s) || now_ < controls_[control].cut_until) {
             return;
         }
@@ -203,7 +207,8 @@
     }
     edit_table edit;
     const bool resend = next_edit_ > 1 && chance(0.3);
-    const std::uint64_t n = resend ? 1 + static_cast<std::uint64_t>(number(static_cast<int>(next_edit_) - 2)) : next_edit_++;
+    const std::uint64_t n =
+        resend ? 1 + static_cast<std::uint64_t>(number(static_cast<int>(next_edit_) - 2)) : next_edit_++;
     edit.change_id = "e" + std::to_string(n);
     // Sometimes from an old revision: of two edits on one revision only one may win.
     edit.expected_revision = c.core.cluster.table_revision;
@@ -270,7 +275,8 @@
     const auto s0 = d.copy.servers.find(the_key.server);
     const bool lease = lease_is_live(d.lease, clock_of(d));
     if (!lease) {
-        const auto holders = s0 == d.copy.servers.end() ? std::vector<instance_id>{} : reserve_holders(d.copy, s0->second);
+        const auto holders =
+            s0 == d.copy.servers.end() ? std::vector<instance_id>{} : reserve_holders(d.copy, s0->second);
         const bool reserved = std::find(holders.begin(), holders.end(), d.id) != holders.end();
         d.share = reserved ? std::min(d.share, 1U) : 0;
         d.open = std::min(d.open, d.share);
@@ -298,9 +304,16 @@
     const unsigned in_effect = broken_.share_before_confirmed ? d.share : std::max(d.share, d.open);
     r.claims = {{.key = the_key, .in_effect = in_effect, .wanted = d.wanted}};
     for (const model_server& s : servers_) {
-        r.observations.push_back({.server = s.record.id, .alive = runs(s), .is_primary = s.is_primary, .timeline = s.timeline, .position = s.writes.size()});
+        r.observations.push_back({.server = s.record.id,
+                                  .alive = runs(s),
+                                  .is_primary = s.is_primary,
+                                  .timeline = s.timeline,
+                                  .position = s.writes.size()});
         if (runs(s)) {
-            r.announcements.push_back({.record = s.record, .is_primary = s.is_primary, .timeline = s.timeline, .position = s.writes.size()});
+            r.announcements.push_back({.record = s.record,
+                                       .is_primary = s.is_primary,
+                                       .timeline = s.timeline,
+                                       .position = s.writes.size()});
         }
     }
     const std::size_t asked = d.asks;
@@ -319,7 +332,8 @@
             reply = renew(c.core, r, clock_of(c));
         }
         pump_control(asked);
-        deliver_later([this, i, asked, reply, sent, life, copy = controls_[asked].core.cluster, recent = controls_[asked].core.recent] {
+        deliver_later([this, i, asked, reply, sent, life, copy = controls_[asked].core.cluster,
+                       recent = controls_[asked].core.recent] {
             model_daemon& self = daemons_[i];
             if (!runs(self) || self.incarnation != life) {
                 return;
@@ -358,7 +372,8 @@
     const server_id primary = group->second.primary;
     const std::size_t i = static_cast<std::size_t>(&d - daemons_.data());
     deliver_later([this, i, write, term, primary, life = d.incarnation] {
-        const auto s = std::find_if(servers_.begin(), servers_.end(), [&primary](const auto& m) { return m.record.id == primary; });
+        const auto s = std::find_if(servers_.begin(), servers_.end(),
+                                    [&primary](const auto& m) { return m.record.id == primary; });
         if (!runs(*s) || !s->is_primary) {
             return;
         }
@@ -366,7 +381,8 @@
         queue_.emplace(now_ + ms(1 + number(rates_.max_delay_ms * 3)), [this, i, write, term, primary, life] {
             model_daemon& self = daemons_[i];
             const auto record = self.copy.groups.find(the_group);
-            const bool acked = accepts_acknowledgements(self) && self.incarnation == life && record->second.term == term;
+            const bool acked =
+                accepts_acknowledgements(self) && self.incarnation == life && record->second.term == term;
             if (!acked) {
                 return;
             }
@@ -390,7 +406,8 @@
 void cluster_model::replicate() {
     const model_daemon* teller = nullptr;
     for (const model_daemon& d : daemons_) {
-        if (runs(d) && lease_is_live(d.lease, clock_of(d)) && (teller == nullptr || d.copy.revision > teller->copy.revision)) {
+        if (runs(d) && lease_is_live(d.lease, clock_of(d)) &&
+            (teller == nullptr || d.copy.revision > teller->copy.revision)) {
             teller = &d;
         }
     }
@@ -401,14 +418,17 @@
     if (group == teller->copy.groups.end() || group->second.phase != group_phase::serving) {
         return;
     }
-    const auto primary = std::find_if(servers_.begin(), servers_.end(), [&group](const auto& m) { return m.record.id == group->second.primary; });
+    const auto primary = std::find_if(servers_.begin(), servers_.end(), [&group](const auto& m) {
+        return m.record.id == group->second.primary;
+    });
     for (model_server& s : servers_) {
         if (&s == &*primary || !runs(s) || !runs(*primary) || chance(0.5)) {
             continue;
         }
         s.is_primary = false;
         s.timeline = primary->timeline;
-        const bool prefix = s.writes.size() <= primary->writes.size() && std::equal(s.writes.begin(), s.writes.end(), primary->writes.begin());
+        const bool prefix = s.writes.size() <= primary->writes.size() &&
+                            std::equal(s.writes.begin(), s.writes.end(), primary->writes.begin());
         if (!prefix) {
             s.writes.clear();
         }
@@ -429,9 +449,9 @@
         std::size_t voters = 0;
         std::size_t intact = 0;
         for (const raft::member& m : holder.core.consensus.members.members) {
-            const bool has_disk = std::any_of(controls_.begin(), controls_.end(), [&m](const model_control& o) {
-                return o.core.self.id == m.id;
-            });
+            const bool has_disk =
+                std::any_of(controls_.begin(), controls_.end(),
+                            [&m](const model_control& o) { return o.core.self.id == m.id; });
             voters += m.voter ? 1 : 0;
             intact += m.voter && has_disk && m.id != lost ? 1 : 0;
         }
@@ -489,7 +509,8 @@
     if (chance(rates_.switchover)) {
         const std::size_t i = static_cast<std::size_t>(number(control_count - 1));
         if (runs(controls_[i])) {
-            switch_over(controls_[i].core, the_group, {"s" + std::to_string(number(server_count - 1))}, clock_of(controls_[i]));
+            switch_over(controls_[i].core, the_group, {"s" + std::to_string(number(server_count - 1))},
+                        clock_of(controls_[i]));
             pump_control(i);
         }
     }
@@ -507,7 +528,9 @@
         }
         leaders += runs(c) && may_lead(c.core, clock_of(c)) ? 1 : 0;
         const raft::state& s = c.core.consensus;
-        for (std::uint64_t i = std::max(s.snap.index + 1, s.commit > looked_back ? s.commit - looked_back : 1); i <= s.commit; ++i) {
+        for (std::uint64_t i =
+                 std::max(s.snap.index + 1, s.commit > looked_back ? s.commit - looked_back : 1);
+             i <= s.commit; ++i) {
             const raft::entry& e = s.log[i - s.snap.index - 1];
             const auto [known, first] = committed_.emplace(i, e);
             if (!first && known->second != e) {
@@ -515,7 +538,8 @@
             }
         }
         for (const auto& [id, revision] : in_force_) {
-            const bool knows = c.core.cluster.revision < revision || find_change(c.core.cluster, id).has_value();
+            const bool knows =
+                c.core.cluster.revision < revision || find_change(c.core.cluster, id).has_value();
             if (!knows) {
                 violate("edit " + id + " was in force and is forgotten");
             }
@@ -524,7 +548,8 @@
             continue;
         }
         for (const auto& [id, outcome] : decided_) {
-            if (outcome.code == result_code::ok && !in_force_.contains(id) && outcome.revision <= c.core.cluster.revision &&
+            if (outcome.code == result_code::ok && !in_force_.contains(id) &&
+                outcome.revision <= c.core.cluster.revision &&
                 is_in_force(c.core.control, outcome.revision, clock_of(c))) {
                 in_force_[id] = outcome.revision;
                 ++edits_in_force;
@@ -598,7 +623,11 @@
     }
     servers_.resize(server_count);
     for (std::size_t i = 0; i < servers_.size(); ++i) {
-        servers_[i].record = {.id = {"s" + std::to_string(i)}, .group = the_group, .host = "127.0.0.1", .port = 1, .domain = domain_of(i)};
+        servers_[i].record = {.id = {"s" + std::to_string(i)},
+                              .group = the_group,
+                              .host = "127.0.0.1",
+                              .port = 1,
+                              .domain = domain_of(i)};
         servers_[i].is_primary = i == 0;
     }
 }
--- a/tests/cluster_model.hpp
+++ b/tests/cluster_model.hpp
@@ -17,18 +17,18 @@
 namespace larchpin::testing {
 
 struct fault_rates {
-    double loss = 0.05;          // of a message
-    double repeat = 0.02;        // of a message
+    double loss = 0.05;   // of a message
+    double repeat = 0.02; // of a message
     int max_delay_ms = 30;
-    double control_crash = 0.0;  // per step
+    double control_crash = 0.0; // per step
     double control_freeze = 0.0;
     double lost_disk = 0.0;
     double daemon_crash = 0.0;
     double daemon_freeze = 0.0;
     double server_crash = 0.0;
     double server_freeze = 0.0;
-    double cut = 0.0;            // of one control instance from everyone
-    double peer_cut = 0.0;       // of one control instance from the other ones only
+    double cut = 0.0;      // of one control instance from everyone
+    double peer_cut = 0.0; // of one control instance from the other ones only
     double edit = 0.02;
     double switchover = 0.002;
 };
--- /dev/null
+++ b/tests/site.cpp
@@ -0,0 +1,417 @@
+// Index
+//   [processes]  [caller]  [site]
+#include "site.hpp"
+
+#include "generated/larchpin.pb.h"
+#include "io/auth.hpp"
+
+#include <libpq-fe.h>
+
+#include <arpa/inet.h>
+#include <fcntl.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <csignal>
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+#include <thread>
+
+namespace larchpin::testing {
+namespace {
+
+constexpr const char* host = "127.0.0.1";
+const std::string build = LARCHPIN_BINARY_DIR;
+
+//-----------------------------------------------------------------------------
+// [processes]
+//-----------------------------------------------------------------------------
+
+pid_t spawn(const std::vector<std::string>& arguments, const std::string& log) {
+    std::vector<char*> raw;
+    for (const std::string& a : arguments) {
+        raw.push_back(const_cast<char*>(a.c_str())); // NOLINT(*-const-cast): execv's signature
+    }
+    raw.push_back(nullptr);
+    const pid_t pid = ::fork();
+    if (pid == 0) {
+        const int file = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
+        ::dup2(file, STDOUT_FILENO);
+        ::dup2(file, STDERR_FILENO);
+        ::execv(raw[0], raw.data());
+        ::_exit(127);
+    }
+    return pid;
+}
+
+int reap(pid_t pid) {
+    int status = 0;
+    if (pid <= 0 || ::waitpid(pid, &status, 0) != pid) {
+        return -1;
+    }
+    return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+}
+
+std::string read_file(const std::string& path) {
+    std::ifstream stream(path);
+    std::ostringstream text;
+    text << stream.rdbuf();
+    return text.str();
+}
+
+std::string domain_of(int i) {
+    return "d" + std::to_string(i % 3);
+}
+
+std::string error_field(const PGresult* result, int field) {
+    const char* text = PQresultErrorField(result, field);
+    return text == nullptr ? "" : text;
+}
+
+outcome to_outcome(PGresult* result) {
+    outcome o;
+    const ExecStatusType status = PQresultStatus(result);
+    o.ok = status == PGRES_COMMAND_OK || status == PGRES_TUPLES_OK || status == PGRES_EMPTY_QUERY;
+    o.sqlstate = error_field(result, PG_DIAG_SQLSTATE);
+    o.run = error_field(result, 'o');
+    const std::string code = error_field(result, 'k');
+    o.code = code.empty() ? 0 : static_cast<unsigned>(std::stoul(code));
+    o.message = PQresultErrorMessage(result);
+    o.rows = static_cast<std::size_t>(PQntuples(result));
+    if (o.rows > 0 && PQnfields(result) > 0) {
+        o.value = PQgetvalue(result, 0, 0);
+    }
+    PQclear(result);
+    return o;
+}
+
+} // namespace
+
+bool wait_until(const std::function<bool()>& holds, duration at_most) {
+    const auto end = std::chrono::steady_clock::now() + at_most;
+    while (!holds()) {
+        if (std::chrono::steady_clock::now() > end) {
+            return false;
+        }
+        std::this_thread::sleep_for(std::chrono::milliseconds{10});
+    }
+    return true;
+}
+
+unsigned free_port() {
+    const int s = ::socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t length = sizeof(address);
+    ::bind(s, reinterpret_cast<sockaddr*>(&address), length); // NOLINT(*-reinterpret-cast): the socket API
+    ::getsockname(s, reinterpret_cast<sockaddr*>(&address), &length); // NOLINT(*-reinterpret-cast)
+    ::close(s);
+    return ntohs(address.sin_port);
+}
+
+program_result run_program(const std::vector<std::string>& arguments) {
+    const std::string log = std::filesystem::temp_directory_path() / ("larchpin-" + random_hex(8) + ".out");
+    std::vector<std::string> all = arguments;
+    all[0] = build + "/" + all[0];
+    const pid_t pid = spawn(all, log);
+    program_result result;
+    result.status = reap(pid);
+    result.output = read_file(log);
+    std::filesystem::remove(log);
+    return result;
+}
+
+//-----------------------------------------------------------------------------
+// [caller]
+//-----------------------------------------------------------------------------
+
+caller::caller(const std::string& address, unsigned port, const std::string& service, const std::string& group,
+               const std::string& options) {
+    const std::string port_text = std::to_string(port);
+    const char* keys[] = {"hostaddr", "port", "user", "dbname", "options", "sslmode", "connect_timeout", nullptr};
+    const char* values[] = {address.c_str(), port_text.c_str(), service.c_str(), group.c_str(), options.c_str(), "disable", "20", nullptr};
+    connection_ = PQconnectdbParams(keys, values, 0);
+}
+
+caller::~caller() {
+    if (connection_ != nullptr) {
+        PQfinish(connection_);
+    }
+}
+
+caller::caller(caller&& other) noexcept : connection_(other.connection_) {
+    other.connection_ = nullptr;
+}
+
+caller& caller::operator=(caller&& other) noexcept {
+    std::swap(connection_, other.connection_);
+    return *this;
+}
+
+bool caller::connected() const {
+    return PQstatus(connection_) == CONNECTION_OK;
+}
+
+std::string caller::error() const {
+    return PQerrorMessage(connection_);
+}
+
+std::string caller::token() const {
+    const char* text = PQparameterStatus(connection_, "larchpin.session");
+    return text == nullptr ? "" : text;
+}
+
+outcome caller::run(const std::string& sql) {
+    return to_outcome(PQexec(connection_, sql.c_str()));
+}
+
+outcome caller::run_with(const std::string& sql, const std::vector<std::string>& values) {
+    std::vector<const char*> raw;
+    for (const std::string& v : values) {
+        raw.push_back(v.c_str());
+    }
+    return to_outcome(PQexecParams(connection_, sql.c_str(), static_cast<int>(raw.size()), nullptr, raw.data(), nullptr, nullptr, 0));
+}
+
+bool caller::send(const std::string& sql) {
+    return PQsendQuery(connection_, sql.c_str()) == 1;
+}
+
+outcome caller::finish() {
+    outcome last;
+    while (PGresult* result = PQgetResult(connection_)) {
+        last = to_outcome(result);
+    }
+    return last;
+}
+
+bool caller::cancel() {
+    PGcancel* handle = PQgetCancel(connection_);
+    char problem[256] = {};
+    const bool sent = PQcancel(handle, problem, sizeof(problem)) == 1;
+    PQfreeCancel(handle);
+    return sent;
+}
+
+//-----------------------------------------------------------------------------
+// [site]
+//-----------------------------------------------------------------------------
+
+site::site(site_options options) : options_(std::move(options)) {
+    folder_ = std::filesystem::temp_directory_path() / ("larchpin-" + random_hex(8));
+    std::filesystem::create_directories(folder_);
+    std::ofstream(folder_ + "/key") << random_hex(24) << "\n";
+    for (int i = 0; i < options_.daemons; ++i) {
+        daemons_.push_back({.entry_port = free_port(), .peer_port = free_port()});
+    }
+    for (int g = 0; g < options_.groups; ++g) {
+        for (int s = 0; s < options_.servers; ++s) {
+            const std::string group = "g" + std::to_string(g);
+            servers_[group + "-s" + std::to_string(s)] = {.group = group, .index = s, .port = free_port()};
+        }
+    }
+}
+
+site::~site() {
+    for (auto& d : daemons_) {
+        if (d.pid > 0) {
+            ::kill(d.pid, SIGKILL);
+            reap(d.pid);
+        }
+    }
+    for (auto& [name, s] : servers_) {
+        if (s.pid > 0) {
+            ::kill(s.pid, SIGKILL);
+            reap(s.pid);
+        }
+    }
+    std::error_code ignored;
+    if (std::getenv("LARCHPIN_KEEP") == nullptr) {
+        std::filesystem::remove_all(folder_, ignored);
+    }
+}
+
+std::string site::peer_address(int i) const {
+    return std::string(host) + ":" + std::to_string(daemons_.at(static_cast<std::size_t>(i)).peer_port);
+}
+
+unsigned site::entry_port(int i) const {
+    return daemons_.at(static_cast<std::size_t>(i)).entry_port;
+}
+
+void site::write_settings(int i) const {
+    std::ofstream out(folder_ + "/daemon-" + std::to_string(i) + ".toml");
+    out << "[instance]\nid = \"i" << i << "\"\nfailure_domain = \"" << domain_of(i) << "\"\n"
+        << "[entry]\nlisten = \"" << host << ":" << entry_port(i) << "\"\ndrain_ms = " << options_.drain_ms << "\n"
+        << "[peer]\nlisten = \"" << peer_address(i) << "\"\nkey_file = \"" << folder_ << "/key\"\n"
+        << "[backend]\ndetect_ms = " << options_.detect_ms << "\n"
+        << "[control]\nlease_ms = " << options_.lease_ms << "\nsnapshot_entries = " << options_.snapshot_entries
+        << "\naddresses = [\"" << peer_address(0) << "\", \"" << peer_address(1) << "\", \"" << peer_address(2) << "\"]\n";
+    if (i < 3) {
+        out << "member = true\ndata_folder = \"" << folder_ << "/data-" << i << "\"\n";
+    }
+}
+
+void site::start_daemon(int i) {
+    write_settings(i);
+    const std::string name = folder_ + "/daemon-" + std::to_string(i);
+    daemons_.at(static_cast<std::size_t>(i)).pid = spawn({build + "/larchpind", "--settings", name + ".toml"}, name + ".log");
+}
+
+void site::start_server(const std::string& name) {
+    server_process& s = servers_.at(name);
+    std::vector<std::string> arguments{build + "/larchpin-standin", "--id", name, "--group", s.group,
+                                       "--domain", domain_of(s.index), "--port", std::to_string(s.port),
+                                       "--key-file", folder_ + "/key", "--lag-ms", std::to_string(options_.lag_ms),
+                                       "--service-ms", std::to_string(options_.service_ms),
+                                       "--max-connections", std::to_string(options_.server_limit)};
+    if (s.index != 0 || s.pid != 0) { // one that comes back follows whoever it is told to
+        const std::string first = s.group + "-s" + (s.index == 0 ? "1" : "0");
+        arguments.insert(arguments.end(), {"--follow", std::string(host) + ":" + std::to_string(servers_.at(first).port)});
+    }
+    for (int i = 0; i < options_.daemons && i < 3; ++i) {
+        arguments.insert(arguments.end(), {"--announce-to", peer_address(i)});
+    }
+    s.pid = spawn(arguments, folder_ + "/" + name + ".log");
+}
+
+void site::apply_table() const {
+    table_file t;
+    for (const std::string& name : options_.services) {
+        service_entry entry;
+        entry.id = {name};
+        entry.max_connections = options_.max_connections;
+        entry.deadline = std::chrono::milliseconds{options_.deadline_ms};
+        t.content.services.push_back(entry);
+    }
+    const std::string file = folder_ + "/table.toml";
+    std::ofstream(file) << format_table(t);
+    run_program({"larchpinctl", "--key-file", folder_ + "/key", "--to", peer_address(0), "apply", "--wait", file});
+}
+
+bool site::start() {
+    for (int i = 0; i < options_.daemons; ++i) {
+        start_daemon(i);
+    }
+    const bool bootstrapped = wait_until([this] { return ask_one(operators(), peer_address(0), "/v1/bootstrap", "").has_value(); });
+    if (!bootstrapped) {
+        return false;
+    }
+    apply_table();
+    for (const auto& [name, s] : servers_) {
+        start_server(name);
+    }
+    const bool three_votes = wait_until([this] {
+        const auto body = ask_one(operators(), peer_address(0), "/v1/status", "");
+        wire::status_reply status;
+        return body && status.ParseFromString(body->body) && status.members_size() == 3 &&
+               std::all_of(status.members().begin(), status.members().end(), [](const auto& m) { return m.voter(); }) &&
+               status.servers_size() == options_.groups * options_.servers &&
+               std::all_of(status.servers().begin(), status.servers().end(), [](const auto& m) { return m.alive(); });
+    });
+    return three_votes && wait_until([this] {
+        for (int i = 0; i < options_.daemons; ++i) {
+            for (int g = 0; g < options_.groups; ++g) {
+                caller c = connect(i, options_.services.front(), "g" + std::to_string(g));
+                if (!c.run("update ready set value = 'x' where key = 'x'").ok) {
+                    return false;
+                }
+            }
+        }
+        return true;
+    });
+}
+
+void site::signal_daemon(int i, int signal) {
+    ::kill(daemons_.at(static_cast<std::size_t>(i)).pid, signal);
+}
+
+void site::signal_server(const std::string& name, int signal) {
+    ::kill(servers_.at(name).pid, signal);
+}
+
+int site::stop_daemon(int i, int signal) {
+    signal_daemon(i, signal);
+    return wait_daemon(i);
+}
+
+int site::wait_daemon(int i) {
+    daemon_process& d = daemons_.at(static_cast<std::size_t>(i));
+    const int status = reap(d.pid);
+    d.pid = 0;
+    return status;
+}
+
+void site::stop_server(const std::string& name, int signal) {
+    signal_server(name, signal);
+    reap(servers_.at(name).pid);
+    servers_.at(name).pid = -1; // has run before
+}
+
+void site::lose_data(int i) {
+    std::filesystem::remove_all(folder_ + "/data-" + std::to_string(i));
+}
+
+caller site::connect(int daemon, const std::string& service, const std::string& group, const std::string& options) const {
+    return {host, entry_port(daemon), service, group, options};
+}
+
+caller site::connect_server(const std::string& name) const {
+    const server_process& s = servers_.at(name);
+    return {host, s.port, "test", s.group, ""};
+}
+
+operator_client site::operators() const {
+    operator_client c;
+    for (int i = 0; i < options_.daemons && i < 3; ++i) {
+        c.addresses.push_back(peer_address(i));
+    }
+    std::string key;
+    std::ifstream stream(folder_ + "/key");
+    std::getline(stream, key);
+    c.keys.keys = {key};
+    c.timeout = std::chrono::seconds{3};
+    return c;
+}
+
+namespace {
+
+std::optional<wire::group_record> find_group(const site& s, const std::string& group) {
+    const auto body = ask_leader(s.operators(), "/v1/status", "");
+    wire::status_reply status;
+    if (!body || !status.ParseFromString(*body)) {
+        return std::nullopt;
+    }
+    for (const auto& g : status.groups()) {
+        if (g.id() == group) {
+            return g;
+        }
+    }
+    return std::nullopt;
+}
+
+} // namespace
+
+std::string site::primary_of(const std::string& group) const {
+    const auto g = find_group(*this, group);
+    return g && g->phase() == 0 ? g->primary() : "";
+}
+
+term_number site::term_of(const std::string& group) const {
+    const auto g = find_group(*this, group);
+    return g ? g->term() : 0;
+}
+
+std::string site::log_of_daemon(int i) const {
+    return read_file(folder_ + "/daemon-" + std::to_string(i) + ".log");
+}
+
+pid_t site::pid_of_daemon(int i) const {
+    return daemons_.at(static_cast<std::size_t>(i)).pid;
+}
+
+} // namespace larchpin::testing
--- a/tools/standin/main.cpp
+++ b/tools/standin/main.cpp
@@ -44,9 +44,9 @@
     std::string upstream; // "ip:port" of the primary to follow; empty: starts as primary
     std::vector<std::string> announce_to;
     std::string key_file;
-    unsigned lag_ms = 0;         // of a replica
-    unsigned service_ms = 0;     // each statement takes this long
-    unsigned connect_ms = 10;    // a new connection takes this long
+    unsigned lag_ms = 0;      // of a replica
+    unsigned service_ms = 0;  // each statement takes this long
+    unsigned connect_ms = 10; // a new connection takes this long
     unsigned max_connections = 100;
     unsigned announce_ms = 200;
     bool leave = false;
@@ -60,7 +60,8 @@
 
 std::string error_body(const std::string& state, const std::string& text) {
     std::string body;
-    for (const auto& [field, value] : {std::pair<char, std::string>{'S', "ERROR"}, {'V', "ERROR"}, {'C', state}, {'M', text}}) {
+    for (const auto& [field, value] :
+         {std::pair<char, std::string>{'S', "ERROR"}, {'V', "ERROR"}, {'C', state}, {'M', text}}) {
         body.push_back(field);
         put_text(body, value);
     }
@@ -115,7 +116,8 @@
     void greet();
     void run_query(const std::string& text);
     void run_next();
-    bool run_one(const std::string& text, const std::vector<std::optional<std::string>>& values, bool describe);
+    bool run_one(const std::string& text, const std::vector<std::optional<std::string>>& values,
+                 bool describe);
     void emit(const sql_result& r, bool describe);
     void generate_rows();
     void send(bool then_read);
@@ -132,7 +134,7 @@
     std::string out;
     std::string writing;
     bool write_active = false;
-    bool busy = false; // waits for a timer or a lock
+    bool busy = false;    // waits for a timer or a lock
     bool blocked = false; // by another session's row lock
     bool counted = false;
     bool is_replica = false;
@@ -151,7 +153,8 @@
 struct server {
     server(asio::io_context& context, options given)
         : io(context), opt(std::move(given)),
-          acceptor(context, tcp::endpoint(asio::ip::make_address(opt.host), static_cast<std::uint16_t>(opt.port))),
+          acceptor(context,
+                   tcp::endpoint(asio::ip::make_address(opt.host), static_cast<std::uint16_t>(opt.port))),
           tick(context), announce_timer(context), upstream_socket(context) {}
 
     void start();
@@ -208,23 +211,24 @@
 
 void session::read_some() {
     auto self = shared_from_this();
-    socket.async_read_some(asio::buffer(buffer), [self](const boost::system::error_code& error, std::size_t length) {
-        if (error) {
-            if (self->counted) {
-                --self->host.connection_count;
-                self->counted = false;
-            }
-            end_transaction(self->host.data, self->t);
-            self->host.sessions.erase(self->id);
-            self->host.wake_blocked();
-            self->timer.cancel();
-            self->busy = true; // nothing more runs for it
-            return;
-        }
-        self->in.bytes.append(self->buffer.data(), length);
-        self->on_bytes();
-        self->read_some();
-    });
+    socket.async_read_some(asio::buffer(buffer),
+                           [self](const boost::system::error_code& error, std::size_t length) {
+                               if (error) {
+                                   if (self->counted) {
+                                       --self->host.connection_count;
+                                       self->counted = false;
+                                   }
+                                   end_transaction(self->host.data, self->t);
+                                   self->host.sessions.erase(self->id);
+                                   self->host.wake_blocked();
+                                   self->timer.cancel();
+                                   self->busy = true; // nothing more runs for it
+                                   return;
+                               }
+                               self->in.bytes.append(self->buffer.data(), length);
+                               self->on_bytes();
+                               self->read_some();
+                           });
 }
 
 void session::on_bytes() {
@@ -322,14 +326,16 @@
     }
     case 'B': {
         const auto b = parse_bind(m.body);
-        bound = prepared{.text = parsed.text, .values = b ? b->values : std::vector<std::optional<std::string>>{}};
+        bound = prepared{.text = parsed.text,
+                         .values = b ? b->values : std::vector<std::optional<std::string>>{}};
         put_message(out, '2', "");
         return;
     }
     case 'D': {
         if (!m.body.empty() && m.body[0] == 'S') {
             constexpr std::uint32_t text_type = 25;
-            const auto count = static_cast<std::uint16_t>(std::count(parsed.text.begin(), parsed.text.end(), '$'));
+            const auto count =
+                static_cast<std::uint16_t>(std::count(parsed.text.begin(), parsed.text.end(), '$'));
             std::string types;
             put_u16(types, count);
             for (std::uint16_t i = 0; i < count; ++i) {
@@ -386,7 +392,8 @@
 }
 
 // Returns false where the statement's answer comes later.
-bool session::run_one(const std::string& text, const std::vector<std::optional<std::string>>& values, bool describe) {
+bool session::run_one(const std::string& text, const std::vector<std::optional<std::string>>& values,
+                      bool describe) {
     sql_result r = execute(host.data, t, text, values);
     blocked = r.blocked;
     if (blocked) {
@@ -482,16 +489,17 @@
     writing.swap(out);
     out.clear();
     auto self = shared_from_this();
-    asio::async_write(socket, asio::buffer(writing), [self](const boost::system::error_code& error, std::size_t) {
-        self->write_active = false;
-        if (error) {
-            return;
-        }
-        if (self->rows_left > 0) {
-            self->generate_rows();
-        }
-        self->send(false);
-    });
+    asio::async_write(socket, asio::buffer(writing),
+                      [self](const boost::system::error_code& error, std::size_t) {
+                          self->write_active = false;
+                          if (error) {
+                              return;
+                          }
+                          if (self->rows_left > 0) {
+                              self->generate_rows();
+                          }
+                          self->send(false);
+                      });
 }
 
 //-----------------------------------------------------------------------------
@@ -566,47 +574,51 @@
     upstream_in = pg_input{};
     upstream_in.startup = false;
     pending.clear();
-    upstream_socket.async_connect(parse_endpoint(upstream), [this, generation](const boost::system::error_code& error) {
-        if (error || generation != upstream_generation) {
-            return;
-        }
-        upstream_connected = true;
-        std::string startup;
-        put_u32(startup, pg_protocol_3);
-        put_text(startup, "replication");
-        put_text(startup, "standin");
-        startup.push_back('\0');
-        std::string bytes;
-        put_u32(bytes, static_cast<std::uint32_t>(startup.size() + 4));
-        bytes += startup;
-        std::string body;
-        put_text(body, std::to_string(position_of(data)));
-        put_text(body, std::to_string(data.log.empty() ? 0 : data.log.back().hash));
-        put_message(bytes, 'f', body);
-        auto owned = std::make_shared<std::string>(bytes);
-        asio::async_write(upstream_socket, asio::buffer(*owned), [owned](const boost::system::error_code&, std::size_t) {});
-        read_upstream();
-    });
+    upstream_socket.async_connect(
+        parse_endpoint(upstream), [this, generation](const boost::system::error_code& error) {
+            if (error || generation != upstream_generation) {
+                return;
+            }
+            upstream_connected = true;
+            std::string startup;
+            put_u32(startup, pg_protocol_3);
+            put_text(startup, "replication");
+            put_text(startup, "standin");
+            startup.push_back('\0');
+            std::string bytes;
+            put_u32(bytes, static_cast<std::uint32_t>(startup.size() + 4));
+            bytes += startup;
+            std::string body;
+            put_text(body, std::to_string(position_of(data)));
+            put_text(body, std::to_string(data.log.empty() ? 0 : data.log.back().hash));
+            put_message(bytes, 'f', body);
+            auto owned = std::make_shared<std::string>(bytes);
+            asio::async_write(upstream_socket, asio::buffer(*owned),
+                              [owned](const boost::system::error_code&, std::size_t) {});
+            read_upstream();
+        });
 }
 
 void server::read_upstream() {
     const std::uint64_t generation = upstream_generation;
-    upstream_socket.async_read_some(asio::buffer(upstream_buffer), [this, generation](const boost::system::error_code& error, std::size_t length) {
-        if (generation != upstream_generation) {
-            return;
-        }
-        if (error) {
-            upstream_connected = false;
-            upstream_retry_at = now() + std::chrono::milliseconds(50);
-            return;
-        }
-        upstream_in.bytes.append(upstream_buffer.data(), length);
-        while (const auto m = next_message(upstream_in)) {
-            on_upstream(*m);
-        }
-        apply_due();
-        read_upstream();
-    });
+    upstream_socket.async_read_some(
+        asio::buffer(upstream_buffer),
+        [this, generation](const boost::system::error_code& error, std::size_t length) {
+            if (generation != upstream_generation) {
+                return;
+            }
+            if (error) {
+                upstream_connected = false;
+                upstream_retry_at = now() + std::chrono::milliseconds(50);
+                return;
+            }
+            upstream_in.bytes.append(upstream_buffer.data(), length);
+            while (const auto m = next_message(upstream_in)) {
+                on_upstream(*m);
+            }
+            apply_due();
+            read_upstream();
+        });
 }
 
 void server::on_upstream(const pg_message& m) {
@@ -668,13 +680,14 @@
     m.set_position(position_of(data));
     m.set_leaving(opt.leave);
     for (auto& to : announcers) {
-        to->post("/v1/announce", m.SerializeAsString(), std::chrono::milliseconds(opt.announce_ms), [this, was_primary = data.is_primary](const http_outcome& o) {
-            wire::announcement_reply reply;
-            // An answer to what it was before a promotion says nothing about it now.
-            if (o.answered && was_primary == data.is_primary && reply.ParseFromString(o.body)) {
-                on_announced(reply);
-            }
-        });
+        to->post("/v1/announce", m.SerializeAsString(), std::chrono::milliseconds(opt.announce_ms),
+                 [this, was_primary = data.is_primary](const http_outcome& o) {
+                     wire::announcement_reply reply;
+                     // An answer to what it was before a promotion says nothing about it now.
+                     if (o.answered && was_primary == data.is_primary && reply.ParseFromString(o.body)) {
+                         on_announced(reply);
+                     }
+                 });
     }
     announce_timer.expires_after(std::chrono::milliseconds(opt.announce_ms));
     announce_timer.async_wait([this](const boost::system::error_code& error) {
@@ -755,13 +768,16 @@
     cxxopts::Options arguments("larchpin-standin", "A stand-in backend server for tests and measurements.");
     arguments.add_options()("help", "print this")("version", "print the version")(
         "id", "name of this server", cxxopts::value(opt.id))("group", "its group", cxxopts::value(opt.group))(
-        "domain", "its failure domain", cxxopts::value(opt.domain))("host", "IP number", cxxopts::value(opt.host))(
-        "port", "port", cxxopts::value(opt.port))("follow", "ip:port of the primary", cxxopts::value(opt.upstream))(
-        "announce-to", "ip:port of peer listeners", cxxopts::value(opt.announce_to))(
-        "key-file", "shared key", cxxopts::value(opt.key_file))("lag-ms", "replication lag", cxxopts::value(opt.lag_ms))(
-        "service-ms", "time a statement takes", cxxopts::value(opt.service_ms))(
+        "domain", "its failure domain", cxxopts::value(opt.domain))(
+        "host", "IP number", cxxopts::value(opt.host))("port", "port", cxxopts::value(opt.port))(
+        "follow", "ip:port of the primary", cxxopts::value(opt.upstream))(
+        "announce-to", "ip:port of peer listeners",
+        cxxopts::value(opt.announce_to))("key-file", "shared key", cxxopts::value(opt.key_file))(
+        "lag-ms", "replication lag", cxxopts::value(opt.lag_ms))("service-ms", "time a statement takes",
+                                                                 cxxopts::value(opt.service_ms))(
         "connect-ms", "time a new connection takes", cxxopts::value(opt.connect_ms))(
-        "max-connections", "limit", cxxopts::value(opt.max_connections))("announce-ms", "interval", cxxopts::value(opt.announce_ms));
+        "max-connections", "limit", cxxopts::value(opt.max_connections))("announce-ms", "interval",
+                                                                         cxxopts::value(opt.announce_ms));
     try {
         const auto given = arguments.parse(argc, argv);
         if (given.count("help") != 0) {
--- a/tools/standin/store.cpp
+++ b/tools/standin/store.cpp
@@ -64,7 +64,8 @@
     bool quoted = false;
 };
 
-std::vector<word> split_words(const std::string& sql, const std::vector<std::optional<std::string>>& parameters) {
+std::vector<word> split_words(const std::string& sql,
+                              const std::vector<std::optional<std::string>>& parameters) {
     std::vector<word> words;
     std::size_t i = 0;
     while (i < sql.size()) {
@@ -91,7 +92,8 @@
             i = end;
         } else if (std::isalnum(static_cast<unsigned char>(c)) != 0 || c == '_' || c == '.') {
             word w;
-            while (i < sql.size() && (std::isalnum(static_cast<unsigned char>(sql[i])) != 0 || sql[i] == '_' || sql[i] == '.')) {
+            while (i < sql.size() && (std::isalnum(static_cast<unsigned char>(sql[i])) != 0 ||
+                                      sql[i] == '_' || sql[i] == '.')) {
                 w.text.push_back(static_cast<char>(std::tolower(static_cast<unsigned char>(sql[i++]))));
             }
             words.push_back(w);
@@ -109,7 +111,8 @@
 std::vector<word> plain_words(const std::vector<word>& words) {
     std::vector<word> plain;
     for (const word& w : words) {
-        const bool punctuation = !w.quoted && w.text.size() == 1 && std::ispunct(static_cast<unsigned char>(w.text[0])) != 0 && w.text != "+";
+        const bool punctuation = !w.quoted && w.text.size() == 1 &&
+                                 std::ispunct(static_cast<unsigned char>(w.text[0])) != 0 && w.text != "+";
         if (!punctuation) {
             plain.push_back(w);
         }
@@ -253,7 +256,8 @@
     return r;
 }
 
-sql_result run_table_select(const store& s, const transaction& t, const std::vector<word>& words, std::size_t from) {
+sql_result run_table_select(const store& s, const transaction& t, const std::vector<word>& words,
+                            std::size_t from) {
     const std::string table = at(words, from + 1);
     const std::size_t where = find_word(words, "where");
     sql_result r;
@@ -369,9 +373,11 @@
     if (first == "show") {
         return one_value(at(words, 1), s.is_primary ? "off" : "on");
     }
-    if (first == "set" || first == "reset" || first == "discard" || first == "create" || first == "savepoint") {
+    if (first == "set" || first == "reset" || first == "discard" || first == "create" ||
+        first == "savepoint") {
         std::string tag = first;
-        std::transform(tag.begin(), tag.end(), tag.begin(), [](unsigned char c) { return static_cast<char>(std::toupper(c)); });
+        std::transform(tag.begin(), tag.end(), tag.begin(),
+                       [](unsigned char c) { return static_cast<char>(std::toupper(c)); });
         return done(first == "create" ? "CREATE TABLE" : tag);
     }
     return fail("42601", "the stand-in does not know this statement");
@@ -416,8 +422,9 @@
     if (position == first_position) {
         return 0;
     }
-    const auto found = std::lower_bound(s.log.begin(), s.log.end(), position,
-                                        [](const commit_record& r, std::uint64_t p) { return r.position < p; });
+    const auto found =
+        std::lower_bound(s.log.begin(), s.log.end(), position,
+                         [](const commit_record& r, std::uint64_t p) { return r.position < p; });
     if (found == s.log.end() || found->position != position || found->hash != hash) {
         return std::nullopt;
     }
@@ -425,7 +432,8 @@
 }
 
 std::string encode_commit(const commit_record& r) {
-    std::string out = std::to_string(r.position) + ":" + std::to_string(r.hash) + ":" + std::to_string(r.changes.size()) + ":";
+    std::string out = std::to_string(r.position) + ":" + std::to_string(r.hash) + ":" +
+                      std::to_string(r.changes.size()) + ":";
     for (const change& c : r.changes) {
         put_field(out, c.table);
         put_field(out, c.key);
