Failure tests of real processes, and what they found mended

Cause, each shown by a test that failed first: - Without a lease a read was queued at a server whose share could not grow, until its deadline (without_a_majority...): routing now passes over servers without connections, waiting requests are refused and routed anew when the share ends, and running ones above the reserve are ended, as control counts them as gone from then on. - A cut-off domain that holds only the primary served no read at all: reads that the caller vouches for may go to it as to a replica, by what it is known to hold. - A replica that had never been tried counted as 1 ms away and was never tried beside a measured one (a_server_that_leaves...: 0 reads there). - A new pool waited for the next renewal (200 ms) for its share: it now asks at once, every 50 ms at most. - `status` called a control instance with a lost disk a voter without saying that it was silent.

Ruled out: a wrong count of connections (the stand-in's own count never passed the limit).

Conclusion: kills, freezes, lost disks, races and drain hold on one machine without injected network delay; cuts between processes are only proved in the core's fuzzing.

--- a/src/core/pool.cpp
+++ b/src/core/pool.cpp
@@ -7,6 +7,7 @@
 
 constexpr duration open_retry_pause = std::chrono::milliseconds{50};
 constexpr duration expected_open_time = std::chrono::milliseconds{15};
+constexpr duration lost_share_pause = std::chrono::milliseconds{500};
 constexpr int smoothing = 8; // a new service time counts one eighth
 
 std::deque<pool_waiter>& queue_of(pool_state& p, request_class klass) {
@@ -177,6 +178,34 @@
     settle(p, now, next_connection, actions);
 }
 
+void revoke_share(pool_state& p, unsigned share, time_point now, connection_number& next_connection,
+                  pool_actions& actions) {
+    p.share = share;
+    while (open_count(p) > share && !p.opening.empty()) {
+        actions.emplace_back(close_connection{*p.opening.begin()});
+        p.opening.erase(p.opening.begin());
+    }
+    close_surplus(p, actions);
+    while (open_count(p) > share && !p.busy.empty()) {
+        const connection_number c = *p.busy.begin();
+        p.busy.erase(c);
+        p.busy_background.erase(c);
+        actions.emplace_back(close_connection{c});
+    }
+    for (auto& queue : p.waiting) {
+        for (const pool_waiter& w : queue) {
+            if (share == 0) {
+                actions.emplace_back(refuse_request{
+                    .request = w.request, .code = result_code::no_lease, .retry_after = lost_share_pause});
+            }
+        }
+        if (share == 0) {
+            queue.clear();
+        }
+    }
+    settle(p, now, next_connection, actions);
+}
+
 void expire_waiters(pool_state& p, time_point now, connection_number& next_connection,
                     pool_actions& actions) {
     for (auto& queue : p.waiting) {
--- a/src/core/pool.hpp
+++ b/src/core/pool.hpp
@@ -96,6 +96,11 @@
 void set_share(pool_state& p, unsigned share, time_point now, connection_number& next_connection,
                pool_actions& actions);
 
+// The right to the share has ended: closes at once what exceeds `share`, running requests too, and refuses
+// those that wait where nothing is left.
+void revoke_share(pool_state& p, unsigned share, time_point now, connection_number& next_connection,
+                  pool_actions& actions);
+
 // Refuses what has waited past its deadline, and opens what can be opened now.
 void expire_waiters(pool_state& p, time_point now, connection_number& next_connection, pool_actions& actions);
 
--- a/src/core/routing.cpp
+++ b/src/core/routing.cpp
@@ -5,12 +5,11 @@
 namespace larchpin {
 namespace {
 
-constexpr double unknown_latency_ms = 1.0;
 constexpr double ns_per_ms = 1e6;
 
 double expected_delay(const server_view& s, const routing_settings& settings) {
-    const double latency =
-        s.latency.count() > 0 ? static_cast<double>(s.latency.count()) / ns_per_ms : unknown_latency_ms;
+    // One that has not been tried yet counts as fast, or it would never be tried.
+    const double latency = static_cast<double>(s.latency.count()) / ns_per_ms;
     const double queue = 1.0 + s.outstanding;
     return latency * queue * (s.near ? 1.0 : settings.far_penalty);
 }
@@ -35,8 +34,10 @@
     return from.back();
 }
 
-bool may_take_reads(const group_view& g, const server_view& s, time_point now) {
-    return s.id != g.record.primary && s.weight > 0 && s.ramp > 0 && !s.leaving && s.has_connections &&
+// Without a lease nobody knows whether the primary has been replaced. It is then one more server that holds
+// what it is known to hold, but only for reads that the caller vouches for: it would not refuse a write.
+bool may_take_reads(const group_view& g, const server_view& s, bool as_replica, time_point now) {
+    return (s.id != g.record.primary || as_replica) && s.weight > 0 && s.ramp > 0 && !s.leaving && s.has_connections &&
            now >= s.ejected_until;
 }
 
@@ -106,8 +107,9 @@
     }
     std::vector<const server_view*> fit;
     bool any_usable = false;
+    const bool primary_as_replica = !lease_live && s.settings.mode == read_mode::read;
     for (const server_view& server : g.servers) {
-        if (may_take_reads(g, server, now)) {
+        if (may_take_reads(g, server, primary_as_replica, now)) {
             any_usable = true;
             if (qualifies(g, server, s, staleness, now)) {
                 fit.push_back(&server);
--- a/src/daemon/agent.cpp
+++ b/src/daemon/agent.cpp
@@ -34,6 +34,7 @@
 constexpr duration pull_timeout = std::chrono::milliseconds{250};
 constexpr duration probe_connect_timeout = std::chrono::milliseconds{500};
 constexpr unsigned refusals_for_dead = 2;
+constexpr duration share_request_interval = std::chrono::milliseconds{50};
 constexpr std::size_t peers_asked = 2; // for one server's position
 constexpr std::size_t max_announcements = 20'000;
 
@@ -57,6 +58,12 @@
 //-----------------------------------------------------------------------------
 
 void agent::start() {
+    pools_.on_short_of_share = [this] {
+        if (now() - last_share_request_ >= share_request_interval) {
+            last_share_request_ = now();
+            renew_soon();
+        }
+    };
     pools_.on_open_failed = [this](const server_id& id) { note_failed(health_[id], now()); };
     on_tick();
 }
@@ -108,7 +115,7 @@
             const auto holders = server == cluster_.servers.end() ? std::vector<instance_id>{}
                                                                   : reserve_holders(cluster_, server->second);
             const bool reserved = std::find(holders.begin(), holders.end(), config_.id) != holders.end();
-            pools_.set_share(key, reserved && !stopping_ ? std::min(share, 1U) : 0);
+            pools_.revoke_share(key, reserved && !stopping_ ? std::min(share, 1U) : 0);
         }
     }
     if (on_change) {
@@ -598,6 +605,7 @@
     v.record = record->second;
     v.positions = &positions_[group];
     const time_point at = now();
+    const bool lease = has_lease();
     for (const server_record& server : servers_of(cluster_, group)) {
         const server_entry entry = server_settings(cluster_.current, server.id);
         const server_health& health = health_[server.id];
@@ -610,7 +618,7 @@
         s.latency = health.latency;
         s.ejected_until = health.ejected_until;
         s.ramp = read_ramp(health, at);
-        s.has_connections = pools_.may_serve({.service = service, .server = server.id});
+        s.has_connections = pools_.may_serve({.service = service, .server = server.id}, lease);
         v.servers.push_back(s);
     }
     return v;
--- a/src/daemon/agent.hpp
+++ b/src/daemon/agent.hpp
@@ -118,6 +118,7 @@
     bool renewing_ = false;
     bool renew_again_ = false;
     time_point next_renewal_{};
+    time_point last_share_request_{};
     std::uint64_t last_reply_seq_ = 0;
     // watching
     bool watching_ = false;
--- a/src/daemon/client_request.cpp
+++ b/src/daemon/client_request.cpp
@@ -218,6 +218,10 @@
     if (!answer.connection) {
         owner_.cluster.note_request_ended(r.server, true, duration{0});
         r.serial = next_serial_++;
+        if (answer.code == result_code::no_lease && ++r.attempts < max_attempts) {
+            route(); // the share was lost while it waited; another server may do
+            return;
+        }
         finish_with_error(answer.code, run_state::not_run,
                           std::max(answer.retry_after, duration{std::chrono::milliseconds{1}}));
         return;
--- a/src/daemon/control_node.cpp
+++ b/src/daemon/control_node.cpp
@@ -542,7 +542,12 @@
         }
     }
     for (const raft::member& member : core_.consensus.members.members) {
-        to_wire(member, *reply.add_members());
+        auto* m = reply.add_members();
+        to_wire(member, *m);
+        const auto p = core_.consensus.peers.find(member.id);
+        const bool heard = p != core_.consensus.peers.end() && p->second.acked &&
+                           now() - p->second.acked_sent_at <= core_.consensus.config.election_timeout;
+        m->set_silent(member.id != core_.self.id && !heard);
     }
     constexpr std::size_t shown_changes = 20;
     const std::size_t first =
--- a/src/daemon/pools.cpp
+++ b/src/daemon/pools.cpp
@@ -39,6 +39,9 @@
     const pool_waiter waiter{.request = number, .klass = klass, .deadline = deadline};
     request_connection(p.state, waiter, now(), next_connection_, actions);
     carry_out(key, actions);
+    if (on_short_of_share && waiting_count(p.state) > 0 && open_count(p.state) >= p.state.share) {
+        on_short_of_share();
+    }
     return number;
 }
 
@@ -71,6 +74,12 @@
     carry_out(key, actions);
 }
 
+void backend_pools::revoke_share(const share_key& key, unsigned share) {
+    pool_actions actions;
+    larchpin::revoke_share(find_or_make(key).state, share, now(), next_connection_, actions);
+    carry_out(key, actions);
+}
+
 std::vector<share_claim> backend_pools::claims() {
     std::vector<share_claim> all;
     for (auto& [key, p] : pools_) {
@@ -84,7 +93,7 @@
     return all;
 }
 
-const std::map<share_key, unsigned> backend_pools::shares() const {
+std::map<share_key, unsigned> backend_pools::shares() const {
     std::map<share_key, unsigned> all;
     for (const auto& [key, p] : pools_) {
         all[key] = p.state.share;
@@ -92,10 +101,9 @@
     return all;
 }
 
-bool backend_pools::may_serve(const share_key& key) const {
+bool backend_pools::may_serve(const share_key& key, bool may_grow) const {
     const auto found = pools_.find(key);
-    return found == pools_.end() || found->second.state.share > 0 ||
-           now() >= found->second.state.open_retry_at;
+    return may_grow || (found != pools_.end() && found->second.state.share > 0);
 }
 
 void backend_pools::carry_out(const share_key& key, const pool_actions& actions) {
--- a/src/daemon/pools.hpp
+++ b/src/daemon/pools.hpp
@@ -46,10 +46,14 @@
     void release(const share_key& key, connection_number number, bool reusable, duration used_for);
 
     void set_share(const share_key& key, unsigned share);
+    void revoke_share(const share_key& key, unsigned share);
     [[nodiscard]] std::vector<share_claim> claims();
-    [[nodiscard]] const std::map<share_key, unsigned> shares() const;
-    [[nodiscard]] bool may_serve(const share_key& key) const; // holds a share, or may get one
+    [[nodiscard]] std::map<share_key, unsigned> shares() const;
+    // Holds a share, or could get one if `may_grow`.
+    [[nodiscard]] bool may_serve(const share_key& key, bool may_grow) const;
     [[nodiscard]] const pool_counters& counters() const { return counters_; }
+    // Requests wait although all of the share is open: a larger one would help.
+    std::function<void()> on_short_of_share;
     // The server takes no new connections from here (told of by the failure callback).
     std::function<void(const server_id&)> on_open_failed;
 
--- a/tests/site.cpp
+++ b/tests/site.cpp
@@ -135,6 +135,9 @@
     const char* keys[] = {"hostaddr", "port", "user", "dbname", "options", "sslmode", "connect_timeout", nullptr};
     const char* values[] = {address.c_str(), port_text.c_str(), service.c_str(), group.c_str(), options.c_str(), "disable", "20", nullptr};
     connection_ = PQconnectdbParams(keys, values, 0);
+    notices_ = std::make_unique<std::string>();
+    PQsetNoticeProcessor(
+        connection_, [](void* to, const char* text) { static_cast<std::string*>(to)->append(text); }, notices_.get());
 }
 
 caller::~caller() {
@@ -143,12 +146,14 @@
     }
 }
 
-caller::caller(caller&& other) noexcept : connection_(other.connection_) {
+caller::caller(caller&& other) noexcept
+    : connection_(other.connection_), notices_(std::move(other.notices_)) {
     other.connection_ = nullptr;
 }
 
 caller& caller::operator=(caller&& other) noexcept {
     std::swap(connection_, other.connection_);
+    std::swap(notices_, other.notices_);
     return *this;
 }
 
--- a/tests/site.hpp
+++ b/tests/site.hpp
@@ -57,10 +57,12 @@
     [[nodiscard]] bool connected() const;
     [[nodiscard]] std::string token() const; // larchpin.session
     [[nodiscard]] std::string error() const;
+    [[nodiscard]] const std::string& notices() const { return *notices_; } // also what came while idle
     [[nodiscard]] pg_conn* raw() const { return connection_; }
 
 private:
     pg_conn* connection_ = nullptr;
+    std::unique_ptr<std::string> notices_;
 };
 
 struct site_options {
--- a/tools/standin/main.cpp
+++ b/tools/standin/main.cpp
@@ -137,6 +137,7 @@
     bool busy = false;    // waits for a timer or a lock
     bool blocked = false; // by another session's row lock
     bool counted = false;
+    std::string user;
     bool is_replica = false;
     bool skip_to_sync = false;
     transaction t;
@@ -180,6 +181,12 @@
     std::map<std::uint64_t, std::weak_ptr<session>> sessions;
     std::uint64_t next_session = 1;
     unsigned connection_count = 0;
+    struct user_counters {
+        unsigned open = 0;
+        unsigned peak = 0;
+        std::uint64_t statements = 0;
+    };
+    std::map<std::string, user_counters> users; // "standin peak USER", "standin work USER"
     // replication, as a replica
     tcp::socket upstream_socket;
     std::string upstream;
@@ -216,6 +223,7 @@
                                if (error) {
                                    if (self->counted) {
                                        --self->host.connection_count;
+                --self->host.users[self->user].open;
                                        self->counted = false;
                                    }
                                    end_transaction(self->host.data, self->t);
@@ -271,6 +279,10 @@
     }
     ++host.connection_count;
     counted = true;
+    const auto name = request->parameters.find("user");
+    user = name == request->parameters.end() ? "" : name->second;
+    auto& mine = host.users[user];
+    mine.peak = std::max(mine.peak, ++mine.open);
     busy = true;
     timer.expires_after(std::chrono::milliseconds(host.opt.connect_ms));
     timer.async_wait([self = shared_from_this()](const boost::system::error_code& error) {
@@ -400,6 +412,14 @@
         busy = true;
         return false;
     }
+    ++host.users[user].statements;
+    if (r.setting == "peak" || r.setting == "work") {
+        const auto& asked = host.users[r.setting_value];
+        r.columns = {r.setting};
+        r.rows = {{std::to_string(r.setting == "peak" ? asked.peak : asked.statements)}};
+        r.tag = "SELECT 1";
+        r.setting.clear();
+    }
     if (r.promote) {
         host.promote();
     }
--- a/tools/standin/store.cpp
+++ b/tools/standin/store.cpp
@@ -366,8 +366,9 @@
     }
     if (first == "standin") {
         sql_result r = done("SET");
-        r.setting = at(words, 2);
-        r.setting_value = at(words, 3);
+        const bool sets = at(words, 1) == "set"; // else "standin peak USER" or "standin work USER"
+        r.setting = at(words, sets ? 2 : 1);
+        r.setting_value = at(words, sets ? 3 : 2);
         return r;
     }
     if (first == "show") {
