--- a/src/core/cluster_state.cpp
+++ b/src/core/cluster_state.cpp
@@ -84,6 +84,7 @@
         s.servers[server->record.id] = server->record;
     } else if (const auto* instance = std::get_if<register_instance>(&c)) {
         s.instances[instance->record.id] = instance->record;
+        s.instances_revision = index;
     } else if (const auto* group = std::get_if<set_group>(&c)) {
         outcome.code = apply_group(s, *group);
     }
--- a/src/core/control.cpp
+++ b/src/core/control.cpp
@@ -100,24 +100,37 @@
 // [shares]
 //-----------------------------------------------------------------------------
 
-// What a daemon keeps even without a lease.
-unsigned reserve_of(const cluster_state& s, const instance_id& daemon, const server_record& server) {
-    const auto holders = reserve_holders(s, server);
-    return std::find(holders.begin(), holders.end(), daemon) == holders.end() ? 0 : 1;
-}
-
-unsigned counted_share(const control_state& c, const cluster_state& s, const instance_id& daemon,
-                       const server_record& server, const share_key& key, time_point now) {
-    const unsigned reserve = reserve_of(s, daemon, server);
+// The daemons that keep one connection even without a lease. Ranking all instances is too much for every
+// renewal, so it is remembered until an instance's record changes.
+const std::vector<instance_id>& find_reserve(control_state& c, const cluster_state& s, const server_record& server) {
+    if (c.reserves_revision != s.instances_revision) {
+        c.reserves.clear();
+        c.reserves_revision = s.instances_revision;
+    }
+    const auto known = c.reserves.find(server.id);
+    return known != c.reserves.end() ? known->second
+                                     : c.reserves.emplace(server.id, reserve_holders(s, server)).first->second;
+}
+
+// What one daemon holds and wants of a share, as far as the leader knows.
+struct share_position {
+    unsigned held = 0;
+    unsigned wanted = 0;
+};
+
+share_position position_of(const control_state& c, const instance_id& daemon, const share_key& key, unsigned reserve,
+                           time_point now) {
     const auto found = c.daemons.find(daemon);
     if (found == c.daemons.end() || !has_live_lease(found->second, now)) {
-        return reserve;
+        return {.held = reserve, .wanted = reserve};
     }
-    return std::max(reserve, held_share(found->second, key));
+    const auto claim = found->second.claims.find(key);
+    const unsigned wanted = claim == found->second.claims.end() ? 0 : claim->second.wanted;
+    return {.held = std::max(reserve, held_share(found->second, key)), .wanted = std::max(reserve, wanted)};
 }
 
-unsigned decide_share(const control_state& c, const cluster_state& s, const instance_id& daemon,
-                      const share_claim& claim, time_point now) {
+unsigned decide_share(control_state& c, const cluster_state& s, const instance_id& daemon, const share_claim& claim,
+                      time_point now) {
     const auto server = s.servers.find(claim.key.server);
     const service_entry* service = find_service(s.current, claim.key.service);
     if (server == s.servers.end() || service == nullptr) {
@@ -126,31 +139,42 @@
     if (!s.instances.contains(daemon)) {
         return 0; // its record is not committed yet, so the others' shares do not count it
     }
-    std::vector<unsigned> wishes;
-    std::size_t own = 0;
+    const auto& reserve = find_reserve(c, s, server->second);
+    const auto reserve_of = [&reserve](const instance_id& id) {
+        return std::find(reserve.begin(), reserve.end(), id) == reserve.end() ? 0U : 1U;
+    };
+    std::set<instance_id> involved = c.claimants[claim.key];
+    involved.insert(reserve.begin(), reserve.end());
+    involved.erase(daemon);
+    std::vector<unsigned> wishes{std::max(claim.wanted, reserve_of(daemon))};
     unsigned held_by_others = 0;
-    for (const auto& [id, record] : s.instances) {
-        const unsigned reserve = reserve_of(s, id, server->second);
-        if (id == daemon) {
-            own = wishes.size();
-            wishes.push_back(std::max(claim.wanted, reserve));
-            continue;
-        }
-        held_by_others += counted_share(c, s, id, server->second, claim.key, now);
-        const auto other = c.daemons.find(id);
-        unsigned wish = reserve;
-        if (other != c.daemons.end() && has_live_lease(other->second, now)) {
-            const auto its = other->second.claims.find(claim.key);
-            wish = its == other->second.claims.end() ? reserve : std::max(reserve, its->second.wanted);
-        }
-        wishes.push_back(wish);
+    for (const instance_id& id : involved) {
+        const share_position other = position_of(c, id, claim.key, reserve_of(id), now);
+        held_by_others += other.held;
+        wishes.push_back(other.wanted);
     }
-    const unsigned target = divide_fairly(service->max_connections, wishes)[own];
+    const unsigned target = divide_fairly(service->max_connections, wishes).front();
     // Until the earlier leader's grants have run out, nobody gets more than it has.
     const unsigned cap = settled(c, now) ? target : std::min(target, claim.in_effect);
     return next_share(service->max_connections, cap, held_by_others);
 }
 
+// Whoever may hold a part of a key stays a claimant of it until it is known to hold nothing.
+void follow_claims(control_state& c, const instance_id& daemon, const std::vector<share_claim>& claims) {
+    daemon_state& d = c.daemons[daemon];
+    const auto before = std::move(d.claims);
+    d.claims.clear();
+    for (const share_claim& claim : claims) {
+        d.claims[claim.key] = claim;
+        c.claimants[claim.key].insert(daemon);
+    }
+    for (const auto& [key, old] : before) {
+        if (held_share(d, key) == 0 && !d.claims.contains(key)) {
+            c.claimants[key].erase(daemon);
+        }
+    }
+}
+
 void answer_claims(control_state& c, const cluster_state& s, const renewal& r, time_point now,
                    renewal_reply& reply) {
     daemon_state& d = c.daemons[r.instance.id];
@@ -184,8 +208,12 @@
         return;
     }
     c.observers.clear();
+    c.observed_by.clear();
     for (const auto& [id, server] : s.servers) {
         c.observers[id] = choose_observers(live, id);
+        for (const instance_id& observer : c.observers[id]) {
+            c.observed_by[observer].push_back(id);
+        }
     }
     c.observer_candidates = std::move(live);
 }
@@ -456,11 +484,8 @@
     for (const server_observation& o : r.observations) {
         d.observations[o.server] = o;
     }
-    d.claims.clear();
-    for (const share_claim& claim : r.claims) {
-        d.claims[claim.key] = claim;
-    }
     std::erase_if(d.unconfirmed, [&r](const sent_shares& sent) { return sent.seq <= r.last_reply_seq; });
+    follow_claims(c, r.instance.id, r.claims);
     for (const server_announcement& a : r.announcements) {
         c.announced[a.record.id] = seen_server{.last = a, .at = now};
         register_if_new(c, s, a.record, actions);
@@ -482,10 +507,9 @@
     reply.lease = c.config.lease;
     forget_old_leases(d, now);
     note_granted(d, s.revision, now + grantor_length(c.config.lease));
-    for (const auto& [id, observers] : c.observers) {
-        if (std::find(observers.begin(), observers.end(), r.instance.id) != observers.end()) {
-            reply.observe.push_back(id);
-        }
+    const auto observed = c.observed_by.find(r.instance.id);
+    if (observed != c.observed_by.end()) {
+        reply.observe = observed->second;
     }
     for (const auto& [id, seen] : c.announced) {
         if (seen.last.leaving && now - seen.at <= c.config.announcement_age) {
--- a/src/io/codec.cpp
+++ b/src/io/codec.cpp
@@ -134,6 +134,7 @@
     cluster_state v;
     v.revision = m.revision();
     v.table_revision = m.table_revision();
+    v.instances_revision = m.instances_revision();
     v.current = from_wire(m.current());
     for (const auto& g : m.groups()) {
         v.groups[{g.id()}] = from_wire(g);
@@ -156,6 +157,7 @@
 void to_wire(const cluster_state& v, wire::cluster_state& m) {
     m.set_revision(v.revision);
     m.set_table_revision(v.table_revision);
+    m.set_instances_revision(v.instances_revision);
     to_wire(v.current, *m.mutable_current());
     for (const auto& [id, g] : v.groups) {
         to_wire(g, *m.add_groups());
--- a/src/io/http2_connection.cpp
+++ b/src/io/http2_connection.cpp
@@ -203,7 +203,10 @@
             self->close();
             return;
         }
-        if (nghttp2_session_mem_recv(self->session_, self->read_buffer_.data(), length) < 0) {
+        self->in_callback_ = true;
+                                const ssize_t used = nghttp2_session_mem_recv(self->session_, self->read_buffer_.data(), length);
+                                self->in_callback_ = false;
+                                if (used < 0) {
             self->close();
             return;
         }
@@ -213,7 +216,7 @@
 }
 
 void http2_connection::write_some() {
-    if (writing_ || !open_) {
+    if (writing_ || !open_ || in_callback_) {
         return;
     }
     write_buffer_.clear();
--- a/src/io/http2_internal.hpp
+++ b/src/io/http2_internal.hpp
@@ -73,6 +73,7 @@
     bool is_server_;
     bool open_ = true;
     bool writing_ = false;
+    bool in_callback_ = false; // nghttp2 must not be asked for output from inside its own callbacks
     std::array<std::uint8_t, read_buffer_size> read_buffer_{};
     std::string write_buffer_;
     std::map<std::int32_t, http2_stream> streams_;
