Reads fuzzed against a history oracle; lost writes are never covered up; requests leave a dead server's queue

Waiting requests are now refused by a pool that has lost its last connection, and leave the queue when the term changes; where another server may do, they are routed anew.

--- a/src/core/pool.cpp
+++ b/src/core/pool.cpp
@@ -89,6 +89,15 @@
     open_for_waiters(p, now, next_connection, actions);
 }
 
+void refuse_all(pool_state& p, result_code code, duration retry_after, pool_actions& actions) {
+    for (auto& queue : p.waiting) {
+        for (const pool_waiter& w : queue) {
+            actions.emplace_back(refuse_request{.request = w.request, .code = code, .retry_after = retry_after});
+        }
+        queue.clear();
+    }
+}
+
 // How long a new waiter of this class will wait: those before it, over the connections that serve them.
 duration expected_wait(const pool_state& p, request_class klass) {
     std::size_t before = 0;
@@ -154,6 +163,9 @@
     p.opening.erase(c);
     std::erase(p.idle, c);
     p.open_retry_at = now + open_retry_pause;
+    if (open_count(p) == 0) {
+        refuse_all(p, result_code::connection_lost, open_retry_pause, actions);
+    }
     settle(p, now, next_connection, actions);
 }
 
@@ -192,16 +204,8 @@
         p.busy_background.erase(c);
         actions.emplace_back(close_connection{c});
     }
-    for (auto& queue : p.waiting) {
-        for (const pool_waiter& w : queue) {
-            if (share == 0) {
-                actions.emplace_back(refuse_request{
-                    .request = w.request, .code = result_code::no_lease, .retry_after = lost_share_pause});
-            }
-        }
-        if (share == 0) {
-            queue.clear();
-        }
+    if (share == 0) {
+        refuse_all(p, result_code::no_lease, lost_share_pause, actions);
     }
     settle(p, now, next_connection, actions);
 }
--- a/src/core/pool.hpp
+++ b/src/core/pool.hpp
@@ -84,6 +84,8 @@
 // The request no longer waits (its caller is gone).
 void cancel_request(pool_state& p, request_number request);
 
+// A connection was opened, or could not be. Where none is left at all, those that wait are refused, so that
+// they can go elsewhere: the server is probably gone.
 void connection_opened(pool_state& p, connection_number c, time_point now, connection_number& next_connection,
                        pool_actions& actions);
 void connection_failed(pool_state& p, connection_number c, time_point now, connection_number& next_connection,
--- a/src/core/session.cpp
+++ b/src/core/session.cpp
@@ -51,17 +51,32 @@
     return std::nullopt;
 }
 
-void raise_floor(session_state& s, term_number term, log_position position) {
-    if (!s.floor || term > s.floor->term) {
-        s.floor = session_token{.group = s.group, .term = term, .position = position};
-    } else if (term == s.floor->term) {
-        s.floor->position = std::max(s.floor->position, position);
+void raise(std::optional<session_token>& mark, const group_id& group, term_number term, log_position position) {
+    if (!mark || term > mark->term) {
+        mark = session_token{.group = group, .term = term, .position = position};
+    } else if (term == mark->term) {
+        mark->position = std::max(mark->position, position);
     }
 }
 
+void raise_known(session_state& s, term_number term, log_position position) {
+    raise(s.known, s.group, term, position);
+    raise(s.floor, s.group, term, position);
+}
+
+// Positions beyond the start of a later term mean nothing in it.
+void move_to_term(std::optional<session_token>& mark, const group_record& group) {
+    if (!mark || mark->term >= group.term) {
+        return;
+    }
+    mark->position = std::min(mark->position, surviving_position(group, mark->term).value_or(0));
+    mark->term = group.term;
+}
+
 bool apply_token(session_state& s, const std::string& value) {
     if (value.empty()) {
         s.floor.reset();
+        s.known.reset();
         s.seen.reset();
         return true;
     }
@@ -70,11 +85,7 @@
         return false;
     }
     // A token never lowers what this session has seen itself.
-    if (!s.floor) {
-        s.floor = token;
-    } else {
-        raise_floor(s, token->term, token->position);
-    }
+    raise_known(s, token->term, token->position);
     return true;
 }
 
@@ -135,7 +146,7 @@
 }
 
 void note_write(session_state& s, term_number term, log_position position) {
-    raise_floor(s, term, position);
+    raise_known(s, term, position);
 }
 
 void note_read(session_state& s, const server_id& server, time_point finished_at) {
@@ -143,10 +154,14 @@
 }
 
 void resolve_seen(session_state& s, const group_record& group, const group_positions& positions) {
+    if (has_lost_write(s, group)) {
+        return; // news of a later term must not cover up what was lost with an earlier one
+    }
+    adopt_term(s, group);
     if (!s.floor) {
         const auto at_arrival = primary_position_since(positions, group.term, s.arrived_at);
         if (at_arrival) {
-            raise_floor(s, group.term, *at_arrival);
+            raise(s.floor, s.group, group.term, *at_arrival);
         }
     }
     if (!s.seen) {
@@ -156,23 +171,28 @@
     if (known == positions.servers.end() || known->second.newest.not_before < s.seen->finished_at) {
         return;
     }
-    if (known->second.newest.timeline == group.timeline) {
-        raise_floor(s, group.term, known->second.newest.position);
+    const position_sample& newest = known->second.newest;
+    if (newest.timeline == group.timeline) {
+        raise_known(s, group.term, newest.position);
+    } else if (newest.timeline < group.timeline && !group.starts.empty()) {
+        // The server has not followed a new primary yet: of what it showed, this much has survived.
+        raise(s.floor, s.group, group.term, std::min(newest.position, group.starts.back().position));
     }
     s.seen.reset();
 }
 
 bool has_lost_write(const session_state& s, const group_record& group) {
-    if (!s.floor || s.floor->term >= group.term) {
+    if (!s.known || s.known->term >= group.term) {
         return false;
     }
-    const auto kept = surviving_position(group, s.floor->term);
-    return !kept || s.floor->position > *kept;
+    const auto kept = surviving_position(group, s.known->term);
+    return !kept || s.known->position > *kept;
 }
 
 void adopt_term(session_state& s, const group_record& group) {
-    if (s.floor && s.floor->term < group.term && !has_lost_write(s, group)) {
-        s.floor->term = group.term;
+    if (!has_lost_write(s, group)) {
+        move_to_term(s.known, group);
+        move_to_term(s.floor, group);
     }
 }
 
--- a/src/core/session.hpp
+++ b/src/core/session.hpp
@@ -62,7 +62,8 @@
     service_id service;
     time_point arrived_at{};
     session_settings settings;
-    std::optional<session_token> floor; // none: not known yet, see above
+    std::optional<session_token> floor; // a read must show at least this; none: not known yet, see above
+    std::optional<session_token> known; // what it wrote, or may have read; the token that the caller gets
     std::optional<seen_read> seen;      // a read whose position is not known yet
 };
 
@@ -87,10 +88,11 @@
 // last read may have seen.
 void resolve_seen(session_state& s, const group_record& group, const group_positions& positions);
 
-// A session whose floor lies beyond what a later term kept has seen writes that are lost.
+// A session that wrote, or may have read, beyond what a later term kept: that is lost. One that has merely
+// arrived has lost nothing, however far its floor was.
 bool has_lost_write(const session_state& s, const group_record& group);
 
-// Moves the floor into the group's current term once nothing was lost.
+// Moves the session into the group's current term once nothing of it was lost.
 void adopt_term(session_state& s, const group_record& group);
 
 duration deadline_of(const session_state& s, const service_entry& service);
--- a/src/daemon/client_request.cpp
+++ b/src/daemon/client_request.cpp
@@ -24,6 +24,7 @@
 constexpr duration come_back_after = std::chrono::milliseconds{500};
 constexpr duration safety_look_interval = std::chrono::milliseconds{20};
 constexpr unsigned max_attempts = 3;
+constexpr duration look_again_after = std::chrono::milliseconds{50};
 constexpr std::size_t message_header_bytes = 5;
 
 std::uint32_t message_length(std::string_view bytes) {
@@ -174,6 +175,11 @@
     }
     if (active_->step == request_step::routed) {
         route();
+    } else if (active_->step == request_step::queued && active_->on_primary && !term_still_holds()) {
+        leave_queue();
+        route();
+    } else if (active_->step == request_step::queued) {
+        owner_.note_waiting(number_);
     } else if (active_->step == request_step::safety) {
         wait_for_safety();
     }
@@ -210,16 +216,32 @@
                              });
     if (active_ && active_->serial == serial && active_->step == request_step::queued) {
         active_->waiting = number;
+        owner_.note_waiting(number_); // a new primary would make this queue the wrong one
     }
 }
 
+void client_session::leave_queue() {
+    const share_key key{.service = state_.service, .server = active_->server};
+    owner_.pools.cancel(key, active_->waiting);
+    owner_.cluster.note_request_ended(active_->server, true, duration{0});
+    active_->serial = next_serial_++;
+}
+
 void client_session::on_connection(const pool_answer& answer) {
     active_request& r = *active_;
     if (!answer.connection) {
         owner_.cluster.note_request_ended(r.server, true, duration{0});
         r.serial = next_serial_++;
-        if (answer.code == result_code::no_lease && ++r.attempts < max_attempts) {
-            route(); // the share was lost while it waited; another server may do
+        const bool server_gone = answer.code == result_code::connection_lost;
+        const bool elsewhere = server_gone || answer.code == result_code::no_lease;
+        if (elsewhere && !r.on_primary && ++r.attempts < max_attempts) {
+            route(); // another server may do
+            return;
+        }
+        if (server_gone && r.on_primary) {
+            r.step = request_step::routed; // there may be a new primary soon
+            r.last_refusal = result_code::no_primary;
+            wait_for_news(now() + look_again_after);
             return;
         }
         finish_with_error(answer.code, run_state::not_run,
@@ -654,9 +676,7 @@
         return;
     }
     if (r.step == request_step::queued) {
-        const share_key key{.service = state_.service, .server = r.server};
-        owner_.pools.cancel(key, r.waiting);
-        owner_.cluster.note_request_ended(r.server, false, duration{0});
+        leave_queue();
         finish_with_error(result_code::deadline_passed, run_state::not_run, come_back_after);
         return;
     }
--- a/src/daemon/client_session.cpp
+++ b/src/daemon/client_session.cpp
@@ -84,9 +84,7 @@
     timer_.cancel();
     stream_.close();
     if (active_ && active_->step == request_step::queued) {
-        const share_key key{.service = state_.service, .server = active_->server};
-        owner_.pools.cancel(key, active_->waiting);
-        owner_.cluster.note_request_ended(active_->server, true, duration{0});
+        leave_queue();
     } else if (active_ && pinned_) {
         owner_.cluster.note_request_ended(active_->server, true, now() - active_->used_from);
     }
@@ -584,10 +582,10 @@
 }
 
 void client_session::put_token() {
-    if (!state_.floor) {
+    if (!state_.known) {
         return;
     }
-    const std::string token = format_token(*state_.floor);
+    const std::string token = format_token(*state_.known);
     if (token != token_sent_) {
         token_sent_ = token;
         put_parameter(out_, "larchpin.session", token);
--- a/src/daemon/client_session.hpp
+++ b/src/daemon/client_session.hpp
@@ -129,6 +129,7 @@
     void route();
     void wait_for_news(time_point retry_at);
     void queue();
+    void leave_queue();
     void on_connection(const pool_answer& answer);
     void run_settings();
     void run_begin();
--- /dev/null
+++ b/tests/core_test.cpp
@@ -0,0 +1,341 @@
+// Properties of the smaller parts of the core.
+//
+// Index
+//   [table]  [shares]  [pool]  [lease]  [statements and tokens]  [health]
+#include "core/cluster_state.hpp"
+#include "core/health.hpp"
+#include "core/lease.hpp"
+#include "core/pool.hpp"
+#include "core/rendezvous.hpp"
+#include "core/session.hpp"
+#include "core/shares.hpp"
+#include "core/statement.hpp"
+
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+
+#include <map>
+#include <numeric>
+#include <random>
+
+namespace larchpin {
+namespace {
+
+//-----------------------------------------------------------------------------
+// [table]
+//-----------------------------------------------------------------------------
+
+edit_table make_edit(const std::string& id, revision_number expected, unsigned connections) {
+    edit_table e;
+    e.change_id = id;
+    e.expected_revision = expected;
+    e.next.services = {{.id = {"shop"}, .max_connections = connections}};
+    return e;
+}
+
+TEST(table, of_two_edits_on_one_revision_one_wins_and_both_keep_their_answers) {
+    cluster_state s;
+    EXPECT_EQ(apply(s, 1, make_edit("a", 0, 5)).code, result_code::ok);
+    EXPECT_EQ(apply(s, 2, make_edit("b", 0, 6)).code, result_code::revision_conflict);
+    EXPECT_EQ(apply(s, 3, make_edit("a", 0, 5)).table_revision, 1U);
+    EXPECT_EQ(apply(s, 4, make_edit("b", 1, 6)).code, result_code::revision_conflict) << "decided once";
+    EXPECT_EQ(s.current.services[0].max_connections, 5U);
+    EXPECT_EQ(s.table_revision, 1U);
+}
+
+TEST(table, an_invalid_table_is_refused_whole) {
+    cluster_state s;
+    edit_table e = make_edit("a", 0, 5);
+    e.next.services.push_back({.id = {"zoo"}, .max_connections = 0});
+    EXPECT_EQ(apply(s, 1, e).code, result_code::table_invalid);
+    EXPECT_TRUE(s.current.services.empty());
+}
+
+TEST(table, a_late_change_of_a_group_changes_nothing) {
+    cluster_state s;
+    const group_record first{.id = {"g"}, .term = 1, .primary = {"a"}, .timeline = 1, .starts = {{1, 0}}};
+    apply(s, 1, set_group{.expected_term = 0, .next = first});
+    group_record second = first;
+    second.term = 2;
+    second.primary = {"b"};
+    apply(s, 2, set_group{.expected_term = 1, .next = second});
+    group_record late = first;
+    late.term = 2;
+    late.primary = {"c"};
+    EXPECT_EQ(apply(s, 3, set_group{.expected_term = 1, .next = late}).code, result_code::revision_conflict);
+    EXPECT_EQ(s.groups.at({"g"}).primary.value, "b");
+}
+
+TEST(table, positions_beyond_a_later_start_are_lost) {
+    group_record g;
+    g.term = 3;
+    g.starts = {{1, 0}, {2, 500}, {3, 400}};
+    EXPECT_EQ(surviving_position(g, 1), 400U);
+    EXPECT_EQ(surviving_position(g, 2), 400U);
+    EXPECT_FALSE(surviving_position(g, 4).has_value());
+}
+
+//-----------------------------------------------------------------------------
+// [shares]
+//-----------------------------------------------------------------------------
+
+TEST(shares, division_is_fair_and_within_the_limit) {
+    EXPECT_TRUE(rc::check([](const std::vector<std::uint8_t>& raw) {
+        const auto limit = *rc::gen::inRange(0U, 60U);
+        const std::vector<unsigned> wanted(raw.begin(), raw.end());
+        const auto shares = divide_fairly(limit, wanted);
+        const unsigned sum = std::accumulate(shares.begin(), shares.end(), 0U);
+        const unsigned wishes = std::accumulate(wanted.begin(), wanted.end(), 0U);
+        RC_ASSERT(sum == std::min(limit, wishes));
+        for (std::size_t i = 0; i < shares.size(); ++i) {
+            RC_ASSERT(shares[i] <= wanted[i]);
+            for (std::size_t j = 0; j < shares.size(); ++j) {
+                // Whoever wants more than it has got, has got no less than anyone else, give or take one.
+                RC_ASSERT(shares[i] == wanted[i] || shares[i] + 1 >= shares[j]);
+            }
+        }
+    }));
+}
+
+TEST(rendezvous, an_instance_that_leaves_moves_only_its_own_servers) {
+    std::vector<observer_candidate> live;
+    for (int i = 0; i < 12; ++i) {
+        live.push_back({.id = {"i" + std::to_string(i)}, .domain = {"d" + std::to_string(i % 3)}});
+    }
+    auto fewer = live;
+    fewer.erase(fewer.begin() + 4);
+    for (int n = 0; n < 200; ++n) {
+        const server_id server{"s" + std::to_string(n)};
+        const auto before = choose_observers(live, server);
+        const auto after = choose_observers(fewer, server);
+        ASSERT_EQ(before.size(), 3U);
+        for (std::size_t d = 0; d < 3; ++d) {
+            EXPECT_TRUE(before[d] == after[d] || before[d].value == "i4");
+        }
+    }
+}
+
+//-----------------------------------------------------------------------------
+// [pool]
+//-----------------------------------------------------------------------------
+
+// Random use of one pool, against what must hold of it at every moment.
+class pool_model {
+public:
+    explicit pool_model(std::uint64_t seed) : random_(seed) { p_.max_waiting = 20; }
+
+    void step() {
+        now_ += std::chrono::milliseconds{number(5)};
+        pool_actions actions;
+        const int what = number(9);
+        if (what < 4) {
+            const auto klass = static_cast<request_class>(number(2));
+            const request_number id = next_request_++;
+            open_requests_[id] = klass;
+            request_connection(p_, {.request = id, .klass = klass, .deadline = now_ + std::chrono::milliseconds{number(200)}}, now_, next_connection_, actions);
+        } else if (what == 4 && !opening_.empty()) {
+            const connection_number c = *opening_.begin();
+            opening_.erase(c);
+            connection_opened(p_, c, now_, next_connection_, actions);
+        } else if (what == 5 && !opening_.empty()) {
+            const connection_number c = *opening_.begin();
+            opening_.erase(c);
+            connection_failed(p_, c, now_, next_connection_, actions);
+        } else if (what == 6 && !busy_.empty()) {
+            const connection_number c = busy_.begin()->first;
+            busy_.erase(c);
+            release_connection(p_, c, number(4) > 0, std::chrono::milliseconds{2}, now_, next_connection_, actions);
+        } else if (what == 7) {
+            share_ = static_cast<unsigned>(number(8));
+            set_share(p_, share_, now_, next_connection_, actions);
+        } else if (what == 8 && number(9) == 0) {
+            share_ = static_cast<unsigned>(number(2));
+            revoke_share(p_, share_, now_, next_connection_, actions);
+            RC_ASSERT(open_count(p_) <= std::max(share_, 0U));
+        } else {
+            expire_waiters(p_, now_, next_connection_, actions);
+        }
+        carry_out(actions);
+        check();
+    }
+
+private:
+    int number(int highest) { return std::uniform_int_distribution<int>(0, highest)(random_); }
+
+    void carry_out(const pool_actions& actions) {
+        for (const pool_action& a : actions) {
+            if (const auto* opened = std::get_if<open_connection>(&a)) {
+                opening_.insert(opened->connection);
+                RC_ASSERT(open_count(p_) <= p_.share);
+            } else if (const auto* closed = std::get_if<close_connection>(&a)) {
+                opening_.erase(closed->connection);
+                busy_.erase(closed->connection);
+            } else if (const auto* used = std::get_if<use_connection>(&a)) {
+                RC_ASSERT(open_requests_.erase(used->request) == 1U); // answered once
+                RC_ASSERT(busy_.emplace(used->connection, used->request).second); // one request a connection
+            } else if (const auto* refused = std::get_if<refuse_request>(&a)) {
+                RC_ASSERT(open_requests_.erase(refused->request) == 1U);
+            }
+        }
+    }
+
+    void check() const {
+        RC_ASSERT(p_.busy.size() == busy_.size());
+        RC_ASSERT(waiting_count(p_) == open_requests_.size());
+        const bool serves = p_.idle.empty() || p_.waiting[0].empty();
+        RC_ASSERT(serves); // nothing critical waits beside an idle connection
+    }
+
+    std::mt19937_64 random_;
+    pool_state p_;
+    time_point now_{std::chrono::seconds{1}};
+    unsigned share_ = 0;
+    connection_number next_connection_ = 1;
+    request_number next_request_ = 1;
+    std::set<connection_number> opening_;
+    std::map<connection_number, request_number> busy_;
+    std::map<request_number, request_class> open_requests_;
+};
+
+TEST(pool, keeps_to_its_share_and_answers_every_request_once) {
+    EXPECT_TRUE(rc::check([] {
+        pool_model model(*rc::gen::arbitrary<std::uint32_t>());
+        for (int i = 0; i < 2000; ++i) {
+            model.step();
+        }
+    }));
+}
+
+TEST(pool, background_leaves_room_for_the_others) {
+    pool_state p;
+    p.background_share = 50;
+    connection_number next = 1;
+    pool_actions actions;
+    const time_point now{std::chrono::seconds{1}};
+    set_share(p, 4, now, next, actions);
+    for (request_number i = 1; i <= 8; ++i) {
+        request_connection(p, {.request = i, .klass = request_class::background, .deadline = now + std::chrono::seconds{5}}, now, next, actions);
+    }
+    for (connection_number c = 1; c <= 4; ++c) {
+        connection_opened(p, c, now, next, actions);
+    }
+    EXPECT_EQ(p.busy.size(), 2U);
+    request_connection(p, {.request = 100, .klass = request_class::critical, .deadline = now + std::chrono::seconds{5}}, now, next, actions);
+    EXPECT_EQ(p.busy.size(), 3U) << "the order gets a connection at once";
+}
+
+TEST(pool, refuses_at_once_what_it_cannot_serve_in_time) {
+    pool_state p;
+    connection_number next = 1;
+    pool_actions actions;
+    const time_point now{std::chrono::seconds{1}};
+    p.service_time = std::chrono::milliseconds{100};
+    set_share(p, 1, now, next, actions);
+    for (request_number i = 1; i <= 10; ++i) {
+        request_connection(p, {.request = i, .deadline = now + std::chrono::seconds{5}}, now, next, actions);
+    }
+    actions.clear();
+    request_connection(p, {.request = 11, .deadline = now + std::chrono::milliseconds{500}}, now, next, actions);
+    ASSERT_EQ(actions.size(), 1U);
+    const auto refused = std::get<refuse_request>(actions[0]);
+    EXPECT_EQ(refused.code, result_code::overloaded);
+    EXPECT_GE(refused.retry_after, std::chrono::milliseconds{900});
+}
+
+//-----------------------------------------------------------------------------
+// [lease]
+//-----------------------------------------------------------------------------
+
+TEST(lease, a_grant_counts_only_once_its_revision_is_applied) {
+    lease_state l;
+    const time_point sent{std::chrono::seconds{5}};
+    add_grant(l, sent, std::chrono::seconds{1}, 7, 6);
+    EXPECT_FALSE(lease_is_live(l, sent));
+    note_applied(l, 7);
+    EXPECT_TRUE(lease_is_live(l, sent + std::chrono::milliseconds{989}));
+    EXPECT_FALSE(lease_is_live(l, sent + std::chrono::milliseconds{991}));
+}
+
+TEST(lease, the_holder_stops_before_the_grantor_counts_it_out) {
+    EXPECT_TRUE(rc::check([] {
+        const duration nominal = std::chrono::milliseconds{*rc::gen::inRange(200, 60000)};
+        // The holder's clock runs slow, the grantor's fast, by the bound together.
+        const double slow = 1.0 - clock_drift_bound / 2;
+        const double fast = 1.0 + clock_drift_bound / 2;
+        const double holder_real = static_cast<double>(holder_length(nominal).count()) / slow;
+        const double grantor_real = static_cast<double>(grantor_length(nominal).count()) / fast;
+        RC_ASSERT(holder_real < grantor_real);
+    }));
+}
+
+//-----------------------------------------------------------------------------
+// [statements and tokens]
+//-----------------------------------------------------------------------------
+
+TEST(statement, is_told_by_its_first_words) {
+    EXPECT_EQ(classify_statement("select 1"), statement_kind::read_hint);
+    EXPECT_EQ(classify_statement("/* x */ -- y\n (SELECT 1)"), statement_kind::read_hint);
+    EXPECT_EQ(classify_statement("select 1; delete from t"), statement_kind::write);
+    EXPECT_EQ(classify_statement("update t set a = 1"), statement_kind::write);
+    EXPECT_EQ(classify_statement("begin"), statement_kind::begin);
+    EXPECT_EQ(classify_statement("start transaction isolation level serializable, read only"), statement_kind::begin_read_only);
+    EXPECT_EQ(classify_statement("rollback to savepoint a"), statement_kind::write);
+    EXPECT_EQ(classify_statement("rollback"), statement_kind::rollback);
+    EXPECT_EQ(classify_statement(""), statement_kind::empty);
+    EXPECT_EQ(classify_statement("set transaction read only"), statement_kind::write);
+    EXPECT_EQ(classify_statement("set a.b = 'c'"), statement_kind::set_session);
+    EXPECT_EQ(classify_statement("COPY t FROM STDIN"), statement_kind::refused);
+    EXPECT_EQ(classify_statement("select pg_advisory_lock(1)"), statement_kind::refused);
+}
+
+TEST(statement, settings_are_read) {
+    EXPECT_EQ(parse_setting("set larchpin.class = 'background';"), (setting_change{.name = "larchpin.class", .value = "background"}));
+    EXPECT_EQ(parse_setting("SET LOCAL x TO 'it''s'"), (setting_change{.name = "x", .value = "it's", .local = true}));
+    EXPECT_EQ(parse_setting("reset x"), (setting_change{.name = "x", .value = "", .reset = true}));
+}
+
+TEST(statement, any_text_is_classified_without_harm) {
+    EXPECT_TRUE(rc::check([](const std::string& text) {
+        classify_statement(text);
+        parse_setting(text);
+        refused_feature(text);
+    }));
+}
+
+TEST(token, comes_back_as_it_was) {
+    EXPECT_TRUE(rc::check([](const std::string& group, std::uint64_t term, std::uint64_t position) {
+        RC_PRE(!group.empty());
+        const session_token token{.group = {group}, .term = term, .position = position};
+        RC_ASSERT(parse_token(format_token(token)) == std::optional{token});
+    }));
+    EXPECT_TRUE(rc::check([](const std::string& text) { parse_token(text); }));
+}
+
+//-----------------------------------------------------------------------------
+// [health]
+//-----------------------------------------------------------------------------
+
+TEST(health, a_failing_server_is_passed_over_and_comes_back_slowly) {
+    server_health h;
+    const time_point now{std::chrono::seconds{100}};
+    for (int i = 0; i < 3; ++i) {
+        note_started(h);
+        note_failed(h, now);
+    }
+    EXPECT_GT(h.ejected_until, now);
+    EXPECT_LT(read_ramp(h, h.ejected_until), 0.2);
+    EXPECT_EQ(read_ramp(h, h.ejected_until + std::chrono::seconds{10}), 1.0);
+}
+
+TEST(health, retries_never_exceed_a_tenth_of_the_requests_for_long) {
+    retry_budget b;
+    int retries = 0;
+    for (int i = 0; i < 1000; ++i) {
+        note_request(b);
+        retries += take_retry(b) ? 1 : 0;
+    }
+    EXPECT_LE(retries, 111);
+}
+
+} // namespace
+} // namespace larchpin
--- /dev/null
+++ b/tests/io_test.cpp
@@ -0,0 +1,305 @@
+// Decoders, the log on disk, settings and the table of codes: what strangers, disks and people may hand in.
+//
+// Index
+//   [log]  [messages]  [settings]  [codes]
+#include "ctl/table_file.hpp"
+#include "generated/larchpin.pb.h"
+#include "io/auth.hpp"
+#include "io/codec.hpp"
+#include "io/pg_frame.hpp"
+#include "io/raft_store.hpp"
+#include "io/server_probe.hpp"
+#include "io/settings.hpp"
+
+#include <boost/leaf/handle_errors.hpp>
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+
+namespace larchpin {
+namespace {
+
+namespace leaf = boost::leaf;
+
+std::string read_file(const std::string& path) {
+    std::ifstream stream(path, std::ios::binary);
+    std::ostringstream text;
+    text << stream.rdbuf();
+    return text.str();
+}
+
+//-----------------------------------------------------------------------------
+// [log]
+//-----------------------------------------------------------------------------
+
+class log_folder {
+public:
+    log_folder() : path((std::filesystem::temp_directory_path() / ("larchpin-log-" + random_hex(8))).string()) {}
+    ~log_folder() { std::filesystem::remove_all(path); }
+    log_folder(const log_folder&) = delete;
+    log_folder& operator=(const log_folder&) = delete;
+    log_folder(log_folder&&) = delete;
+    log_folder& operator=(log_folder&&) = delete;
+    [[nodiscard]] std::string file() const { return path + "/control.log"; }
+    std::string path;
+};
+
+raft::record entry_record(std::uint64_t index, std::uint64_t term, const std::string& command) {
+    return {.hard = {}, .log_entry = raft::entry{.index = index, .term = term, .command = command, .config = {}}, .snap = {}};
+}
+
+TEST(log, keeps_identity_entries_and_votes_over_a_restart) {
+    const log_folder folder;
+    raft::node_id node = 0;
+    {
+        raft_store store;
+        const auto opened = store.open(folder.path);
+        ASSERT_TRUE(opened);
+        EXPECT_TRUE(opened.value().is_new);
+        node = opened.value().node;
+        EXPECT_EQ(store.append({{.hard = raft::hard_state{.term = 3, .voted_for = 7}, .log_entry = {}, .snap = {}}, entry_record(1, 3, "a"), entry_record(2, 3, "b")}), result_code::ok);
+        EXPECT_EQ(store.append({entry_record(2, 4, "c")}), result_code::ok);
+    }
+    raft_store again;
+    const auto opened = again.open(folder.path);
+    ASSERT_TRUE(opened);
+    EXPECT_FALSE(opened.value().is_new);
+    EXPECT_EQ(opened.value().node, node);
+    EXPECT_EQ(opened.value().state.hard, (raft::hard_state{.term = 3, .voted_for = 7}));
+    ASSERT_EQ(opened.value().state.log.size(), 2U);
+    EXPECT_EQ(opened.value().state.log[1].command, "c");
+}
+
+TEST(log, an_end_cut_off_anywhere_loses_only_the_last_record) {
+    const log_folder folder;
+    {
+        raft_store store;
+        ASSERT_TRUE(store.open(folder.path));
+        store.append({entry_record(1, 1, "first"), entry_record(2, 1, "second")});
+    }
+    const std::string whole = read_file(folder.file());
+    const std::size_t last = encode_record(entry_record(2, 1, "second"), 0).size();
+    for (std::size_t cut = 1; cut < last; ++cut) {
+        std::ofstream(folder.file(), std::ios::binary | std::ios::trunc) << whole.substr(0, whole.size() - cut);
+        raft_store store;
+        const auto opened = store.open(folder.path);
+        ASSERT_TRUE(opened) << cut;
+        ASSERT_EQ(opened.value().state.log.size(), 1U) << cut;
+        EXPECT_EQ(store.append({entry_record(2, 2, "again")}), result_code::ok);
+    }
+}
+
+TEST(log, damage_before_the_end_is_refused) {
+    const log_folder folder;
+    {
+        raft_store store;
+        ASSERT_TRUE(store.open(folder.path));
+        store.append({entry_record(1, 1, "first"), entry_record(2, 1, "second")});
+    }
+    std::string bytes = read_file(folder.file());
+    bytes[bytes.size() - 30] = static_cast<char>(bytes[bytes.size() - 30] ^ 1);
+    std::ofstream(folder.file(), std::ios::binary | std::ios::trunc) << bytes;
+    const auto code = leaf::try_handle_all(
+        [&]() -> leaf::result<result_code> {
+            raft_store store;
+            BOOST_LEAF_CHECK(store.open(folder.path));
+            return result_code::ok;
+        },
+        [](result_code c) { return c; }, [] { return result_code::ok; });
+    EXPECT_EQ(code, result_code::log_damaged);
+}
+
+TEST(log, a_snapshot_drops_what_does_not_follow_it) {
+    raft::record snap{.hard = {}, .log_entry = {}, .snap = raft::snapshot{.index = 2, .term = 5, .config = {}, .data = "s"}};
+    // Entry 2 of the log is another one than the snapshot's last: what follows it goes too.
+    const auto other = replay_records({entry_record(1, 1, "a"), entry_record(2, 1, "b"), entry_record(3, 1, "c"), snap});
+    EXPECT_TRUE(other.log.empty());
+    const auto same = replay_records({entry_record(1, 1, "a"), entry_record(2, 5, "b"), entry_record(3, 5, "c"), snap});
+    ASSERT_EQ(same.log.size(), 1U);
+    EXPECT_EQ(same.log[0].command, "c");
+}
+
+TEST(log, survives_a_rewrite_by_a_snapshot) {
+    const log_folder folder;
+    {
+        raft_store store;
+        ASSERT_TRUE(store.open(folder.path));
+        store.append({{.hard = raft::hard_state{.term = 2, .voted_for = 9}, .log_entry = {}, .snap = {}}, entry_record(1, 2, "a"), entry_record(2, 2, "b"), entry_record(3, 2, "c")});
+        const raft::record snap{.hard = {}, .log_entry = {}, .snap = raft::snapshot{.index = 2, .term = 2, .config = {}, .data = "state"}};
+        EXPECT_EQ(store.append({snap, entry_record(4, 2, "d")}), result_code::ok);
+    }
+    raft_store again;
+    const auto opened = again.open(folder.path);
+    ASSERT_TRUE(opened);
+    EXPECT_EQ(opened.value().state.snap.data, "state");
+    EXPECT_EQ(opened.value().state.hard.voted_for, 9U);
+    EXPECT_EQ(opened.value().state.log.size(), 2U);
+}
+
+TEST(log, any_bytes_are_decoded_without_harm) {
+    EXPECT_TRUE(rc::check([](const std::string& bytes) { decode_log(bytes); }));
+    const std::string good = encode_record(entry_record(1, 1, "x"), 5);
+    EXPECT_TRUE(rc::check([&good](std::uint8_t position, std::uint8_t value) {
+        std::string bytes = good;
+        bytes[position % bytes.size()] = static_cast<char>(value);
+        decode_log(bytes + good);
+    }));
+}
+
+//-----------------------------------------------------------------------------
+// [messages]
+//-----------------------------------------------------------------------------
+
+TEST(messages, any_bytes_are_framed_without_harm) {
+    EXPECT_TRUE(rc::check([](const std::string& bytes, bool startup) {
+        pg_input in;
+        in.bytes = bytes;
+        in.startup = startup;
+        while (const auto m = next_message(in)) {
+            parse_startup(m->body);
+            parse_parse(m->body);
+            parse_bind(m->body);
+            parse_target(m->body);
+            parse_execute(m->body);
+            parse_text(m->body);
+        }
+        RC_ASSERT(in.offset <= in.bytes.size());
+    }));
+}
+
+TEST(messages, come_out_as_they_went_in_however_they_are_cut) {
+    EXPECT_TRUE(rc::check([](const std::vector<std::string>& bodies) {
+        std::string wire;
+        for (const std::string& body : bodies) {
+            put_message(wire, 'Q', body);
+        }
+        pg_input in;
+        in.startup = false;
+        std::vector<std::string> seen;
+        for (const char c : wire) {
+            in.bytes.push_back(c);
+            while (const auto m = next_message(in)) {
+                seen.push_back(m->body);
+            }
+        }
+        RC_ASSERT(seen == bodies);
+    }));
+}
+
+TEST(messages, a_length_out_of_range_ends_the_conversation) {
+    pg_input in;
+    in.startup = false;
+    in.bytes = std::string("Q\x7f\xff\xff\xff", 5);
+    EXPECT_FALSE(next_message(in).has_value());
+    EXPECT_TRUE(in.broken);
+}
+
+TEST(messages, any_bytes_are_no_command_or_a_harmless_one) {
+    EXPECT_TRUE(rc::check([](const std::string& bytes) {
+        decode_command(bytes);
+        decode_state(bytes);
+        wire::renewal r;
+        if (r.ParseFromString(bytes)) {
+            from_wire(r);
+        }
+        wire::raft_message m;
+        if (m.ParseFromString(bytes)) {
+            from_wire(m);
+        }
+    }));
+}
+
+TEST(messages, a_probes_row_is_read_strictly) {
+    backend_outcome o;
+    o.answered = true;
+    o.first_value = "f\t7\t4096";
+    EXPECT_EQ(parse_probe_row(o), (probe_result{.is_primary = true, .timeline = 7, .position = 4096}));
+    EXPECT_TRUE(rc::check([](const std::string& text) {
+        backend_outcome any;
+        any.answered = true;
+        any.first_value = text;
+        parse_probe_row(any);
+    }));
+}
+
+TEST(messages, signatures_bind_path_body_and_reply) {
+    const shared_keys keys{.keys = {std::string(40, 'k')}};
+    const signed_nonce s = sign_request(keys, "/v1/edit", "body");
+    EXPECT_TRUE(check_request(keys, "/v1/edit", "body", s));
+    EXPECT_FALSE(check_request(keys, "/v1/drain", "body", s));
+    EXPECT_FALSE(check_request(keys, "/v1/edit", "other", s));
+    EXPECT_FALSE(check_request({.keys = {std::string(40, 'x')}}, "/v1/edit", "body", s));
+    EXPECT_TRUE(check_request({.keys = {std::string(40, 'x'), std::string(40, 'k')}}, "/v1/edit", "body", s)) << "rotation";
+    EXPECT_FALSE(check_reply(keys, "another request", "answer", sign_reply(keys, s.signature, "answer")));
+}
+
+//-----------------------------------------------------------------------------
+// [settings]
+//-----------------------------------------------------------------------------
+
+const std::string good_settings = "[instance]\nid = \"a\"\nfailure_domain = \"d\"\n[peer]\nkey_file = \"k\"\n"
+                                  "[control]\naddresses = [\"127.0.0.1:1\"]\n";
+
+std::string problem_of(const std::string& text) {
+    return leaf::try_handle_all(
+        [&]() -> leaf::result<std::string> {
+            BOOST_LEAF_CHECK(parse_settings(text, "f.toml"));
+            return std::string("good");
+        },
+        [](const settings_problem& p) { return to_string(p); }, [] { return std::string("?"); });
+}
+
+TEST(settings, every_mistake_is_named_with_its_place_and_code) {
+    EXPECT_EQ(problem_of(good_settings), "good");
+    EXPECT_EQ(problem_of(good_settings + "[entry]\nmax_client = 5\n"), "f.toml:9: entry.max_client: no such key [1002 settings_unknown_key]");
+    EXPECT_EQ(problem_of(good_settings + "[entry]\nmax_clients = \"many\"\n"), "f.toml:9: entry.max_clients: takes a whole number [1003 settings_wrong_type]");
+    EXPECT_EQ(problem_of(good_settings + "[entry]\nmax_clients = 0\n"), "f.toml:9: entry.max_clients: takes 1 to 100000 [1004 settings_out_of_range]");
+    EXPECT_EQ(problem_of("[instance]\nid = \"a\"\n"), "f.toml: instance.failure_domain: names the part of the site that fails together [1005 settings_missing_key]");
+    EXPECT_NE(problem_of("[instance\n").find("[1001 settings_unreadable]"), std::string::npos);
+    EXPECT_NE(problem_of("x = 1\n").find("[1002"), std::string::npos);
+}
+
+TEST(settings, any_text_is_read_without_harm) {
+    EXPECT_TRUE(rc::check([](const std::string& text) {
+        problem_of(text);
+        problem_of(good_settings + text);
+    }));
+}
+
+TEST(settings, a_table_file_comes_back_as_it_was) {
+    EXPECT_TRUE(rc::check([](std::uint8_t connections, std::uint8_t weight, bool leaving) {
+        table_file t;
+        t.revision = 7;
+        t.content.services = {{.id = {"shop"}, .max_connections = connections + 1U}};
+        t.content.servers = {{.id = {"pg-1"}, .weight = weight, .leaving = leaving}};
+        const auto back = parse_table(format_table(t), "t.toml");
+        RC_ASSERT(back.has_value());
+        RC_ASSERT(back.value() == t);
+    }));
+}
+
+//-----------------------------------------------------------------------------
+// [codes]
+//-----------------------------------------------------------------------------
+
+TEST(codes, stand_in_the_documents_table_word_for_word) {
+    const std::string page = read_file(std::string(LARCHPIN_SOURCE_DIR) + "/docs/ERRORS.md");
+    std::size_t rows = 0;
+    for (const result_code_entry& e : result_code_table()) {
+        std::ostringstream row;
+        row << "| " << static_cast<unsigned>(e.code) << " | `" << e.name << "` | " << e.sqlstate << " | " << e.meaning << " |";
+        EXPECT_NE(page.find(row.str()), std::string::npos) << row.str();
+        ++rows;
+    }
+    std::size_t in_page = 0;
+    for (auto at = page.find("| `"); at != std::string::npos; at = page.find("| `", at + 1)) {
+        ++in_page;
+    }
+    EXPECT_EQ(in_page, rows);
+}
+
+} // namespace
+} // namespace larchpin
--- /dev/null
+++ b/tests/session_fuzz_test.cpp
@@ -0,0 +1,317 @@
+// Reads against a model of the group's history: whatever routing chooses, a session sees its own writes, never
+// goes back, and gets data no older than it stated; or it is told that a write was lost.
+#include "core/routing.hpp"
+
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <functional>
+#include <iostream>
+#include <random>
+
+namespace larchpin {
+namespace {
+
+constexpr int steps = 3000;
+constexpr std::size_t server_count = 3;
+
+struct broken_rules {
+    bool ignore_floor = false;      // sessions forget what they wrote
+    bool ignore_seen = false;       // and what they read
+    bool old_primary_counts = false; // samples of a replaced primary are taken in
+};
+
+struct acknowledged {
+    time_point at{};
+    log_position position = 0;
+};
+
+struct model_server {
+    server_id id;
+    log_position position = 0; // of the history of its timeline
+    std::uint64_t timeline = 1;
+};
+
+// What a session really has done, beside what it believes.
+struct model_session {
+    session_state state;
+    duration staleness{0};
+    log_position must_see = 0; // of the current term's history
+    log_position written = 0;  // by itself
+    bool lost = false;         // a part of what it saw is gone
+    bool lost_write = false;   // a part of what it wrote is gone
+    bool idle = true;          // has neither read nor written
+};
+
+class history_model {
+public:
+    history_model(std::uint64_t seed, const broken_rules& broken) : random_(seed), broken_(broken) {
+        for (std::size_t i = 0; i < server_count; ++i) {
+            servers_.push_back({.id = {"s" + std::to_string(i)}, .position = 100, .timeline = 1});
+        }
+        view_.record = {.id = {"g"}, .term = 1, .primary = {"s0"}, .timeline = 1, .starts = {{.term = 1, .position = 0}}};
+        view_.positions = &positions_;
+        for (int i = 0; i < 6; ++i) {
+            sessions_.push_back(make_session());
+        }
+    }
+
+    std::string run() {
+        for (int i = 0; i < steps && violation_.empty(); ++i) {
+            step();
+        }
+        return violation_;
+    }
+
+    std::uint64_t on_replica = 0;
+    std::uint64_t on_primary = 0;
+    std::uint64_t told_lost = 0;
+
+private:
+    int number(int highest) { return std::uniform_int_distribution<int>(0, highest)(random_); }
+    bool chance(double p) { return std::uniform_real_distribution<double>(0, 1)(random_) < p; }
+
+    model_session make_session() {
+        model_session s;
+        s.state.group = {"g"};
+        s.state.arrived_at = now_;
+        s.staleness = chance(0.5) ? duration{0} : duration{std::chrono::milliseconds{50 + number(400)}};
+        // Everything acknowledged before it arrived is owed to a session that states no age.
+        s.must_see = s.staleness > duration{0} || acks_.empty() ? 0 : acks_.back().position;
+        return s;
+    }
+
+    model_server& primary() {
+        return *std::find_if(servers_.begin(), servers_.end(), [this](const auto& s) { return s.id == view_.record.primary; });
+    }
+
+    void step() {
+        now_ += std::chrono::milliseconds{1 + number(9)};
+        while (!queue_.empty() && queue_.begin()->first <= now_) {
+            const auto what = queue_.begin()->second;
+            queue_.erase(queue_.begin());
+            what();
+        }
+        replicate();
+        if (chance(0.4)) {
+            sample(servers_[static_cast<std::size_t>(number(server_count - 1))]);
+        }
+        model_session& s = sessions_[static_cast<std::size_t>(number(static_cast<int>(sessions_.size()) - 1))];
+        if (chance(0.02)) {
+            move(s);
+        } else if (chance(0.3)) {
+            write(s);
+        } else {
+            read(s);
+        }
+        if (chance(0.005)) {
+            fail_over();
+        }
+    }
+
+    void replicate() {
+        for (model_server& s : servers_) {
+            if (s.id == view_.record.primary) {
+                continue;
+            }
+            if (s.timeline != view_.record.timeline) {
+                if (chance(0.05)) { // follows the new primary, from where the histories part
+                    s.timeline = view_.record.timeline;
+                    s.position = std::min(s.position, view_.record.starts.back().position);
+                }
+                continue;
+            }
+            if (chance(0.5)) {
+                s.position = std::min(primary().position, s.position + static_cast<log_position>(number(12)));
+            }
+        }
+    }
+
+    // Asked now, read a little later, known later still.
+    void sample(const model_server& asked) {
+        const server_id id = asked.id;
+        queue_.emplace(now_ + std::chrono::milliseconds{number(5)}, [this, id, asked_at = now_] {
+            const auto s = std::find_if(servers_.begin(), servers_.end(), [&id](const auto& m) { return m.id == id; });
+            const position_sample found{.not_before = asked_at, .timeline = s->timeline, .position = s->position};
+            queue_.emplace(now_ + std::chrono::milliseconds{number(20)}, [this, id, found] {
+                add_server_sample(positions_, id, found, now_);
+                const bool current = view_.record.primary == id && found.timeline == view_.record.timeline;
+                if (current || (broken_.old_primary_counts && id.value == "s0")) {
+                    add_primary_sample(positions_, view_.record.term, found);
+                }
+            });
+        });
+    }
+
+    void write(model_session& s) {
+        if (has_lost_write(s.state, view_.record)) {
+            return;
+        }
+        adopt_term(s.state, view_.record);
+        primary().position += 1 + static_cast<log_position>(number(3));
+        acks_.push_back({.at = now_, .position = primary().position});
+        s.must_see = std::max(s.must_see, primary().position);
+        s.written = primary().position;
+        s.idle = false;
+        note_write(s.state, view_.record.term, primary().position);
+    }
+
+    void read(model_session& s) {
+        if (broken_.ignore_floor) {
+            s.state.floor = session_token{.group = {"g"}, .term = view_.record.term, .position = 0};
+            s.state.known.reset();
+        }
+        if (broken_.ignore_seen) {
+            s.state.seen.reset();
+        }
+        resolve_seen(s.state, view_.record, positions_);
+        if (has_lost_write(s.state, view_.record)) {
+            ++told_lost;
+            // A read's mark is an upper bound of what it showed, so only idle sessions are surely unharmed.
+            if (s.idle) {
+                violation_ = "a session that did nothing was told of a lost write";
+            }
+            s = make_session();
+            return;
+        }
+        adopt_term(s.state, view_.record);
+        view_.servers.clear();
+        for (const model_server& m : servers_) {
+            view_.servers.push_back({.id = m.id});
+        }
+        const routing_decision d = route_read(view_, s.state, s.staleness, true, {}, now_ - std::chrono::milliseconds{number(50)}, now_, random_);
+        if (d.kind != target_kind::server) {
+            return;
+        }
+        (d.is_primary ? on_primary : on_replica) += 1;
+        const auto server = std::find_if(servers_.begin(), servers_.end(), [&d](const auto& m) { return m.id == d.server; });
+        const log_position seen = server->position;
+        if (s.lost_write) {
+            violation_ = "a session whose write was lost was not told";
+        }
+        s.idle = false;
+        if (s.lost) {
+            return; // what it saw is gone, and it was too fresh to be known
+        }
+        if (server->timeline != view_.record.timeline) {
+            violation_ = "read from a server on an older timeline";
+        } else if (seen < s.must_see) {
+            violation_ = "read older data than the session has seen";
+        } else if (s.staleness > duration{0}) {
+            for (const acknowledged& a : acks_) {
+                if (a.at + s.staleness < now_ && a.position > seen) {
+                    violation_ = "read data older than stated";
+                }
+            }
+        }
+        s.must_see = std::max(s.must_see, seen);
+        note_read(s.state, d.server, now_);
+    }
+
+    // Goes on elsewhere, with its token; what it only read is not carried.
+    void move(model_session& s) {
+        if (!s.state.known) {
+            return;
+        }
+        const std::string token = format_token(*s.state.known);
+        const log_position carried = s.state.known->position;
+        model_session next = make_session();
+        next.staleness = s.staleness;
+        next.must_see = std::min(carried, primary().position);
+        next.written = s.written;
+        next.lost = s.lost;
+        next.lost_write = s.lost_write;
+        next.idle = s.idle;
+        if (!apply_setting(next.state, "session", token)) {
+            violation_ = "a token was refused";
+        }
+        s = next;
+    }
+
+    void fail_over() {
+        model_server* best = nullptr;
+        for (model_server& s : servers_) {
+            const bool fits = s.id != view_.record.primary && s.timeline == view_.record.timeline;
+            if (fits && (best == nullptr || s.position > best->position)) {
+                best = &s;
+            }
+        }
+        if (best == nullptr) {
+            return;
+        }
+        ++best->timeline;
+        view_.record.term += 1;
+        view_.record.primary = best->id;
+        view_.record.timeline = best->timeline;
+        view_.record.starts.push_back({.term = view_.record.term, .position = best->position});
+        if (view_.record.starts.size() > max_term_starts) {
+            view_.record.starts.erase(view_.record.starts.begin());
+        }
+        std::erase_if(acks_, [best](const acknowledged& a) { return a.position > best->position; });
+        for (model_session& s : sessions_) {
+            s.lost_write = s.lost_write || s.written > best->position;
+            s.lost = s.lost || (!s.idle && s.must_see > best->position);
+            s.must_see = std::min(s.must_see, best->position);
+        }
+    }
+
+    std::mt19937_64 random_;
+    broken_rules broken_;
+    time_point now_{std::chrono::seconds{10}};
+    group_view view_;
+    group_positions positions_;
+    std::vector<model_server> servers_;
+    std::vector<model_session> sessions_;
+    std::vector<acknowledged> acks_;
+    std::multimap<time_point, std::function<void()>> queue_;
+    std::string violation_;
+};
+
+TEST(session_fuzz, every_read_gives_the_session_what_it_is_owed) {
+    std::uint64_t on_replica = 0;
+    std::uint64_t on_primary = 0;
+    std::uint64_t told_lost = 0;
+    const bool held = rc::check([&] {
+        const auto seed = *rc::gen::arbitrary<std::uint32_t>();
+        history_model model(seed, {});
+        const std::string violation = model.run();
+        RC_ASSERT(violation == std::string{});
+        on_replica += model.on_replica;
+        on_primary += model.on_primary;
+        told_lost += model.told_lost;
+    });
+    EXPECT_TRUE(held);
+    EXPECT_GT(on_replica, 0U);
+    EXPECT_GT(told_lost, 0U);
+    std::cout << on_replica << " reads on replicas, " << on_primary << " on the primary, " << told_lost
+              << " sessions told of a lost write\n";
+}
+
+void expect_noticed(const broken_rules& broken) {
+    constexpr std::uint64_t most_seeds = 100;
+    for (std::uint64_t seed = 1; seed <= most_seeds; ++seed) {
+        history_model model(seed, broken);
+        const std::string violation = model.run();
+        if (!violation.empty()) {
+            std::cout << "noticed with seed " << seed << ": " << violation << "\n";
+            return;
+        }
+    }
+    ADD_FAILURE() << "the broken rule went unnoticed";
+}
+
+TEST(session_fuzz, notices_a_forgotten_write) {
+    expect_noticed({.ignore_floor = true});
+}
+
+TEST(session_fuzz, notices_a_forgotten_read) {
+    expect_noticed({.ignore_seen = true});
+}
+
+TEST(session_fuzz, notices_samples_of_a_replaced_primary) {
+    expect_noticed({.old_primary_counts = true});
+}
+
+} // namespace
+} // namespace larchpin
