--- a/src/core/cluster_state.hpp
+++ b/src/core/cluster_state.hpp
@@ -113,7 +113,7 @@
     std::map<server_id, server_record> servers;
     std::map<instance_id, instance_record> instances;
     revision_number instances_revision = 0; // index at which an instance's record last changed
-    std::deque<remembered_change> changes; // oldest first, bounded
+    std::deque<remembered_change> changes;  // oldest first, bounded
     bool operator==(const cluster_state&) const = default;
 };
 
--- a/src/core/control.cpp
+++ b/src/core/control.cpp
@@ -102,14 +102,16 @@
 
 // The daemons that keep one connection even without a lease. Ranking all instances is too much for every
 // renewal, so it is remembered until an instance's record changes.
-const std::vector<instance_id>& find_reserve(control_state& c, const cluster_state& s, const server_record& server) {
+const std::vector<instance_id>& find_reserve(control_state& c, const cluster_state& s,
+                                             const server_record& server) {
     if (c.reserves_revision != s.instances_revision) {
         c.reserves.clear();
         c.reserves_revision = s.instances_revision;
     }
     const auto known = c.reserves.find(server.id);
-    return known != c.reserves.end() ? known->second
-                                     : c.reserves.emplace(server.id, reserve_holders(s, server)).first->second;
+    return known != c.reserves.end()
+               ? known->second
+               : c.reserves.emplace(server.id, reserve_holders(s, server)).first->second;
 }
 
 // What one daemon holds and wants of a share, as far as the leader knows.
@@ -118,8 +120,8 @@
     unsigned wanted = 0;
 };
 
-share_position position_of(const control_state& c, const instance_id& daemon, const share_key& key, unsigned reserve,
-                           time_point now) {
+share_position position_of(const control_state& c, const instance_id& daemon, const share_key& key,
+                           unsigned reserve, time_point now) {
     const auto found = c.daemons.find(daemon);
     if (found == c.daemons.end() || !has_live_lease(found->second, now)) {
         return {.held = reserve, .wanted = reserve};
@@ -129,8 +131,8 @@
     return {.held = std::max(reserve, held_share(found->second, key)), .wanted = std::max(reserve, wanted)};
 }
 
-unsigned decide_share(control_state& c, const cluster_state& s, const instance_id& daemon, const share_claim& claim,
-                      time_point now) {
+unsigned decide_share(control_state& c, const cluster_state& s, const instance_id& daemon,
+                      const share_claim& claim, time_point now) {
     const auto server = s.servers.find(claim.key.server);
     const service_entry* service = find_service(s.current, claim.key.service);
     if (server == s.servers.end() || service == nullptr) {
--- a/src/core/control.hpp
+++ b/src/core/control.hpp
@@ -186,10 +186,10 @@
     std::vector<observer_candidate> observer_candidates; // that `observers` was made from
     std::map<server_id, std::vector<instance_id>> observers;
     std::map<instance_id, std::vector<server_id>> observed_by; // the same, the other way round
-    std::map<server_id, std::vector<instance_id>> reserves; // reserve_holders(), remembered
-    revision_number reserves_revision = 0;                  // instances_revision that they were made from
-    std::map<share_key, std::set<instance_id>> claimants;   // who may hold a part of it, or wants one
-    std::set<instance_id> proposed_instances; // in the log, not applied yet
+    std::map<server_id, std::vector<instance_id>> reserves;    // reserve_holders(), remembered
+    revision_number reserves_revision = 0;                     // instances_revision that they were made from
+    std::map<share_key, std::set<instance_id>> claimants;      // who may hold a part of it, or wants one
+    std::set<instance_id> proposed_instances;                  // in the log, not applied yet
     std::map<server_id, server_record> proposed_servers;
     std::set<group_id> proposed_groups;
     std::uint64_t next_operation = 1;
--- a/src/core/control_core.cpp
+++ b/src/core/control_core.cpp
@@ -27,7 +27,9 @@
         e.command.empty() ? std::optional<command>{std::monostate{}} : c.codec.decode(e.command);
     const change_outcome outcome = apply(c.cluster, e.index, decoded.value_or(std::monostate{}));
     c.recent.push_back(e);
-    if (c.recent.size() > max_recent_entries) {
+    c.recent_bytes += e.command.size();
+    while (c.recent.size() > max_recent_entries || c.recent_bytes > max_recent_bytes) {
+        c.recent_bytes -= c.recent.front().command.size();
         c.recent.pop_front();
     }
     const auto* edit = decoded ? std::get_if<edit_table>(&*decoded) : nullptr;
@@ -46,6 +48,7 @@
         c.cluster = c.codec.decode_state(log.restored->data).value_or(cluster_state{});
         c.cluster.revision = log.restored->index;
         c.recent.clear();
+        c.recent_bytes = 0;
         log.restored.reset();
     }
     const std::vector<raft::entry> committed = std::move(log.committed);
@@ -58,7 +61,9 @@
 }
 
 void compact_if_long(control_core& c) {
-    if (c.consensus.log.size() >= c.snapshot_entries && c.cluster.revision == c.consensus.delivered) {
+    const bool is_long =
+        c.consensus.log.size() >= c.snapshot_entries || c.consensus.log_bytes >= max_log_bytes;
+    if (is_long && c.cluster.revision == c.consensus.delivered) {
         raft::compact(c.consensus, c.cluster.revision, c.codec.encode_state(c.cluster));
     }
 }
--- a/src/core/control_core.hpp
+++ b/src/core/control_core.hpp
@@ -46,12 +46,16 @@
     cluster_state cluster;
     control_state control;
     std::deque<raft::entry> recent;      // applied entries that daemons may still ask for
+    std::size_t recent_bytes = 0;        // of their commands
     std::size_t snapshot_entries = 4096; // log entries before they are replaced by a snapshot
     raft::member self;
     control_output out;
 };
 
+// An edit carries the whole table, 18 KB at the size to design for, so bytes are bounded too.
 constexpr std::size_t max_recent_entries = 8192;
+constexpr std::size_t max_recent_bytes = 4U * 1024 * 1024;
+constexpr std::size_t max_log_bytes = 4U * 1024 * 1024;
 
 control_core make_control_core(const command_codec& codec, const raft::member& self,
                                const raft::settings& timing, const control_settings& settings,
--- a/src/core/pool.cpp
+++ b/src/core/pool.cpp
@@ -92,7 +92,8 @@
 void refuse_all(pool_state& p, result_code code, duration retry_after, pool_actions& actions) {
     for (auto& queue : p.waiting) {
         for (const pool_waiter& w : queue) {
-            actions.emplace_back(refuse_request{.request = w.request, .code = code, .retry_after = retry_after});
+            actions.emplace_back(
+                refuse_request{.request = w.request, .code = code, .retry_after = retry_after});
         }
         queue.clear();
     }
--- a/src/core/raft.cpp
+++ b/src/core/raft.cpp
@@ -37,10 +37,12 @@
     bool members_dropped = false;
     while (last_index(s) >= e.index) {
         members_dropped = members_dropped || s.log.back().config.has_value();
+        s.log_bytes -= s.log.back().command.size();
         s.log.pop_back();
     }
     s.persisted = std::min(s.persisted, e.index - 1);
     s.log.push_back(e);
+    s.log_bytes += e.command.size();
     s.out.records.push_back(record{.hard = {}, .log_entry = e, .snap = {}});
     if (members_dropped) {
         refresh_members(s);
@@ -376,6 +378,7 @@
     if (m.snap->index > s.commit) {
         s.snap = *m.snap;
         s.log.clear();
+        s.log_bytes = 0;
         s.commit = s.snap.index;
         s.delivered = s.snap.index;
         s.persisted = s.snap.index;
@@ -509,6 +512,9 @@
     s.hard = from.hard;
     s.snap = from.snap;
     s.log.assign(from.log.begin(), from.log.end());
+    for (const entry& e : s.log) {
+        s.log_bytes += e.command.size();
+    }
     s.commit = s.snap.index;
     s.delivered = s.snap.index;
     s.persisted = last_index(s);
@@ -617,6 +623,7 @@
         if (s.log.front().config) {
             next.config = *s.log.front().config;
         }
+        s.log_bytes -= s.log.front().command.size();
         s.log.pop_front();
     }
     s.snap = next;
--- a/src/core/raft.hpp
+++ b/src/core/raft.hpp
@@ -149,9 +149,10 @@
     node_id self = 0;
     settings config;
     hard_state hard;
-    snapshot snap;         // base of the log
-    std::deque<entry> log; // entries after the snapshot
-    configuration members; // newest one in the log, committed or not
+    snapshot snap;             // base of the log
+    std::deque<entry> log;     // entries after the snapshot
+    std::size_t log_bytes = 0; // of their commands
+    configuration members;     // newest one in the log, committed or not
     std::uint64_t members_index = 0;
     role current_role = role::follower;
     node_id leader = 0;
--- a/src/core/rendezvous.cpp
+++ b/src/core/rendezvous.cpp
@@ -45,6 +45,7 @@
         }
     }
     std::vector<instance_id> chosen;
+    chosen.reserve(best.size());
     for (const auto& [domain, r] : best) {
         chosen.push_back(r.id);
     }
--- a/src/core/routing.cpp
+++ b/src/core/routing.cpp
@@ -37,8 +37,8 @@
 // Without a lease nobody knows whether the primary has been replaced. It is then one more server that holds
 // what it is known to hold, but only for reads that the caller vouches for: it would not refuse a write.
 bool may_take_reads(const group_view& g, const server_view& s, bool as_replica, time_point now) {
-    return (s.id != g.record.primary || as_replica) && s.weight > 0 && s.ramp > 0 && !s.leaving && s.has_connections &&
-           now >= s.ejected_until;
+    return (s.id != g.record.primary || as_replica) && s.weight > 0 && s.ramp > 0 && !s.leaving &&
+           s.has_connections && now >= s.ejected_until;
 }
 
 routing_decision to_server(const server_id& id, bool is_primary) {
@@ -61,9 +61,9 @@
             .code = result_code::ok};
 }
 
-bool meets_floor(const group_view& g, const server_view& server, const session_state& s) {
+bool holds(const group_view& g, const server_view& server, const session_token& mark) {
     const auto position = known_position(*g.positions, server.id, g.record.timeline);
-    return position && s.floor && s.floor->term <= g.record.term && *position >= s.floor->position;
+    return position && mark.term <= g.record.term && *position >= mark.position;
 }
 
 // After a read the session stays with that server until it is known how far it saw.
@@ -75,14 +75,11 @@
 
 bool qualifies(const group_view& g, const server_view& server, const session_state& s, duration staleness,
                time_point now) {
-    if (!meets_monotonic(server, s)) {
-        return false;
-    }
     if (staleness <= duration{0}) {
-        return meets_floor(g, server, s);
+        return meets_monotonic(server, s) && s.floor && holds(g, server, *s.floor);
     }
     // Read-your-writes holds beside a stated age: the age only frees the session from others' writes.
-    if (s.floor && !meets_floor(g, server, s)) {
+    if (s.wrote && !holds(g, server, *s.wrote)) {
         return false;
     }
     const auto fresh = fresh_as_of(*g.positions, server.id, g.record.timeline);
@@ -122,7 +119,7 @@
         const bool second_is_better = expected_delay(*second, settings) < expected_delay(*first, settings);
         return to_server(second_is_better ? second->id : first->id, false);
     }
-    const routing_decision primary = route_write(g, lease_live);
+    routing_decision primary = route_write(g, lease_live);
     const bool may_still_wait = any_usable && now - asked_at < settings.replica_wait;
     if (primary.kind == target_kind::refuse || may_still_wait) {
         // Without a primary a replica may yet catch up; the caller's deadline ends that.
--- a/src/core/session.cpp
+++ b/src/core/session.cpp
@@ -51,7 +51,8 @@
     return std::nullopt;
 }
 
-void raise(std::optional<session_token>& mark, const group_id& group, term_number term, log_position position) {
+void raise(std::optional<session_token>& mark, const group_id& group, term_number term,
+           log_position position) {
     if (!mark || term > mark->term) {
         mark = session_token{.group = group, .term = term, .position = position};
     } else if (term == mark->term) {
@@ -64,6 +65,11 @@
     raise(s.floor, s.group, term, position);
 }
 
+void raise_wrote(session_state& s, term_number term, log_position position) {
+    raise(s.wrote, s.group, term, position);
+    raise_known(s, term, position);
+}
+
 // Positions beyond the start of a later term mean nothing in it.
 void move_to_term(std::optional<session_token>& mark, const group_record& group) {
     if (!mark || mark->term >= group.term) {
@@ -77,6 +83,7 @@
     if (value.empty()) {
         s.floor.reset();
         s.known.reset();
+        s.wrote.reset();
         s.seen.reset();
         return true;
     }
@@ -85,7 +92,7 @@
         return false;
     }
     // A token never lowers what this session has seen itself.
-    raise_known(s, token->term, token->position);
+    raise_wrote(s, token->term, token->position);
     return true;
 }
 
@@ -146,7 +153,7 @@
 }
 
 void note_write(session_state& s, term_number term, log_position position) {
-    raise_known(s, term, position);
+    raise_wrote(s, term, position);
 }
 
 void note_read(session_state& s, const server_id& server, time_point finished_at) {
@@ -192,6 +199,7 @@
 void adopt_term(session_state& s, const group_record& group) {
     if (!has_lost_write(s, group)) {
         move_to_term(s.known, group);
+        move_to_term(s.wrote, group);
         move_to_term(s.floor, group);
     }
 }
--- a/src/core/session.hpp
+++ b/src/core/session.hpp
@@ -1,8 +1,10 @@
 // What one caller's session has seen, what it asked for, and what that demands of the next read.
 //
-// Read-your-writes: `floor` is at or beyond every write of the session. Monotonic reads: after a read the
-// session may have seen more than the floor says, so it stays with that server until a sample of it, asked
-// after the read, tells how far that was (see resolve_seen()).
+// Read-your-writes: `floor` is at or beyond every write of the session. Monotonic reads, for sessions that
+// state no age: after a read the session may have seen more than the floor says, so it stays with that server
+// until a sample of it, asked after the read, tells how far that was (see resolve_seen()). A session that
+// states an age is owed its own writes and that age, nothing more: it may go back within the age. Otherwise
+// one read on the primary would bind it to the primary for as long as it goes on reading.
 //
 // The token "group/term/position" (position in hex) carries the floor to another proxy. A session that
 // comes without one first learns the primary's position asked after its arrival: every write that was
@@ -63,7 +65,8 @@
     time_point arrived_at{};
     session_settings settings;
     std::optional<session_token> floor; // a read must show at least this; none: not known yet, see above
-    std::optional<session_token> known; // what it wrote, or may have read; the token that the caller gets
+    std::optional<session_token> known; // what it wrote, or may have read
+    std::optional<session_token> wrote; // what it wrote; the token that the caller gets
     std::optional<seen_read> seen;      // a read whose position is not known yet
 };
 
--- a/src/core/statement.cpp
+++ b/src/core/statement.cpp
@@ -42,7 +42,7 @@
 
 std::string take_word(std::string_view& text) {
     text = skip_blank(text);
-    const auto end = std::find_if_not(text.begin(), text.end(), is_word);
+    const auto* end = std::find_if_not(text.begin(), text.end(), is_word);
     const auto length = static_cast<std::size_t>(end - text.begin());
     std::string word = to_lower(text.substr(0, length));
     text.remove_prefix(length);
--- a/src/ctl/main.cpp
+++ b/src/ctl/main.cpp
@@ -120,8 +120,10 @@
     }
     json::array members;
     for (const auto& m : s.members()) {
-        members.push_back(
-            json::object{{"name", m.name()}, {"node", std::to_string(m.id())}, {"voter", m.voter()}, {"silent", m.silent()}});
+        members.push_back(json::object{{"name", m.name()},
+                                       {"node", std::to_string(m.id())},
+                                       {"voter", m.voter()},
+                                       {"silent", m.silent()}});
     }
     out["groups"] = groups;
     out["servers"] = servers;
@@ -155,7 +157,8 @@
     std::cout << "control leader " << s.leader() << "  revision " << s.revision() << "  table "
               << s.table_revision() << "\n";
     for (const auto& m : s.members()) {
-        std::cout << "  " << std::left << std::setw(16) << m.name() << (m.voter() ? "voter" : "learner") << (m.silent() ? "  SILENT" : "") << "\n";
+        std::cout << "  " << std::left << std::setw(16) << m.name() << (m.voter() ? "voter" : "learner")
+                  << (m.silent() ? "  SILENT" : "") << "\n";
     }
     for (const auto& g : s.groups()) {
         print_group(s, g);
--- a/src/daemon/agent.cpp
+++ b/src/daemon/agent.cpp
@@ -35,7 +35,8 @@
 constexpr duration probe_connect_timeout = std::chrono::milliseconds{500};
 constexpr unsigned refusals_for_dead = 2;
 constexpr duration share_request_interval = std::chrono::milliseconds{50};
-constexpr std::size_t peers_asked = 2; // for one server's position
+constexpr std::size_t peers_asked = 2; // for one server's position, until one of them answers
+constexpr duration source_patience = std::chrono::milliseconds{300}; // afterwards all are asked again
 constexpr std::size_t max_announcements = 20'000;
 
 std::uint64_t make_incarnation() {
@@ -484,8 +485,14 @@
             }
             auto ranked = ranked_instances(cluster_, config_.domain, server.id);
             std::erase(ranked, config_.id);
+            const position_source& source = sources_[server.id];
+            const bool source_answers = at - source.answered_at < source_patience;
             for (std::size_t i = 0; i < ranked.size() && i < peers_asked; ++i) {
-                wire::position_request& request = requests[cluster_.instances.at(ranked[i]).address];
+                const std::string& address = cluster_.instances.at(ranked[i]).address;
+                if (source_answers && address != source.address) {
+                    continue;
+                }
+                wire::position_request& request = requests[address];
                 (fresh && is_primary ? *request.add_fresh() : *request.add_servers()) = server.id.value;
             }
         }
@@ -507,6 +514,7 @@
                     return;
                 }
                 for (const auto& e : reply.entries()) {
+                    sources_[{e.server()}] = {.address = key, .answered_at = now()};
                     // Its age was told after we asked, so the sample is at most that
                     // much older than our question.
                     const auto age = grantor_length(duration{static_cast<std::int64_t>(e.age_ns())});
--- a/src/daemon/agent.hpp
+++ b/src/daemon/agent.hpp
@@ -135,6 +135,11 @@
     std::map<group_id, time_point> fresh_wanted_;
     std::map<group_id, retry_budget> budgets_;
     std::map<std::string, bool> pulling_;
+    struct position_source {
+        std::string address;
+        time_point answered_at{};
+    };
+    std::map<server_id, position_source> sources_; // who answered last for a server
     time_point next_pull_{};
     std::map<std::string, std::unique_ptr<http2_client>> clients_;
 };
--- a/src/daemon/client_request.cpp
+++ b/src/daemon/client_request.cpp
@@ -105,6 +105,7 @@
         finish_with_error(result_code::term_changed, run_state::not_run, come_back_after);
         return;
     }
+    owner_.note_waiting(number_);
     run_statement();
 }
 
@@ -182,9 +183,31 @@
         owner_.note_waiting(number_);
     } else if (active_->step == request_step::safety) {
         wait_for_safety();
+    } else if (active_->on_primary && pinned_) {
+        abandon_if_replaced();
     }
 }
 
+// Once the primary is fenced or replaced, or the lease is gone, nothing that it still answers can be passed
+// on as a success: the caller learns at once what is known of its request.
+void client_session::abandon_if_replaced() {
+    if (term_still_holds()) {
+        owner_.note_waiting(number_);
+        return;
+    }
+    active_request& r = *active_;
+    const run_state run = outcome_if_lost();
+    const bool in_transaction = pinned_->in_transaction();
+    owner_.cluster.note_request_ended(r.server, true, now() - r.used_from);
+    r.serial = next_serial_++; // a late answer reaches nobody
+    pinned_->connection->cancel_running();
+    drop_connection();
+    failed_transaction_ =
+        in_transaction && r.kind != statement_kind::commit && r.kind != statement_kind::rollback;
+    finish_with_error(result_code::term_changed, run,
+                      run == run_state::not_run ? come_back_after : duration{0});
+}
+
 //-----------------------------------------------------------------------------
 // [connection]
 //-----------------------------------------------------------------------------
@@ -263,6 +286,7 @@
         route();
         return;
     }
+    owner_.note_waiting(number_);
     run_settings();
 }
 
--- a/src/daemon/client_session.cpp
+++ b/src/daemon/client_session.cpp
@@ -208,7 +208,7 @@
         return;
     }
     if (request->code == pg_ssl_request) {
-        active_.emplace(); // no messages until the handshake is done
+        active_ = active_request{}; // no messages until the handshake is done
         const auto self = shared_from_this();
         writing_ = "S";
         write_active_ = true;
@@ -254,12 +254,10 @@
             }
         }
     }
-    for (const auto& [name, value] : request.parameters) {
-        if (!is_harmless_parameter(name, value) && !change_setting("set " + name + " = " + quote(value))) {
-            return false;
-        }
-    }
-    return true;
+    return std::all_of(request.parameters.begin(), request.parameters.end(), [this](const auto& parameter) {
+        const auto& [name, value] = parameter;
+        return is_harmless_parameter(name, value) || change_setting("set " + name + " = " + quote(value));
+    });
 }
 
 void client_session::greet(const startup_request& request) {
@@ -542,7 +540,8 @@
     case statement_kind::set_session: {
         const setting_change change = parse_setting(text);
         if (in_transaction && !change.name.starts_with(own_prefix)) {
-            return local_answer::none; // ends with the transaction if that is rolled back: the server knows how
+            return local_answer::none; // ends with the transaction if that is rolled back: the server knows
+                                       // how
         }
         if (!change_setting(text)) {
             put_error(out_,
@@ -582,10 +581,10 @@
 }
 
 void client_session::put_token() {
-    if (!state_.known) {
+    if (!state_.wrote) {
         return;
     }
-    const std::string token = format_token(*state_.known);
+    const std::string token = format_token(*state_.wrote);
     if (token != token_sent_) {
         token_sent_ = token;
         put_parameter(out_, "larchpin.session", token);
--- a/src/daemon/client_session.hpp
+++ b/src/daemon/client_session.hpp
@@ -130,6 +130,7 @@
     void wait_for_news(time_point retry_at);
     void queue();
     void leave_queue();
+    void abandon_if_replaced();
     void on_connection(const pool_answer& answer);
     void run_settings();
     void run_begin();
--- a/src/daemon/entry.hpp
+++ b/src/daemon/entry.hpp
@@ -18,8 +18,7 @@
 class entry {
 public:
     // Throws boost::system::system_error where the address cannot be listened to or TLS cannot be set up.
-    entry(boost::asio::io_context& io, const settings& config, agent& cluster, backend_pools& pools,
-          metrics& counts);
+    entry(boost::asio::io_context& context, const settings& s, agent& a, backend_pools& p, metrics& m);
 
     // Refuses new sessions, lets requests and transactions in flight finish (at most drain_time), then calls
     // `done` with the number of sessions that had to be cut.
--- a/src/io/auth.cpp
+++ b/src/io/auth.cpp
@@ -46,8 +46,8 @@
 
 std::string random_hex(std::size_t bytes) {
     std::string raw(bytes, '\0');
-    RAND_bytes(reinterpret_cast<unsigned char*>(raw.data()),
-               static_cast<int>(bytes)); // NOLINT(*-reinterpret-cast)
+    auto* to = reinterpret_cast<unsigned char*>(raw.data()); // NOLINT(*-reinterpret-cast): OpenSSL's bytes
+    RAND_bytes(to, static_cast<int>(bytes));
     return to_hex(raw);
 }
 
--- a/src/io/http2_connection.cpp
+++ b/src/io/http2_connection.cpp
@@ -204,9 +204,9 @@
             return;
         }
         self->in_callback_ = true;
-                                const ssize_t used = nghttp2_session_mem_recv(self->session_, self->read_buffer_.data(), length);
-                                self->in_callback_ = false;
-                                if (used < 0) {
+        const ssize_t used = nghttp2_session_mem_recv(self->session_, self->read_buffer_.data(), length);
+        self->in_callback_ = false;
+        if (used < 0) {
             self->close();
             return;
         }
--- a/src/io/http2_internal.hpp
+++ b/src/io/http2_internal.hpp
@@ -60,8 +60,8 @@
     static int on_data(nghttp2_session* session, std::uint8_t flags, std::int32_t stream,
                        const std::uint8_t* data, std::size_t length, void* user);
     static int on_frame(nghttp2_session* session, const nghttp2_frame* frame, void* user);
-    static int on_stream_close(nghttp2_session* session, std::int32_t stream, std::uint32_t code, void* user);
-    static ssize_t read_body(nghttp2_session* session, std::int32_t stream, std::uint8_t* buffer,
+    static int on_stream_close(nghttp2_session* session, std::int32_t id, std::uint32_t code, void* user);
+    static ssize_t read_body(nghttp2_session* session, std::int32_t id, std::uint8_t* buffer,
                              std::size_t length, std::uint32_t* flags, nghttp2_data_source* source,
                              void* user);
     void read_some();
--- a/src/io/metrics.cpp
+++ b/src/io/metrics.cpp
@@ -69,7 +69,7 @@
             for (std::size_t i = 0; i < quantiles.size(); ++i) {
                 out << "larchpin_latency_ms"
                     << labels(key, ",quantile=\"" + std::to_string(quantiles.at(i)).substr(0, 4) + "\"")
-                    << " " << acc::extended_p_square(m.latency_ms)[i] << "\n";
+                    << " " << acc::extended_p_square(m.latency_ms)[static_cast<std::ptrdiff_t>(i)] << "\n";
             }
             out << "larchpin_latency_ms_max" << plain << " " << acc::max(m.latency_ms) << "\n";
         }
--- a/src/io/settings.cpp
+++ b/src/io/settings.cpp
@@ -6,7 +6,6 @@
 
 #include <boost/leaf/error.hpp>
 
-#define TOML_EXCEPTIONS 0
 #include <toml++/toml.h>
 
 #include <fstream>
--- a/tests/site.hpp
+++ b/tests/site.hpp
@@ -31,9 +31,9 @@
 struct outcome {
     bool ok = false;
     std::string sqlstate;
-    unsigned code = 0;       // larchpin's own, 0: none
-    std::string run;         // not-run, ran, unknown; empty for a server's own error
-    std::string value;       // first column of the first row
+    unsigned code = 0; // larchpin's own, 0: none
+    std::string run;   // not-run, ran, unknown; empty for a server's own error
+    std::string value; // first column of the first row
     std::size_t rows = 0;
     std::string message;
 };
@@ -66,10 +66,10 @@
 };
 
 struct site_options {
-    int daemons = 3;            // the first three are control members too
+    int daemons = 3; // the first three are control members too
     int groups = 1;
-    int servers = 3;            // of each group
-    unsigned lag_ms = 20;       // of the replicas
+    int servers = 3;      // of each group
+    unsigned lag_ms = 20; // of the replicas
     unsigned service_ms = 0;
     unsigned max_connections = 20; // the service's limit at one server
     unsigned server_limit = 200;   // the servers' own
@@ -104,7 +104,7 @@
 
     caller connect(int daemon, const std::string& service, const std::string& group,
                    const std::string& options = "") const;
-    caller connect_server(const std::string& name) const; // without larchpin
+    caller connect_server(const std::string& name) const;                 // without larchpin
     [[nodiscard]] std::string primary_of(const std::string& group) const; // as control says; "" where unknown
     [[nodiscard]] term_number term_of(const std::string& group) const;
     [[nodiscard]] operator_client operators() const;
--- a/tools/standin/main.cpp
+++ b/tools/standin/main.cpp
@@ -160,7 +160,7 @@
 
     void start();
     void accept();
-    void wake_blocked();
+    void wake_blocked() const;
     void push_to_replicas();
     void apply_due();
     void promote();
@@ -223,7 +223,7 @@
                                if (error) {
                                    if (self->counted) {
                                        --self->host.connection_count;
-                --self->host.users[self->user].open;
+                                       --self->host.users[self->user].open;
                                        self->counted = false;
                                    }
                                    end_transaction(self->host.data, self->t);
@@ -548,7 +548,7 @@
     }
 }
 
-void server::wake_blocked() {
+void server::wake_blocked() const {
     for (auto& [id, weak] : std::map(sessions)) {
         auto s = weak.lock();
         if (!s || !s->blocked) {
