--- a/src/core/control_core.hpp
+++ b/src/core/control_core.hpp
@@ -54,8 +54,8 @@
 
 // An edit carries the whole table, 18 KB at the size to design for, so bytes are bounded too.
 constexpr std::size_t max_recent_entries = 8192;
-constexpr std::size_t max_recent_bytes = 4U * 1024 * 1024;
-constexpr std::size_t max_log_bytes = 4U * 1024 * 1024;
+constexpr std::size_t max_recent_bytes = 4'194'304;
+constexpr std::size_t max_log_bytes = 4'194'304;
 
 control_core make_control_core(const command_codec& codec, const raft::member& self,
                                const raft::settings& timing, const control_settings& settings,
--- a/src/core/health.cpp
+++ b/src/core/health.cpp
@@ -10,6 +10,8 @@
 constexpr unsigned max_doublings = 5;
 constexpr duration ramp_time = std::chrono::seconds{3};
 constexpr double lowest_ramp = 0.1;
+constexpr duration least_failed_latency = std::chrono::milliseconds{20};
+constexpr duration most_failed_latency = std::chrono::seconds{2};
 constexpr int smoothing = 8;
 constexpr double max_tokens = 10;
 constexpr double tokens_per_request = 0.1;
@@ -31,6 +33,7 @@
 
 void note_failed(server_health& h, time_point now) {
     h.outstanding -= h.outstanding > 0 ? 1 : 0;
+    h.latency = std::clamp(h.latency * 2, least_failed_latency, most_failed_latency);
     if (now < h.ejected_until) {
         return; // the rest of what was running there when it was ejected
     }
--- a/src/core/health.hpp
+++ b/src/core/health.hpp
@@ -1,6 +1,7 @@
 // How one backend server has been doing for this daemon's requests, and how many retries may be made.
 //
-// A server that fails several requests in a row gets no reads for a while (ejection); afterwards its share
+// A failure counts as a slow answer, and a server that fails several requests in a row gets no reads for a
+// while (ejection); afterwards its share
 // rises slowly, so that it is not met by a herd. Retries draw on a budget filled by ordinary requests, so
 // they can never multiply the load.
 #pragma once
--- a/src/core/routing.cpp
+++ b/src/core/routing.cpp
@@ -38,7 +38,7 @@
 // what it is known to hold, but only for reads that the caller vouches for: it would not refuse a write.
 bool may_take_reads(const group_view& g, const server_view& s, bool as_replica, time_point now) {
     return (s.id != g.record.primary || as_replica) && s.weight > 0 && s.ramp > 0 && !s.leaving &&
-           s.has_connections && now >= s.ejected_until;
+           !s.silent && s.has_connections && now >= s.ejected_until;
 }
 
 routing_decision to_server(const server_id& id, bool is_primary) {
--- a/src/core/routing.hpp
+++ b/src/core/routing.hpp
@@ -24,6 +24,7 @@
     server_id id;
     unsigned weight = 100;       // 0: takes no reads
     bool leaving = false;        // gets no new work
+    bool silent = false;         // its observers have not heard of it lately
     bool near = false;           // in this daemon's failure domain
     unsigned outstanding = 0;    // requests of this daemon running or waiting there
     duration latency{0};         // smoothed, of this daemon's requests; 0: unknown
--- a/src/ctl/table_file.cpp
+++ b/src/ctl/table_file.cpp
@@ -118,7 +118,8 @@
         entry.id.value = std::string(name.str());
         for (const auto& [key, value] : *keys) {
             const std::string key_name(key.str());
-            const std::string full = path + ("." + key_name);
+            std::string full = path;
+            full.append(".").append(key_name);
             BOOST_LEAF_CHECK(read_key(file, full, key_name, value, entry));
         }
         target.push_back(entry);
--- a/src/daemon/agent.cpp
+++ b/src/daemon/agent.cpp
@@ -621,6 +621,7 @@
         s.id = server.id;
         s.weight = entry.weight;
         s.leaving = entry.leaving || std::find(leaving_.begin(), leaving_.end(), server.id) != leaving_.end();
+        s.silent = is_silent(server);
         s.near = server.domain == config_.domain;
         s.outstanding = health.outstanding;
         s.latency = health.latency;
@@ -632,6 +633,16 @@
     return v;
 }
 
+bool agent::is_silent(const server_record& server) const {
+    const auto group = positions_.find(server.group);
+    if (group == positions_.end()) {
+        return false;
+    }
+    const auto known = group->second.servers.find(server.id);
+    return known != group->second.servers.end() &&
+           now() - known->second.newest.not_before > config_.detect_time + pull_interval * 2;
+}
+
 void agent::want_fresh_position(const group_id& group) {
     const bool first = fresh_wanted_.emplace(group, now()).second;
     if (first) {
--- a/src/daemon/agent.hpp
+++ b/src/daemon/agent.hpp
@@ -45,6 +45,8 @@
 
     // What routing needs for one group; also notes that the group is in use here.
     [[nodiscard]] group_view view(const group_id& group, const service_id& service);
+    // Nobody here has heard of the server for the detection time.
+    [[nodiscard]] bool is_silent(const server_record& server) const;
     // Asks for the primary's position anew, for sessions that have no floor yet.
     void want_fresh_position(const group_id& group);
 
--- a/src/daemon/client_request.cpp
+++ b/src/daemon/client_request.cpp
@@ -185,9 +185,24 @@
         wait_for_safety();
     } else if (active_->on_primary && pinned_) {
         abandon_if_replaced();
+    } else if (pinned_) {
+        abandon_if_silent();
     }
 }
 
+// A read on a replica that nobody hears of any more is tried elsewhere, if the caller has got nothing of it.
+void client_session::abandon_if_silent() {
+    const auto& servers = owner_.cluster.cluster().servers;
+    const auto server = servers.find(active_->server);
+    const bool silent = server != servers.end() && owner_.cluster.is_silent(server->second);
+    if (!silent || active_->forwarded || pinned_->in_transaction()) {
+        owner_.note_waiting(number_);
+        return;
+    }
+    active_->serial = next_serial_++; // a late answer reaches nobody
+    on_connection_lost();
+}
+
 // Once the primary is fenced or replaced, or the lease is gone, nothing that it still answers can be passed
 // on as a success: the caller learns at once what is known of its request.
 void client_session::abandon_if_replaced() {
--- a/src/daemon/client_session.hpp
+++ b/src/daemon/client_session.hpp
@@ -131,6 +131,7 @@
     void queue();
     void leave_queue();
     void abandon_if_replaced();
+    void abandon_if_silent();
     void on_connection(const pool_answer& answer);
     void run_settings();
     void run_begin();
--- a/src/io/http2_internal.hpp
+++ b/src/io/http2_internal.hpp
@@ -57,7 +57,7 @@
     static int on_header(nghttp2_session* session, const nghttp2_frame* frame, const std::uint8_t* name,
                          std::size_t name_length, const std::uint8_t* value, std::size_t value_length,
                          std::uint8_t flags, void* user);
-    static int on_data(nghttp2_session* session, std::uint8_t flags, std::int32_t stream,
+    static int on_data(nghttp2_session* session, std::uint8_t flags, std::int32_t id,
                        const std::uint8_t* data, std::size_t length, void* user);
     static int on_frame(nghttp2_session* session, const nghttp2_frame* frame, void* user);
     static int on_stream_close(nghttp2_session* session, std::int32_t id, std::uint32_t code, void* user);
--- a/tests/fault_test.cpp
+++ b/tests/fault_test.cpp
@@ -10,6 +10,8 @@
 #include <gtest/gtest.h>
 #include <libpq-fe.h>
 
+#include <algorithm>
+#include <array>
 #include <atomic>
 #include <csignal>
 #include <fstream>
@@ -300,10 +302,7 @@
         });
     }
     // The stand-in counts everyone; the probes' and this test's own connections are not the service's.
-    const auto peak_within_limit = [&] {
-        const std::string seen = s.connect_server("g0-s0").run("standin peak shop").value;
-        return seen;
-    };
+    const auto peak_within_limit = [&] { return s.connect_server("g0-s0").run("standin peak shop").value; };
     std::this_thread::sleep_for(std::chrono::milliseconds{1500});
     s.stop_daemon(1, SIGKILL);
     std::this_thread::sleep_for(std::chrono::milliseconds{1500});
@@ -413,6 +412,20 @@
     EXPECT_EQ(read_table(s).content.services[0].background_share, 33U);
 }
 
+// The identity under which an instance is a member of control; 0 where it is none.
+std::uint64_t node_of(const site& s, int instance) {
+    const auto body = ask_leader(s.operators(), "/v1/status", "");
+    wire::status_reply status;
+    if (!body || !status.ParseFromString(*body)) {
+        return 0;
+    }
+    const auto& members = status.members();
+    const auto found = std::find_if(members.begin(), members.end(), [instance](const auto& m) {
+        return m.name() == "i" + std::to_string(instance);
+    });
+    return found == members.end() ? 0 : found->id();
+}
+
 TEST(fault_test, a_second_machine_may_be_lost_right_after_the_first_is_repaired) {
     site s({.lag_ms = 0});
     ASSERT_TRUE(s.start());
@@ -427,10 +440,12 @@
                            [](const auto& m) { return m.voter() && !m.silent(); });
     };
     for (const int lost : {0, 1, 2}) {
+        const std::uint64_t lost_node = node_of(s, lost);
         s.stop_daemon(lost, SIGKILL);
         s.lose_data(lost);
         s.start_daemon(lost);
-        ASSERT_TRUE(wait_until(all_vote)) << "instance " << lost << " has no vote again";
+        const auto repaired = [&] { return all_vote() && node_of(s, lost) != lost_node; };
+        ASSERT_TRUE(wait_until(repaired)) << "instance " << lost << " has no vote again";
     }
     // By now no instance has the disk that it started with.
     const table_file after = read_table(s);
@@ -497,12 +512,13 @@
     ASSERT_TRUE(s.start());
     for (int round = 0; round < 5; ++round) {
         table_file t = read_table(s);
-        program_result results[2];
+        std::array<program_result, 2> results;
         std::vector<std::thread> threads;
         for (int i = 0; i < 2; ++i) {
             threads.emplace_back([&, i, mine = t]() mutable {
                 mine.content.services[0].background_share = 10 + static_cast<unsigned>(round * 2 + i);
-                results[i] = apply(s, mine, "race-" + std::to_string(round) + "-" + std::to_string(i));
+                results.at(static_cast<std::size_t>(i)) =
+                    apply(s, mine, "race-" + std::to_string(round) + "-" + std::to_string(i));
             });
         }
         for (std::thread& thread : threads) {
@@ -510,9 +526,11 @@
         }
         EXPECT_EQ((results[0].status == 0) + (results[1].status == 0), 1)
             << results[0].output << results[1].output;
-        const int winner = results[0].status == 0 ? 0 : 1;
-        EXPECT_NE(results[1 - winner].output.find("2003"), std::string::npos) << results[1 - winner].output;
-        t.content.services[0].background_share = 10 + static_cast<unsigned>(round * 2 + winner);
+        const std::size_t winner = results[0].status == 0 ? 0 : 1;
+        EXPECT_NE(results.at(1 - winner).output.find("2003"), std::string::npos)
+            << results.at(1 - winner).output;
+        t.content.services[0].background_share =
+            10 + static_cast<unsigned>(round) * 2 + static_cast<unsigned>(winner);
         EXPECT_EQ(apply(s, t, "race-" + std::to_string(round) + "-" + std::to_string(winner)).status, 0);
         EXPECT_EQ(read_table(s).content.services[0].background_share, t.content.services[0].background_share);
     }
--- a/tests/process_test.cpp
+++ b/tests/process_test.cpp
@@ -16,9 +16,10 @@
         ASSERT_TRUE(shared->start());
     }
     static void TearDownTestSuite() { shared.reset(); }
-    static std::unique_ptr<site> shared;
+    static std::unique_ptr<site>
+        shared; // NOLINT(*-avoid-non-const-global-variables): one site serves all tests
 };
-std::unique_ptr<site> whole_path::shared;
+std::unique_ptr<site> whole_path::shared; // NOLINT(*-avoid-non-const-global-variables)
 
 TEST_F(whole_path, serves_queries_and_errors) {
     caller c = shared->connect(0, "shop", "g0");
--- a/tests/site.cpp
+++ b/tests/site.cpp
@@ -14,6 +14,8 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <algorithm>
+#include <array>
 #include <csignal>
 #include <filesystem>
 #include <fstream>
@@ -121,7 +123,8 @@
     program_result result;
     result.status = reap(pid);
     result.output = read_file(log);
-    std::filesystem::remove(log);
+    std::error_code ignored;
+    std::filesystem::remove(log, ignored);
     return result;
 }
 
@@ -132,12 +135,12 @@
 caller::caller(const std::string& address, unsigned port, const std::string& service,
                const std::string& group, const std::string& options) {
     const std::string port_text = std::to_string(port);
-    const char* keys[] = {"hostaddr",        "port", "user", "dbname", "options", "sslmode",
-                          "connect_timeout", nullptr};
-    const char* values[] = {
+    const std::array<const char*, 8> keys{"hostaddr",        "port", "user", "dbname", "options", "sslmode",
+                                          "connect_timeout", nullptr};
+    const std::array<const char*, 8> values{
         address.c_str(), port_text.c_str(), service.c_str(), group.c_str(), options.c_str(), "disable", "20",
         nullptr};
-    connection_ = PQconnectdbParams(keys, values, 0);
+    connection_ = PQconnectdbParams(keys.data(), values.data(), 0);
     notices_ = std::make_unique<std::string>();
     PQsetNoticeProcessor(
         connection_, [](void* to, const char* text) { static_cast<std::string*>(to)->append(text); },
@@ -201,8 +204,8 @@
 
 bool caller::cancel() {
     PGcancel* handle = PQgetCancel(connection_);
-    char problem[256] = {};
-    const bool sent = PQcancel(handle, problem, sizeof(problem)) == 1;
+    std::array<char, 256> problem{};
+    const bool sent = PQcancel(handle, problem.data(), static_cast<int>(problem.size())) == 1;
     PQfreeCancel(handle);
     return sent;
 }
--- a/tests/site.hpp
+++ b/tests/site.hpp
@@ -40,7 +40,7 @@
 
 class caller {
 public:
-    caller(const std::string& host, unsigned port, const std::string& service, const std::string& group,
+    caller(const std::string& address, unsigned port, const std::string& service, const std::string& group,
            const std::string& options);
     ~caller();
     caller(caller&& other) noexcept;
