A new learner is no longer removed in place of the identity that it replaces

Change: a new member has an election time to answer; a replacement must have been heard within three heartbeats.

--- a/src/core/control_core.cpp
+++ b/src/core/control_core.cpp
@@ -142,9 +142,9 @@
 }
 
 // The instance came back with an empty disk, under another identity that has caught up.
-bool is_replaced(const raft::state& s, const raft::member& old) {
+bool is_replaced(const raft::state& s, const raft::member& old, time_point now) {
     return std::any_of(s.members.members.begin(), s.members.members.end(), [&](const raft::member& m) {
-        return m.name == old.name && m.id != old.id && has_caught_up(s, m.id);
+        return m.name == old.name && m.id != old.id && has_caught_up(s, m.id) && is_heard(s, m.id, now);
     });
 }
 
@@ -154,7 +154,7 @@
     const raft::state& s = c.consensus;
     raft::configuration next = s.members;
     const auto replaced = std::find_if(next.members.begin(), next.members.end(), [&](const raft::member& m) {
-        return m.id != s.self && is_silent(s, m.id, now) && is_replaced(s, m);
+        return m.id != s.self && is_silent(s, m.id, now) && is_replaced(s, m, now);
     });
     if (replaced != next.members.end()) {
         next.members.erase(replaced);
--- a/src/core/raft.cpp
+++ b/src/core/raft.cpp
@@ -139,11 +139,12 @@
     s.out.messages.push_back(std::move(m));
 }
 
-void sync_peers(state& s) {
+void sync_peers(state& s, time_point now) {
     for (const member& m : s.members.members) {
         if (m.id != s.self && !s.peers.contains(m.id)) {
             progress p;
             p.next = last_index(s) + 1;
+            p.acked_sent_at = now; // it has the time to answer before it counts as silent
             s.peers.emplace(m.id, p);
         }
     }
@@ -159,7 +160,7 @@
         }
         s.last_heartbeat = now;
     }
-    sync_peers(s);
+    sync_peers(s, now);
     for (auto& [id, p] : s.peers) {
         const bool waits_for_snapshot = p.snapshot_in_flight && now - p.last_send < s.config.election_timeout;
         if (!waits_for_snapshot) {
--- a/tests/cluster_model.cpp
+++ b/tests/cluster_model.cpp
@@ -115,6 +115,8 @@
     for (const control_action& action : out.actions) {
         if (const auto* probe = std::get_if<probe_server>(&action)) {
             server_operation(i, probe->operation, probe->server.id, 0);
+        } else if (const auto* note = std::get_if<note_event>(&action)) {
+            members_removed += note->what == "control_member_removed" ? 1 : 0;
         } else if (const auto* promote = std::get_if<promote_server>(&action)) {
             ++failovers;
             server_operation(i, promote->operation, promote->server.id, promote->timeline);
@@ -488,6 +490,7 @@
         }
         if (chance(rates_.lost_disk)) {
             if (majority_survives_without(c.core.self.id)) {
+                ++disks_lost;
                 stop_control(i);
                 start_control(i, true);
             }
@@ -571,6 +574,10 @@
         const raft::entry& e = committed_.at(agreed_.revision + 1);
         apply(agreed_, e.index, decode_command(e.command).value_or(std::monostate{}));
     }
+    // Once a disk, give or take changes that a deposed leader proposed in vain.
+    if (members_removed > disks_lost * 3) {
+        violate("members are removed over and over");
+    }
     if (leaders > 1) {
         violate("two control instances may lead at once");
     }
--- a/tests/cluster_model.hpp
+++ b/tests/cluster_model.hpp
@@ -98,6 +98,8 @@
     std::uint64_t acknowledged = 0;
     std::uint64_t edits_in_force = 0;
     std::uint64_t refused_edits = 0;
+    std::uint64_t disks_lost = 0;
+    std::uint64_t members_removed = 0;
 
 private:
     using delivery = std::function<void()>;
