--- a/src/core/statement.cpp
+++ b/src/core/statement.cpp
@@ -152,6 +152,10 @@
     return statement_kind::write;
 }
 
+bool may_call_functions(std::string_view text) {
+    return text.find('(') != std::string_view::npos;
+}
+
 std::string_view refused_feature(std::string_view text) {
     std::string_view rest = text;
     const std::string first = take_word(rest);
--- a/src/core/statement.hpp
+++ b/src/core/statement.hpp
@@ -26,6 +26,10 @@
 // Several statements in one text count as a write.
 statement_kind classify_statement(std::string_view text);
 
+// True where a statement taken for a read might write all the same, by a function that it calls. One without
+// any parenthesis calls none (a view or an operator that writes is beyond this hint: see docs/CALLERS.md).
+bool may_call_functions(std::string_view text);
+
 // The name of the feature that cannot be carried over shared connections, or nothing.
 std::string_view refused_feature(std::string_view text);
 
--- a/src/daemon/client_request.cpp
+++ b/src/daemon/client_request.cpp
@@ -401,7 +401,9 @@
 void client_session::run_statement() {
     active_request& r = *active_;
     r.step = request_step::statement;
-    r.was_write = r.on_primary && !(r.is_read && state_.settings.mode == read_mode::read);
+    const bool surely_reads =
+        r.is_read && (state_.settings.mode == read_mode::read || !may_call_functions(r.request.text));
+    r.was_write = r.on_primary && !surely_reads;
     backend_sink sink;
     sink.hold_errors = true;
     const std::uint64_t serial = r.serial;
--- a/src/io/settings.cpp
+++ b/src/io/settings.cpp
@@ -4,6 +4,8 @@
 //   [reading one key]  [the keys]  [public functions]
 #include "io/settings.hpp"
 
+#include "io/addresses.hpp"
+
 #include <boost/leaf/error.hpp>
 
 #include <toml++/toml.h>
@@ -49,8 +51,7 @@
 
 leaf::result<void> read_address(const key_context& at, const toml::node& node, std::string& target) {
     BOOST_LEAF_CHECK(read_text(at, node, target));
-    const auto colon = target.rfind(':');
-    if (colon == std::string::npos || colon == 0 || colon + 1 == target.size()) {
+    if (!parse_endpoint(target)) {
         return leaf::new_error(problem(at, node, result_code::settings_out_of_range, "takes \"ip:port\""));
     }
     return {};
--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -298,6 +298,11 @@
     EXPECT_EQ(classify_statement("select pg_advisory_lock(1)"), statement_kind::refused);
 }
 
+TEST(statement, a_read_without_parentheses_calls_nothing) {
+    EXPECT_FALSE(may_call_functions("select value from t where key = 'k'"));
+    EXPECT_TRUE(may_call_functions("select nextval('s')"));
+}
+
 TEST(statement, settings_are_read) {
     EXPECT_EQ(parse_setting("set larchpin.class = 'background';"),
               (setting_change{.name = "larchpin.class", .value = "background"}));
--- a/tests/io_test.cpp
+++ b/tests/io_test.cpp
@@ -281,6 +281,8 @@
     EXPECT_EQ(problem_of("[instance]\nid = \"a\"\n"),
               "f.toml: instance.failure_domain: names the part of the site that fails together [1005 "
               "settings_missing_key]");
+    EXPECT_EQ(problem_of(good_settings + "[entry]\nlisten = \"127.0.0.1:22x\"\n"),
+              "f.toml:9: entry.listen: takes \"ip:port\" [1004 settings_out_of_range]");
     EXPECT_NE(problem_of("[instance\n").find("[1001 settings_unreadable]"), std::string::npos);
     EXPECT_NE(problem_of("x = 1\n").find("[1002"), std::string::npos);
 }
