--- a/tests/site.cpp
+++ b/tests/site.cpp
@@ -109,10 +109,10 @@
     address.sin_family = AF_INET;
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
     socklen_t length = sizeof(address);
-    ::bind(s, reinterpret_cast<sockaddr*>(&address), length); // NOLINT(*-reinterpret-cast): the socket API
-    ::getsockname(s, reinterpret_cast<sockaddr*>(&address), &length); // NOLINT(*-reinterpret-cast)
+    auto* raw = reinterpret_cast<sockaddr*>(&address); // NOLINT(*-reinterpret-cast): the socket API
+    const bool bound = ::bind(s, raw, length) == 0 && ::getsockname(s, raw, &length) == 0;
     ::close(s);
-    return ntohs(address.sin_port);
+    return bound ? ntohs(address.sin_port) : 0;
 }
 
 program_result run_program(const std::vector<std::string>& arguments) {
