--- a/bench/control_bench.cpp
+++ b/bench/control_bench.cpp
@@ -328,13 +328,13 @@
     s.group = {"g"};
     s.floor = session_token{.group = {"g"}, .term = 1, .position = 5};
     std::mt19937_64 random(1);
-    const double strict = cost_of(200000, [&] {
-        route_read(g, s, {}, true, {}, std::chrono::seconds{1}, std::chrono::seconds{1}, random);
-    });
-    const double stale = cost_of(200000, [&] {
-        route_read(g, s, std::chrono::seconds{5}, true, {}, std::chrono::seconds{1}, std::chrono::seconds{1},
-                   random);
-    });
+    read_wish wish;
+    wish.asked_at = std::chrono::seconds{1};
+    wish.now = std::chrono::seconds{1};
+    wish.lease_live = true;
+    const double strict = cost_of(200000, [&] { route_read(g, s, wish, {}, random); });
+    wish.staleness = std::chrono::seconds{5};
+    const double stale = cost_of(200000, [&] { route_read(g, s, wish, {}, random); });
     std::cout << "strict us " << std::setprecision(2) << strict << "  stated age us " << stale << "\n";
 }
 
--- a/src/core/cluster_state.cpp
+++ b/src/core/cluster_state.cpp
@@ -12,6 +12,7 @@
 constexpr duration max_deadline = std::chrono::hours{1};
 constexpr std::size_t max_table_entries = 10'000;
 constexpr std::size_t max_name_length = 128;
+constexpr unsigned max_route_attempts = 10;
 
 void remember(cluster_state& s, const std::string& change_id, const change_outcome& outcome) {
     s.changes.push_back(remembered_change{.change_id = change_id, .outcome = outcome});
@@ -20,7 +21,25 @@
     }
 }
 
+// Not remembered by its id: its version says whether it has been done already.
+change_outcome apply_versioned_edit(cluster_state& s, revision_number index, const edit_table& edit) {
+    change_outcome outcome{.code = result_code::ok, .table_revision = s.table_revision, .revision = index};
+    if (!check_table(edit.next).empty()) {
+        outcome.code = result_code::table_invalid;
+    } else if (edit.version > s.table_version) {
+        s.current = edit.next;
+        s.document = edit.document;
+        s.table_version = edit.version;
+        s.table_revision = index;
+        outcome.table_revision = index;
+    }
+    return outcome;
+}
+
 change_outcome apply_edit(cluster_state& s, revision_number index, const edit_table& edit) {
+    if (edit.version != 0) {
+        return apply_versioned_edit(s, index, edit);
+    }
     if (const auto earlier = find_change(s, edit.change_id)) {
         return *earlier;
     }
@@ -31,6 +50,7 @@
         outcome.code = result_code::table_invalid;
     } else {
         s.current = edit.next;
+        s.document.clear(); // it no longer says what is in force
         s.table_revision = index;
         outcome.table_revision = index;
     }
@@ -59,15 +79,50 @@
     return result_code::ok;
 }
 
-template <typename entries> bool sorted_unique(const entries& list) {
+template <typename entries, typename key> bool sorted_unique(const entries& list, const key& key_of) {
     for (std::size_t i = 1; i < list.size(); ++i) {
-        if (!(list[i - 1].id < list[i].id)) {
+        if (!(key_of(list[i - 1]) < key_of(list[i]))) {
             return false;
         }
     }
     return true;
 }
 
+result_code apply_removal(cluster_state& s, const server_id& id) {
+    const bool is_primary = std::any_of(s.groups.begin(), s.groups.end(),
+                                        [&id](const auto& g) { return g.second.primary == id; });
+    if (is_primary) {
+        return result_code::revision_conflict;
+    }
+    return s.servers.erase(id) == 1 ? result_code::ok : result_code::no_such_record;
+}
+
+std::string check_route(const table& t, const route_entry& r) {
+    const std::string name = "route " + r.database;
+    if (r.database.empty() || r.database.size() > max_name_length) {
+        return "a route's database must have 1 to 128 characters";
+    }
+    if (r.group.value.empty()) {
+        return name + ": group must be named";
+    }
+    if (find_service(t, r.service) == nullptr) {
+        return name + ": there is no service " + r.service.value;
+    }
+    if (r.statement_timeout < std::chrono::milliseconds{1} || r.statement_timeout > max_deadline) {
+        return name + ": statement_timeout_ms must be 1 to 3600000";
+    }
+    if (r.max_staleness < duration{0} || r.max_staleness > max_deadline) {
+        return name + ": max_staleness_ms must be 0 to 3600000";
+    }
+    if (r.objective < duration{0} || r.objective > max_deadline) {
+        return name + ": objective_ms must be 0 to 3600000";
+    }
+    if (r.max_attempts < 1 || r.max_attempts > max_route_attempts) {
+        return name + ": max_attempts must be 1 to 10";
+    }
+    return {};
+}
+
 template <typename entries, typename identifier> auto find_entry(const entries& list, const identifier& id) {
     return std::find_if(list.begin(), list.end(), [&id](const auto& e) { return e.id == id; });
 }
@@ -87,6 +142,8 @@
         s.instances_revision = index;
     } else if (const auto* group = std::get_if<set_group>(&c)) {
         outcome.code = apply_group(s, *group);
+    } else if (const auto* gone = std::get_if<remove_server>(&c)) {
+        outcome.code = apply_removal(s, gone->id);
     }
     return outcome;
 }
@@ -101,12 +158,19 @@
 }
 
 std::string check_table(const table& t) {
-    if (t.services.size() > max_table_entries || t.servers.size() > max_table_entries) {
+    if (t.services.size() > max_table_entries || t.servers.size() > max_table_entries ||
+        t.routes.size() > max_table_entries) {
         return "more than 10000 entries";
     }
-    if (!sorted_unique(t.services) || !sorted_unique(t.servers)) {
+    const auto id_of = [](const auto& entry) { return entry.id; };
+    const bool unique = sorted_unique(t.services, id_of) && sorted_unique(t.servers, id_of) &&
+                        sorted_unique(t.routes, [](const route_entry& r) { return r.database; });
+    if (!unique) {
         return "an entry stands twice";
     }
+    if (t.transaction_idle < duration{0} || t.transaction_idle > max_deadline) {
+        return "transaction_idle_ms must be 0 to 3600000";
+    }
     for (const service_entry& s : t.services) {
         if (s.id.value.empty() || s.id.value.size() > max_name_length) {
             return "a service's name must have 1 to 128 characters";
@@ -132,6 +196,12 @@
             return "server " + s.id.value + ": weight must be 0 to 1000";
         }
     }
+    for (const route_entry& r : t.routes) {
+        std::string broken_rule = check_route(t, r);
+        if (!broken_rule.empty()) {
+            return broken_rule;
+        }
+    }
     return {};
 }
 
@@ -140,6 +210,13 @@
     return found == t.services.end() ? nullptr : &*found;
 }
 
+const route_entry* find_route(const table& t, const std::string& database) {
+    const auto found =
+        std::lower_bound(t.routes.begin(), t.routes.end(), database,
+                         [](const route_entry& r, const std::string& d) { return r.database < d; });
+    return found == t.routes.end() || found->database != database ? nullptr : &*found;
+}
+
 server_entry server_settings(const table& t, const server_id& id) {
     const auto found = find_entry(t.servers, id);
     if (found != t.servers.end()) {
--- a/src/core/cluster_state.hpp
+++ b/src/core/cluster_state.hpp
@@ -33,6 +33,29 @@
     auto operator<=>(const service_entry&) const = default;
 };
 
+// What the reads of a route are owed.
+enum class read_consistency : std::uint8_t {
+    session = 0, // by the session's own settings (larchpin.read_mode, larchpin.max_staleness_ms)
+    primary,     // every write that was acknowledged to anyone before
+    bounded,     // every write that is older than the route's max_staleness
+    own_writes,  // the same, and the session's own writes
+};
+
+// A database name that callers may ask for, and what its requests are owed. A group without any route is
+// asked for by its own name, with the service that the caller states as its user.
+struct route_entry {
+    std::string database; // as callers name it
+    group_id group;       // that serves it
+    service_id service;   // whose connections its requests use
+    read_consistency consistency = read_consistency::session;
+    duration max_staleness{0};                            // for `bounded` and `own_writes`, 0..1 h
+    duration statement_timeout = std::chrono::seconds{5}; // for one statement, 1 ms..1 h
+    duration objective{0};                                // latency aimed at for a whole operation; 0: none
+    unsigned priority = 2;                                // 0 and 1 are served first, 3 and more last
+    unsigned max_attempts = 3;                            // servers tried for one statement, 1..10
+    auto operator<=>(const route_entry&) const = default;
+};
+
 struct server_entry {
     server_id id;
     unsigned weight = 100; // share of reads beside the other replicas, 0..1000; 0: no reads
@@ -43,6 +66,8 @@
 struct table {
     std::vector<service_entry> services; // sorted by id, unique
     std::vector<server_entry> servers;   // sorted by id, unique; servers without an entry get defaults
+    std::vector<route_entry> routes;     // sorted by database, unique
+    duration transaction_idle{0};        // a transaction idle for longer is rolled back; 0: never
     bool operator==(const table&) const = default;
 };
 
@@ -109,6 +134,8 @@
     revision_number revision = 0;       // index of the last command applied
     revision_number table_revision = 0; // index of the last table edit that was taken
     table current;
+    std::uint64_t table_version = 0; // the operators' own number of it; 0: edited by revision
+    std::string document;            // what the operator sent, for reading back; empty: nothing
     std::map<group_id, group_record> groups;
     std::map<server_id, server_record> servers;
     std::map<instance_id, instance_record> instances;
@@ -121,9 +148,13 @@
 // [commands]
 //-----------------------------------------------------------------------------
 
+// An edit either names the revision that it was made from, or a version of its own. Of versions the highest
+// wins: an edit whose version is not above the table's is taken as done and changes nothing.
 struct edit_table {
     std::string change_id;                 // the same id means the same change: it is decided once
-    revision_number expected_revision = 0; // of the table that was edited
+    revision_number expected_revision = 0; // of the table that was edited; unused where there is a version
+    std::uint64_t version = 0;             // 0: by revision
+    std::string document;                  // kept beside the table, for reading back
     table next;
     bool operator==(const edit_table&) const = default;
 };
@@ -133,6 +164,12 @@
     bool operator==(const register_server&) const = default;
 };
 
+// A server that has said goodbye. A group's present primary stays until another one has taken over.
+struct remove_server {
+    server_id id;
+    bool operator==(const remove_server&) const = default;
+};
+
 struct register_instance {
     instance_record record;
     bool operator==(const register_instance&) const = default;
@@ -146,7 +183,8 @@
     bool operator==(const set_group&) const = default;
 };
 
-using command = std::variant<std::monostate, edit_table, register_server, register_instance, set_group>;
+using command =
+    std::variant<std::monostate, edit_table, register_server, register_instance, set_group, remove_server>;
 
 //-----------------------------------------------------------------------------
 // [functions]
@@ -163,6 +201,9 @@
 
 const service_entry* find_service(const table& t, const service_id& id);
 
+// Nothing where no route has this name.
+const route_entry* find_route(const table& t, const std::string& database);
+
 // The operators' entry, or the defaults where there is none.
 server_entry server_settings(const table& t, const server_id& id);
 
--- a/src/core/control.cpp
+++ b/src/core/control.cpp
@@ -13,11 +13,11 @@
 namespace {
 
 constexpr std::size_t max_unconfirmed_replies = 32;
-constexpr unsigned leader_term_shift = 40; // leaves a leader 2^40 replies to one daemon
+constexpr unsigned leader_term_shift = 40; // leaves a leader 2^40 of them
 
-// Rises from reply to reply, also over a change of leader: a daemon that names one has acted upon no later
-// one of any leader.
-std::uint64_t make_reply_seq(const control_state& c, std::uint64_t count) {
+// Rises with `count`, also over a change of leader. Numbers the replies to a daemon (one that names a reply
+// has acted upon no later one of any leader) and the attempts to promote.
+std::uint64_t number_across_leaders(const control_state& c, std::uint64_t count) {
     return (c.leader_term << leader_term_shift) + count;
 }
 
@@ -78,13 +78,27 @@
     actions.emplace_back(propose_command{register_server{record}});
 }
 
-// The first primary that announces itself founds the group. Later ones never change a record.
+bool is_being_founded(const control_state& c, const group_id& group) {
+    return std::any_of(c.founding.begin(), c.founding.end(),
+                       [&group](const auto& f) { return f.second.record.group == group; });
+}
+
+// The first primary that announces itself founds the group. Later ones never change a record. One that does
+// not tell its timeline is asked for it first.
 void found_group(control_state& c, const cluster_state& s, const server_announcement& a,
                  control_actions& actions) {
     const group_id& group = a.record.group;
     if (!a.is_primary || s.groups.contains(group) || c.proposed_groups.contains(group)) {
         return;
     }
+    if (a.timeline == 0) {
+        if (!is_being_founded(c, group)) {
+            const std::uint64_t operation = c.next_operation++;
+            c.founding[operation] = a;
+            actions.emplace_back(probe_server{.operation = operation, .server = a.record});
+        }
+        return;
+    }
     group_record record;
     record.id = group;
     record.term = 1;
@@ -96,6 +110,45 @@
         set_group{.expected_term = 0, .expected_phase = group_phase::serving, .next = record}});
 }
 
+void finish_founding(control_state& c, const cluster_state& s, const server_answer& answer,
+                     control_actions& actions) {
+    server_announcement founder = c.founding.at(answer.operation);
+    c.founding.erase(answer.operation);
+    if (!answer.answered || !answer.is_primary) {
+        return; // its next announcement tries again
+    }
+    founder.timeline = answer.timeline;
+    found_group(c, s, founder, actions);
+}
+
+// A server that has ended loses its record, unless a group still needs another primary in its place.
+void remove_if_gone(control_state& c, const cluster_state& s, const server_announcement& a,
+                    control_actions& actions) {
+    const auto group = s.groups.find(a.record.group);
+    const bool needed = group != s.groups.end() && group->second.primary == a.record.id;
+    if (!a.gone || needed || !s.servers.contains(a.record.id)) {
+        return;
+    }
+    if (c.proposed_removals.insert(a.record.id).second) {
+        actions.emplace_back(propose_command{remove_server{a.record.id}});
+    }
+}
+
+void take_announcement(control_state& c, const cluster_state& s, const server_announcement& a, time_point now,
+                       control_actions& actions) {
+    const auto earlier = c.announced.find(a.record.id);
+    const bool overtaken = earlier != c.announced.end() && earlier->second.last.sequence > a.sequence;
+    if (overtaken || (earlier != c.announced.end() && earlier->second.last.gone)) {
+        return;
+    }
+    c.announced[a.record.id] = seen_server{.last = a, .at = now};
+    if (a.gone) {
+        return; // on_tick() lets go of its record
+    }
+    register_if_new(c, s, a.record, actions);
+    found_group(c, s, a, actions);
+}
+
 //-----------------------------------------------------------------------------
 // [shares]
 //-----------------------------------------------------------------------------
@@ -239,6 +292,18 @@
     return dead >= observers->second.size() / 2 + 1;
 }
 
+bool is_leaving(const control_state& c, const cluster_state& s, const server_id& server, time_point now) {
+    if (server_settings(s.current, server).leaving) {
+        return true;
+    }
+    const auto seen = c.announced.find(server);
+    if (seen == c.announced.end()) {
+        return false;
+    }
+    const bool lately = now - seen->second.at <= c.config.announcement_age;
+    return seen->second.last.gone || (seen->second.last.leaving && lately);
+}
+
 bool looks_alive(const control_state& c, const server_id& server, time_point now) {
     return std::any_of(c.daemons.begin(), c.daemons.end(), [&](const auto& d) {
         const auto seen = d.second.observations.find(server);
@@ -315,10 +380,11 @@
     return a_weight != b_weight ? a_weight > b_weight : a.server < b.server;
 }
 
-const server_answer* best_candidate(const cluster_state& s, const group_record& group, const failover& f) {
+const server_answer* best_candidate(const control_state& c, const cluster_state& s, const group_record& group,
+                                    const failover& f, time_point now) {
     const server_answer* best = nullptr;
     for (const auto& [id, answer] : f.answers) {
-        if (!answer.answered || server_settings(s.current, id).leaving || answer.timeline < group.timeline) {
+        if (!answer.answered || is_leaving(c, s, id, now) || answer.timeline < group.timeline) {
             continue;
         }
         if (best == nullptr || better_candidate(s, f, answer, *best)) {
@@ -351,11 +417,11 @@
 
 void promote_best(control_state& c, const cluster_state& s, const group_record& group, failover& f,
                   time_point now, control_actions& actions) {
-    const server_answer* best = best_candidate(s, group, f);
+    const server_answer* best = best_candidate(c, s, group, f, now);
     if (best == nullptr) {
         return;
     }
-    if (best->is_primary) {
+    if (best->is_primary && !c.config.always_promote) {
         // The old primary was chosen again, or an earlier leader's promotion is found done.
         publish(group, f, *best, now, actions);
         return;
@@ -365,8 +431,10 @@
     const std::uint64_t operation = c.next_operation++;
     f.open_operations = {operation};
     note(actions, f, "promoting", group.id, best->server, now);
-    actions.emplace_back(promote_server{
-        .operation = operation, .server = s.servers.at(best->server), .timeline = best->timeline});
+    actions.emplace_back(promote_server{.operation = operation,
+                                        .server = s.servers.at(best->server),
+                                        .timeline = best->timeline,
+                                        .token = number_across_leaders(c, operation)});
 }
 
 void advance(control_state& c, const cluster_state& s, const group_record& group, failover& f, time_point now,
@@ -402,6 +470,23 @@
     }
 }
 
+// The primary says that it is leaving, and another server of the group can take over.
+bool must_leave_primary(const control_state& c, const cluster_state& s, const group_record& group,
+                        time_point now) {
+    if (!is_leaving(c, s, group.primary, now)) {
+        return false;
+    }
+    const auto last = c.switched_at.find(group.id);
+    if (last != c.switched_at.end() && now - last->second < c.config.switchover_pause) {
+        return false;
+    }
+    const auto servers = servers_of(s, group.id);
+    return std::any_of(servers.begin(), servers.end(), [&](const server_record& server) {
+        return server.id != group.primary && !is_leaving(c, s, server.id, now) &&
+               looks_alive(c, server.id, now);
+    });
+}
+
 // Takes up what the log says: a fence that committed, a finished failover, an earlier leader's open one.
 void follow_record(control_state& c, const group_record& group, revision_number revision, time_point now) {
     auto found = c.failovers.find(group.id);
@@ -489,9 +574,7 @@
     std::erase_if(d.unconfirmed, [&r](const sent_shares& sent) { return sent.seq <= r.last_reply_seq; });
     follow_claims(c, r.instance.id, r.claims);
     for (const server_announcement& a : r.announcements) {
-        c.announced[a.record.id] = seen_server{.last = a, .at = now};
-        register_if_new(c, s, a.record, actions);
-        found_group(c, s, a, actions);
+        take_announcement(c, s, a, now, actions);
     }
     register_if_new(c, s, r.instance, actions);
     reply.revision = s.revision;
@@ -501,7 +584,7 @@
         d.unconfirmed.clear();
         return reply;
     }
-    reply.seq = make_reply_seq(c, ++d.replies);
+    reply.seq = number_across_leaders(c, ++d.replies);
     const bool roomy = d.unconfirmed.size() < max_unconfirmed_replies;
     if (roomy) {
         answer_claims(c, s, r, now, reply);
@@ -514,10 +597,11 @@
         reply.observe = observed->second;
     }
     for (const auto& [id, seen] : c.announced) {
-        if (seen.last.leaving && now - seen.at <= c.config.announcement_age) {
+        if (is_leaving(c, s, id, now)) {
             reply.leaving.push_back(id);
         }
     }
+    reply.control_addresses = c.control_addresses;
     return reply;
 }
 
@@ -530,6 +614,7 @@
         const auto known = s.servers.find(p.first);
         return known != s.servers.end() && known->second == p.second;
     });
+    std::erase_if(c.proposed_removals, [&s](const server_id& id) { return !s.servers.contains(id); });
     std::erase_if(c.proposed_groups, [&s](const group_id& id) { return s.groups.contains(id); });
     for (const auto& [id, group] : s.groups) {
         follow_record(c, group, s.revision, now);
@@ -550,12 +635,22 @@
             follow_record(c, group, s.revision, now);
         } else if (looks_dead(c, group.primary, now)) {
             begin_failover(c, group, false, {}, now, actions);
+        } else if (must_leave_primary(c, s, group, now)) {
+            c.switched_at[id] = now;
+            begin_failover(c, group, true, {}, now, actions);
         }
     }
+    for (const auto& [id, seen] : c.announced) {
+        remove_if_gone(c, s, seen.last, actions);
+    }
 }
 
 void on_server_answer(control_state& c, const cluster_state& s, const server_answer& a, time_point now,
                       control_actions& actions) {
+    if (c.founding.contains(a.operation)) {
+        finish_founding(c, s, a, actions);
+        return;
+    }
     for (auto& [id, f] : c.failovers) {
         if (!f.open_operations.contains(a.operation)) {
             continue;
@@ -569,7 +664,10 @@
             f.answers[a.server] = a;
             advance(c, s, group->second, f, now, actions);
         } else if (f.step == failover_step::promoting) {
-            if (a.answered && a.is_primary && a.timeline > group->second.timeline) {
+            const bool new_reign = a.timeline > group->second.timeline;
+            const bool same_reign = c.config.always_promote && a.server == group->second.primary &&
+                                    a.timeline == group->second.timeline;
+            if (a.answered && a.is_primary && (new_reign || same_reign)) {
                 publish(group->second, f, a, now, actions);
             } else {
                 f.failed.insert(a.server);
--- a/src/core/control.hpp
+++ b/src/core/control.hpp
@@ -47,9 +47,11 @@
 struct server_announcement {
     server_record record;
     bool is_primary = false;
-    std::uint64_t timeline = 0;
+    std::uint64_t timeline = 0; // 0: not told
     log_position position = 0;
-    bool leaving = false;
+    bool leaving = false;       // serves for some seconds more
+    bool gone = false;          // serves nothing any more: its record may go
+    std::uint64_t sequence = 0; // rises from one announcement of a server to the next
     auto operator<=>(const server_announcement&) const = default;
 };
 
@@ -71,8 +73,9 @@
     revision_number revision = 0; // the lease counts once this is applied
     std::uint64_t seq = 0;
     std::vector<share_grant> shares;
-    std::vector<server_id> observe; // to be probed by this daemon
-    std::vector<server_id> leaving; // announced that they are leaving
+    std::vector<server_id> observe;             // to be probed by this daemon
+    std::vector<server_id> leaving;             // announced that they are leaving
+    std::vector<std::string> control_addresses; // peer listeners of the control instances
     bool operator==(const renewal_reply&) const = default;
 };
 
@@ -95,6 +98,7 @@
     std::uint64_t operation = 0;
     server_record server;
     std::uint64_t timeline = 0;
+    std::uint64_t token = 0; // fencing token: above that of every earlier attempt of any leader
 };
 
 // Something an operator wants to read in the log.
@@ -130,6 +134,10 @@
     duration switchover_wait = std::chrono::milliseconds{3000}; // for the target to catch up
     duration observation_age = std::chrono::milliseconds{1000}; // older ones count no more
     duration announcement_age = std::chrono::milliseconds{3000};
+    duration switchover_pause = std::chrono::milliseconds{1000}; // between two tries to leave one primary
+    // Where promotions go through an authority that fences by token, a call whose answer was lost may be
+    // carried out later. Each failover then ends with a call of its own, also for the present primary.
+    bool always_promote = false;
 };
 
 struct granted_lease {
@@ -192,6 +200,10 @@
     std::set<instance_id> proposed_instances;                  // in the log, not applied yet
     std::map<server_id, server_record> proposed_servers;
     std::set<group_id> proposed_groups;
+    std::set<server_id> proposed_removals;
+    std::map<std::uint64_t, server_announcement> founding; // by operation: asked for its timeline
+    std::map<group_id, time_point> switched_at;            // last try to leave a leaving primary
+    std::vector<std::string> control_addresses;            // told to daemons; set by the control core
     std::uint64_t next_operation = 1;
 };
 
--- a/src/core/control_core.cpp
+++ b/src/core/control_core.cpp
@@ -141,10 +141,15 @@
            now - p->second.acked_sent_at <= s.config.heartbeat_interval * heartbeats;
 }
 
+// Founders know each other by address only, so an instance is told by either.
+bool is_same_instance(const raft::member& a, const raft::member& b) {
+    return a.name == b.name || a.address == b.address;
+}
+
 // The instance came back with an empty disk, under another identity that has caught up.
 bool is_replaced(const raft::state& s, const raft::member& old, time_point now) {
     return std::any_of(s.members.members.begin(), s.members.members.end(), [&](const raft::member& m) {
-        return m.name == old.name && m.id != old.id && has_caught_up(s, m.id) && is_heard(s, m.id, now);
+        return is_same_instance(m, old) && m.id != old.id && has_caught_up(s, m.id) && is_heard(s, m.id, now);
     });
 }
 
@@ -165,8 +170,9 @@
     }
     const auto ready = std::find_if(next.members.begin(), next.members.end(), [&](const raft::member& m) {
         const bool name_votes =
-            std::any_of(next.members.begin(), next.members.end(),
-                        [&m](const raft::member& other) { return other.voter && other.name == m.name; });
+            std::any_of(next.members.begin(), next.members.end(), [&m](const raft::member& other) {
+                return other.voter && is_same_instance(other, m);
+            });
         return !m.voter && !name_votes && has_caught_up(s, m.id) && is_heard(s, m.id, now);
     });
     if (ready != next.members.end()) {
@@ -234,6 +240,10 @@
         return std::nullopt;
     }
     control_actions actions;
+    c.control.control_addresses.clear();
+    for (const raft::member& m : c.consensus.members.members) {
+        c.control.control_addresses.push_back(m.address);
+    }
     const renewal_reply reply = on_renewal(c.control, c.cluster, r, now, actions);
     carry_out(c, actions, now);
     settle(c, now);
@@ -290,7 +300,14 @@
 }
 
 bool bootstrap(control_core& c, time_point now, std::mt19937_64& random) {
-    const bool started = raft::bootstrap(c.consensus, c.self, now, random);
+    raft::member voter = c.self;
+    voter.voter = true;
+    return bootstrap(c, raft::configuration{.members = {voter}}, now, random);
+}
+
+bool bootstrap(control_core& c, const raft::configuration& founders, time_point now,
+               std::mt19937_64& random) {
+    const bool started = raft::bootstrap(c.consensus, founders, now, random);
     settle(c, now);
     return started;
 }
--- a/src/core/control_core.hpp
+++ b/src/core/control_core.hpp
@@ -80,7 +80,8 @@
 
 // A node that is in no configuration wants in, as a learner.
 result_code join(control_core& c, const raft::member& joining, time_point now);
-bool bootstrap(control_core& c, time_point now, std::mt19937_64& random);
+bool bootstrap(control_core& c, time_point now, std::mt19937_64& random); // alone
+bool bootstrap(control_core& c, const raft::configuration& founders, time_point now, std::mt19937_64& random);
 
 // Whether this node belongs to a cluster already.
 bool is_member(const control_core& c);
--- a/src/core/positions.cpp
+++ b/src/core/positions.cpp
@@ -70,6 +70,16 @@
     return found->second.newest.position;
 }
 
+std::optional<log_position> oldest_primary_position_since(const group_positions& g, term_number term,
+                                                          time_point since) {
+    const auto first = std::partition_point(g.primary.begin(), g.primary.end(),
+                                            [since](const auto& s) { return s.not_before < since; });
+    if (g.term != term || first == g.primary.end()) {
+        return std::nullopt;
+    }
+    return first->position;
+}
+
 std::optional<log_position> primary_position_since(const group_positions& g, term_number term,
                                                    time_point since) {
     if (g.term != term || g.primary.empty() || g.primary.back().not_before < since) {
--- a/src/core/positions.hpp
+++ b/src/core/positions.hpp
@@ -51,6 +51,11 @@
 std::optional<log_position> known_position(const group_positions& g, const server_id& server,
                                            std::uint64_t timeline);
 
+// The lowest known position of the primary that holds every write acknowledged before this moment: that of
+// the oldest sample asked at or after it. Nothing where there is no such sample.
+std::optional<log_position> oldest_primary_position_since(const group_positions& g, term_number term,
+                                                          time_point since);
+
 // The primary's position as asked at or after this moment; nothing where none is known yet.
 std::optional<log_position> primary_position_since(const group_positions& g, term_number term,
                                                    time_point since);
--- a/src/core/raft.cpp
+++ b/src/core/raft.cpp
@@ -529,18 +529,17 @@
     return s;
 }
 
-bool bootstrap(state& s, const member& self, time_point now, std::mt19937_64& random) {
-    if (last_index(s) != 0 || s.hard.term != 0) {
+bool bootstrap(state& s, const configuration& founders, time_point now, std::mt19937_64& random) {
+    if (last_index(s) != 0 || s.hard.term != 0 || !is_voter(founders, s.self)) {
         return false;
     }
-    member voter = self;
-    voter.voter = true;
+    // Nobody has led in term 1, so the first entry can never be at odds with another one.
     s.hard = hard_state{.term = 1, .voted_for = s.self};
     store_hard(s);
     entry first;
     first.index = 1;
     first.term = 1;
-    first.config = configuration{.members = {voter}};
+    first.config = founders;
     store_entry(s, first);
     reset_election_timer(s, now, random);
     return true;
--- a/src/core/raft.hpp
+++ b/src/core/raft.hpp
@@ -177,9 +177,10 @@
 state make_state(node_id self, const settings& config, const recovered_state& from, time_point now,
                  std::mt19937_64& random);
 
-// Makes `self` the only voter of a new cluster. Only for a data folder that holds nothing;
-// returns false otherwise.
-bool bootstrap(state& s, const member& self, time_point now, std::mt19937_64& random);
+// Founds a new cluster with these voters, `s.self` among them. Only for a data folder that holds nothing;
+// returns false otherwise. Each of several founders calls it with the same list, in the same order, and all
+// start from the same first entry, so none of them is needed for the others to begin.
+bool bootstrap(state& s, const configuration& founders, time_point now, std::mt19937_64& random);
 
 // Time passes: heartbeats, elections, stepping down. Call at least every heartbeat_interval / 2.
 void tick(state& s, time_point now, std::mt19937_64& random);
--- a/src/core/rendezvous.cpp
+++ b/src/core/rendezvous.cpp
@@ -2,13 +2,20 @@
 
 #include <algorithm>
 #include <map>
-#include <string_view>
 
 namespace larchpin {
 namespace {
 
+struct ranked {
+    std::uint64_t rank = 0;
+    instance_id id;
+    auto operator<=>(const ranked&) const = default;
+};
+
+} // namespace
+
 // FNV-1a with a final mix: every daemon must compute the same, so std::hash will not do.
-std::uint64_t hash_pair(std::string_view a, std::string_view b) {
+std::uint64_t stable_hash(std::string_view a, std::string_view b) {
     constexpr std::uint64_t prime = 1099511628211ULL;
     constexpr std::uint64_t mix = 0xff51afd7ed558ccdULL;
     std::uint64_t h = 14695981039346656037ULL;
@@ -26,19 +33,11 @@
     return h;
 }
 
-struct ranked {
-    std::uint64_t rank = 0;
-    instance_id id;
-    auto operator<=>(const ranked&) const = default;
-};
-
-} // namespace
-
 std::vector<instance_id> choose_observers(const std::vector<observer_candidate>& live,
                                           const server_id& server) {
     std::map<failure_domain, ranked> best;
     for (const observer_candidate& candidate : live) {
-        const ranked r{.rank = hash_pair(candidate.id.value, server.value), .id = candidate.id};
+        const ranked r{.rank = stable_hash(candidate.id.value, server.value), .id = candidate.id};
         const auto [place, first] = best.emplace(candidate.domain, r);
         if (!first && r < place->second) {
             place->second = r;
@@ -57,7 +56,7 @@
     std::vector<ranked> order;
     for (const auto& [id, record] : s.instances) {
         if (record.domain == domain) {
-            order.push_back({.rank = hash_pair(id.value, server.value), .id = id});
+            order.push_back({.rank = stable_hash(id.value, server.value), .id = id});
         }
     }
     std::sort(order.begin(), order.end());
--- a/src/core/rendezvous.hpp
+++ b/src/core/rendezvous.hpp
@@ -4,6 +4,8 @@
 
 #include "core/cluster_state.hpp"
 
+#include <cstdint>
+#include <string_view>
 #include <vector>
 
 namespace larchpin {
@@ -17,6 +19,9 @@
 // How many instances keep a connection to one server while cut off from control.
 constexpr std::size_t reserves_per_server = 3;
 
+// A number made from two texts, the same on every instance and in every version.
+std::uint64_t stable_hash(std::string_view a, std::string_view b);
+
 // The instances that probe this server: the best-ranked one of each failure domain.
 std::vector<instance_id> choose_observers(const std::vector<observer_candidate>& live,
                                           const server_id& server);
--- a/src/core/routing.cpp
+++ b/src/core/routing.cpp
@@ -42,23 +42,74 @@
 }
 
 routing_decision to_server(const server_id& id, bool is_primary) {
-    return {.kind = target_kind::server,
-            .server = id,
-            .is_primary = is_primary,
-            .retry_at = {},
-            .code = result_code::ok};
+    routing_decision decision;
+    decision.kind = target_kind::server;
+    decision.server = id;
+    decision.is_primary = is_primary;
+    return decision;
 }
 
 routing_decision refuse(result_code code) {
-    return {.kind = target_kind::refuse, .server = {}, .is_primary = false, .retry_at = {}, .code = code};
+    routing_decision decision;
+    decision.code = code;
+    return decision;
 }
 
 routing_decision wait_until(time_point at) {
-    return {.kind = target_kind::wait,
-            .server = {},
-            .is_primary = false,
-            .retry_at = at,
-            .code = result_code::ok};
+    routing_decision decision;
+    decision.kind = target_kind::wait;
+    decision.retry_at = at;
+    return decision;
+}
+
+// Of two drawn by weight, the one with the smaller expected delay.
+const server_view& choose(const std::vector<const server_view*>& fit, const routing_settings& settings,
+                          std::mt19937_64& random) {
+    const server_view* first = draw(fit, random);
+    const server_view* second = draw(fit, random);
+    return expected_delay(*second, settings) < expected_delay(*first, settings) ? *second : *first;
+}
+
+bool is_avoided(const read_wish& wish, const server_id& id) {
+    return std::find(wish.avoid.begin(), wish.avoid.end(), id) != wish.avoid.end();
+}
+
+// A server that was behind the floor a moment ago most likely still is: not even asked.
+bool is_surely_behind(const group_view& g, const server_view& server, log_position floor, time_point now,
+                      const routing_settings& settings) {
+    const auto known = g.positions->servers.find(server.id);
+    if (known == g.positions->servers.end()) {
+        return false;
+    }
+    const server_position& p = known->second;
+    const bool lately = now - p.heard_at < settings.position_trust;
+    return lately && (p.newest.timeline != g.record.timeline || p.newest.position < floor);
+}
+
+// Servers that refuse what they do not hold make the choice simple: the floor goes with the request.
+routing_decision route_with_floor(const group_view& g, const session_state& s, const read_wish& wish,
+                                  const routing_settings& settings, std::mt19937_64& random) {
+    const auto floor = demanded_position(g, s, wish);
+    if (!floor) {
+        routing_decision decision = route_write(g, wish.lease_live);
+        if (decision.kind == target_kind::server) {
+            decision.kind = target_kind::ask_primary;
+        }
+        return decision;
+    }
+    std::vector<const server_view*> fit;
+    for (const server_view& server : g.servers) {
+        if (may_take_reads(g, server, false, wish.now) && !is_avoided(wish, server.id) &&
+            !is_surely_behind(g, server, *floor, wish.now, settings)) {
+            fit.push_back(&server);
+        }
+    }
+    if (fit.empty()) {
+        return route_write(g, wish.lease_live);
+    }
+    routing_decision decision = to_server(choose(fit, settings, random).id, false);
+    decision.floor = floor;
+    return decision;
 }
 
 bool holds(const group_view& g, const server_view& server, const session_token& mark) {
@@ -96,34 +147,46 @@
     return to_server(g.record.primary, true);
 }
 
-routing_decision route_read(const group_view& g, const session_state& s, duration staleness, bool lease_live,
-                            const routing_settings& settings, time_point asked_at, time_point now,
-                            std::mt19937_64& random) {
+std::optional<log_position> demanded_position(const group_view& g, const session_state& s,
+                                              const read_wish& wish) {
+    const auto shared =
+        wish.staleness <= duration{0}
+            ? primary_position_since(*g.positions, g.record.term, s.arrived_at)
+            : oldest_primary_position_since(*g.positions, g.record.term, wish.asked_at - wish.staleness);
+    if (!shared) {
+        return std::nullopt;
+    }
+    const bool wrote_here = s.wrote && s.wrote->term == g.record.term;
+    return wrote_here ? std::max(*shared, s.wrote->position) : *shared;
+}
+
+routing_decision route_read(const group_view& g, const session_state& s, const read_wish& wish,
+                            const routing_settings& settings, std::mt19937_64& random) {
     if (has_lost_write(s, g.record)) {
         return refuse(result_code::lost_write);
     }
+    if (g.servers_enforce_floor) {
+        return route_with_floor(g, s, wish, settings, random);
+    }
     std::vector<const server_view*> fit;
     bool any_usable = false;
-    const bool primary_as_replica = !lease_live && s.settings.mode == read_mode::read;
+    const bool primary_as_replica = !wish.lease_live && s.settings.mode == read_mode::read;
     for (const server_view& server : g.servers) {
-        if (may_take_reads(g, server, primary_as_replica, now)) {
+        if (may_take_reads(g, server, primary_as_replica, wish.now) && !is_avoided(wish, server.id)) {
             any_usable = true;
-            if (qualifies(g, server, s, staleness, now)) {
+            if (qualifies(g, server, s, wish.staleness, wish.now)) {
                 fit.push_back(&server);
             }
         }
     }
     if (!fit.empty()) {
-        const server_view* first = draw(fit, random);
-        const server_view* second = draw(fit, random);
-        const bool second_is_better = expected_delay(*second, settings) < expected_delay(*first, settings);
-        return to_server(second_is_better ? second->id : first->id, false);
+        return to_server(choose(fit, settings, random).id, false);
     }
-    routing_decision primary = route_write(g, lease_live);
-    const bool may_still_wait = any_usable && now - asked_at < settings.replica_wait;
+    routing_decision primary = route_write(g, wish.lease_live);
+    const bool may_still_wait = any_usable && wish.now - wish.asked_at < settings.replica_wait;
     if (primary.kind == target_kind::refuse || may_still_wait) {
         // Without a primary a replica may yet catch up; the caller's deadline ends that.
-        return any_usable ? wait_until(now + settings.position_wait) : primary;
+        return any_usable ? wait_until(wish.now + settings.position_wait) : primary;
     }
     return primary;
 }
--- a/src/core/routing.hpp
+++ b/src/core/routing.hpp
@@ -37,15 +37,31 @@
     group_record record;
     const group_positions* positions = nullptr; // the daemon's own; set in every view that is routed by
     std::vector<server_view> servers;
+    bool servers_enforce_floor = false; // a server refuses a read whose floor it has not reached
 };
 
-enum class target_kind : std::uint8_t { server, wait, refuse };
+enum class target_kind : std::uint8_t {
+    server,
+    wait,        // for news, `retry_at` at the latest
+    ask_primary, // for its position: no known one is new enough to tell what a replica must hold
+    refuse,
+};
+
+// What one read asks for beside what its session is owed.
+struct read_wish {
+    duration staleness{0}; // 0: read-your-writes
+    time_point asked_at{}; // when the request came; waiting ends at replica_wait after it
+    time_point now{};
+    bool lease_live = false;
+    std::vector<server_id> avoid; // refused it just now
+};
 
 struct routing_decision {
     target_kind kind = target_kind::refuse;
     server_id server;
     bool is_primary = false;
-    time_point retry_at{}; // for `wait`: look again then at the latest
+    time_point retry_at{};             // for `wait`: look again then at the latest
+    std::optional<log_position> floor; // the server's log must have come so far, on the group's timeline
     result_code code = result_code::ok;
     auto operator<=>(const routing_decision&) const = default;
 };
@@ -53,7 +69,9 @@
 struct routing_settings {
     duration replica_wait = std::chrono::milliseconds{25};  // at most this long for a replica to catch up
     duration position_wait = std::chrono::milliseconds{10}; // between two looks
-    double far_penalty = 2.0;                               // factor on the delay of another failure domain
+    // A position heard so lately is taken for today's: about half of the least replication lag measured.
+    duration position_trust = std::chrono::milliseconds{10};
+    double far_penalty = 2.0; // factor on the delay of another failure domain
 };
 
 //-----------------------------------------------------------------------------
@@ -62,10 +80,13 @@
 
 routing_decision route_write(const group_view& g, bool lease_live);
 
-// `asked_at` is when the request came; waiting ends at replica_wait after it.
-routing_decision route_read(const group_view& g, const session_state& s, duration staleness, bool lease_live,
-                            const routing_settings& settings, time_point asked_at, time_point now,
-                            std::mt19937_64& random);
+routing_decision route_read(const group_view& g, const session_state& s, const read_wish& wish,
+                            const routing_settings& settings, std::mt19937_64& random);
+
+// The position that gives a session what it is owed, whichever server reads it; nothing where no known
+// position of the primary is new enough.
+std::optional<log_position> demanded_position(const group_view& g, const session_state& s,
+                                              const read_wish& wish);
 
 // True where this server provably gives the session what it is owed.
 bool qualifies(const group_view& g, const server_view& server, const session_state& s, duration staleness,
--- a/src/core/session.cpp
+++ b/src/core/session.cpp
@@ -152,6 +152,18 @@
     return false;
 }
 
+void apply_route(session_settings& settings, const route_entry& route) {
+    settings.klass = route.priority <= 1   ? request_class::critical
+                     : route.priority == 2 ? request_class::normal
+                                           : request_class::background;
+    settings.deadline = route.statement_timeout;
+    if (route.consistency == read_consistency::primary) {
+        settings.mode = read_mode::primary;
+    } else if (route.consistency != read_consistency::session) {
+        settings.max_staleness = route.max_staleness;
+    }
+}
+
 void note_write(session_state& s, term_number term, log_position position) {
     raise_wrote(s, term, position);
 }
@@ -189,7 +201,7 @@
 }
 
 bool has_lost_write(const session_state& s, const group_record& group) {
-    if (!s.known || s.known->term >= group.term) {
+    if (s.settings.forgives_lost_writes || !s.known || s.known->term >= group.term) {
         return false;
     }
     const auto kept = surviving_position(group, s.known->term);
--- a/src/core/session.hpp
+++ b/src/core/session.hpp
@@ -43,6 +43,7 @@
     std::optional<duration> max_staleness;       // larchpin.max_staleness_ms, 0: read-your-writes
     std::optional<duration> deadline;            // larchpin.deadline_ms
     std::string idempotency_key;                 // larchpin.idempotency_key, used up by one request
+    bool forgives_lost_writes = false; // goes on after a failover that lost what it wrote; set by fronts
     auto operator<=>(const session_settings&) const = default;
 };
 
@@ -77,6 +78,9 @@
 std::string format_token(const session_token& token);
 std::optional<session_token> parse_token(std::string_view text);
 
+// What a route says holds until the caller sets something else.
+void apply_route(session_settings& settings, const route_entry& route);
+
 // Takes one "larchpin.*" setting; `name` without the prefix. False for an unknown name or a bad value.
 // "session" takes a token, or an empty text to forget what was seen.
 bool apply_setting(session_state& s, std::string_view name, const std::string& value);
--- a/src/ctl/main.cpp
+++ b/src/ctl/main.cpp
@@ -237,9 +237,11 @@
 
 int send_edit(const arguments& a, const larchpin::table_file& t) {
     larchpin::wire::edit_request request;
-    larchpin::to_wire(
-        larchpin::edit_table{.change_id = a.change_id, .expected_revision = t.revision, .next = t.content},
-        *request.mutable_edit());
+    larchpin::edit_table edit;
+    edit.change_id = a.change_id;
+    edit.expected_revision = t.revision;
+    edit.next = t.content;
+    larchpin::to_wire(edit, *request.mutable_edit());
     request.set_wait(a.wait);
     request.set_wait_ms(a.wait_ms);
     return report(larchpin::ask_leader(a.client, "/v1/edit", request.SerializeAsString()),
--- a/src/daemon/agent.cpp
+++ b/src/daemon/agent.cpp
@@ -7,11 +7,9 @@
 #include "core/rendezvous.hpp"
 #include "generated/larchpin.pb.h"
 #include "io/addresses.hpp"
-#include "io/backend_sql.hpp"
 #include "io/clock.hpp"
 #include "io/codec.hpp"
 #include "io/log.hpp"
-#include "io/server_probe.hpp"
 
 #include <boost/asio/post.hpp>
 
@@ -32,12 +30,13 @@
 constexpr duration group_use_time = std::chrono::seconds{2};
 constexpr duration pull_interval = std::chrono::milliseconds{50};
 constexpr duration pull_timeout = std::chrono::milliseconds{250};
-constexpr duration probe_connect_timeout = std::chrono::milliseconds{500};
 constexpr unsigned refusals_for_dead = 2;
 constexpr duration share_request_interval = std::chrono::milliseconds{50};
 constexpr std::size_t peers_asked = 2; // for one server's position, until one of them answers
 constexpr duration source_patience = std::chrono::milliseconds{300}; // afterwards all are asked again
 constexpr std::size_t max_announcements = 20'000;
+constexpr unsigned all_connections = 100;                              // percent, see pool_state
+constexpr duration position_patience = std::chrono::milliseconds{100}; // as long as requests wait for it
 
 std::uint64_t make_incarnation() {
     // Wall time orders the lives of one instance; a clock set back makes control wait out the old lease.
@@ -48,9 +47,10 @@
 
 } // namespace
 
-agent::agent(asio::io_context& io, const settings& config, const shared_keys& keys, backend_pools& pools)
-    : io_(io), config_(config), keys_(keys), pools_(pools), timer_(io), incarnation_(make_incarnation()),
-      leader_(config.control_addresses.front()) {}
+agent::agent(asio::io_context& io, const settings& config, const shared_keys& keys, backend_pools& pools,
+             const backend_driver& driver)
+    : io_(io), config_(config), keys_(keys), pools_(pools), driver_(driver), timer_(io),
+      incarnation_(make_incarnation()), control_(config.control_addresses), leader_(control_.front()) {}
 
 agent::~agent() = default;
 
@@ -165,8 +165,8 @@
 }
 
 void agent::rotate_control() {
-    control_index_ = (control_index_ + 1) % config_.control_addresses.size();
-    leader_ = config_.control_addresses[control_index_];
+    control_index_ = (control_index_ + 1) % control_.size();
+    leader_ = control_[control_index_];
 }
 
 void agent::on_renewed(const http_outcome& o, time_point sent) {
@@ -192,6 +192,11 @@
     }
     add_grant(lease_, sent, reply.lease, reply.revision, cluster_.revision);
     last_reply_seq_ = std::max(last_reply_seq_, reply.seq);
+    if (!reply.control_addresses.empty()) {
+        control_ = reply.control_addresses;
+        // The settings' addresses stay the last resort.
+        control_.insert(control_.end(), config_.control_addresses.begin(), config_.control_addresses.end());
+    }
     leaving_ = reply.leaving;
     apply_shares(reply);
     follow_assignment(reply.observe);
@@ -352,9 +357,7 @@
 void agent::connect_probe(const server_id& id) {
     probed_server& p = probed_[id];
     p.connecting = true;
-    backend_target target = make_probe_target(config_, p.record);
-    target.connect_timeout = probe_connect_timeout;
-    auto connection = std::make_shared<backend_connection>(io_, target);
+    const auto connection = driver_.make_probe_connection(p.record);
     p.connection = connection;
     connection->connect([this, id, connection](bool connected) {
         const auto found = probed_.find(id);
@@ -390,14 +393,12 @@
     p.asked_at = now();
     p.next_at = p.asked_at + config_.probe_interval;
     p.answering_fresh.swap(p.waiting_for_fresh);
-    backend_request request;
-    request.text = probe_sql;
     backend_sink sink;
     sink.keep_first_row = true;
     sink.on_done = [this, id, asked_at = p.asked_at](const backend_outcome& o) {
         on_probed(id, o, asked_at);
     };
-    p.connection->run(request, sink);
+    p.connection->run(driver_.position_probe, sink);
 }
 
 void agent::on_probed(const server_id& id, const backend_outcome& outcome, time_point asked_at) {
@@ -407,16 +408,19 @@
     }
     probed_server& p = found->second;
     p.asking = false;
-    const auto result = parse_probe_row(outcome);
+    const auto result = driver_.read_position(outcome);
     if (result) {
+        const auto role = driver_.position_probe_tells_role ? driver_.read_role(outcome) : std::nullopt;
+        const auto group = cluster_.groups.find(p.record.group);
+        const bool recorded = group != cluster_.groups.end() && group->second.primary == id;
         p.answered_at = now();
-        p.seen.is_primary = result->is_primary;
+        p.seen.is_primary = role ? role->is_primary : recorded;
         p.seen.timeline = result->timeline;
         p.seen.position = result->position;
         p.sample = {.not_before = asked_at, .timeline = result->timeline, .position = result->position};
         p.has_sample = true;
         set_alive(p, true);
-        take_sample(id, result->is_primary, p.sample);
+        take_sample(id, p.seen.is_primary, p.sample);
     } else {
         p.next_at = now();
     }
@@ -443,17 +447,19 @@
     }
     group_positions& known = positions_[group_name];
     add_server_sample(known, id, sample, now());
+    bool awaited = !driver_.servers_enforce_floor; // then every sample may let a read go on
     const group_record& record = group->second;
     const bool is_true_primary = is_primary && record.primary == id && record.phase == group_phase::serving &&
                                  sample.timeline == record.timeline && has_lease();
     if (is_true_primary) {
         add_primary_sample(known, record.term, sample);
         const auto wanted = fresh_wanted_.find(group_name);
-        if (wanted != fresh_wanted_.end() && sample.not_before >= wanted->second) {
+        if (wanted != fresh_wanted_.end() && sample.not_before >= wanted->second.since) {
             fresh_wanted_.erase(wanted);
+            awaited = true;
         }
     }
-    if (on_change) {
+    if (awaited && on_change) {
         on_change();
     }
 }
@@ -461,6 +467,10 @@
 // Asks the daemons of this failure domain that may be probing the servers of the groups in use here.
 void agent::pull_positions() {
     const time_point at = now();
+    if (driver_.servers_enforce_floor) {
+        ask_primaries();
+        return;
+    }
     if (at < next_pull_ && fresh_wanted_.empty()) {
         return;
     }
@@ -525,6 +535,57 @@
     }
 }
 
+// Where answers carry positions, the primary itself is asked, over a connection of the pool, and only when a
+// request cannot be routed without.
+void agent::ask_primaries() {
+    for (const auto& [id, wanted] : fresh_wanted_) {
+        const auto group = cluster_.groups.find(id);
+        if (group == cluster_.groups.end() || group->second.phase != group_phase::serving ||
+            asking_primary_[id]) {
+            continue;
+        }
+        const auto primary = cluster_.servers.find(group->second.primary);
+        if (primary != cluster_.servers.end() && has_lease()) {
+            ask_primary(id, wanted.service, primary->second);
+        }
+    }
+}
+
+void agent::ask_primary(const group_id& group, const service_id& service, const server_record& primary) {
+    const share_key key{.service = service, .server = primary.id};
+    asking_primary_[group] = true;
+    pools_.request(key, primary, all_connections, request_class::critical, now() + position_patience,
+                   [this, key, group](const pool_answer& answer) {
+                       if (!answer.connection) {
+                           asking_primary_[group] = false;
+                           return;
+                       }
+                       const time_point asked_at = now();
+                       const auto connection = answer.connection;
+                       const connection_number number = answer.number;
+                       backend_sink sink;
+                       sink.on_done = [this, key, group, asked_at, number,
+                                       connection](const backend_outcome& outcome) {
+                           asking_primary_[group] = false;
+                           connection->held = {}; // the probe resets the connection
+                           if (outcome.position) {
+                               note_position(key.server, asked_at, *outcome.position);
+                           }
+                           pools_.release(key, number, outcome.answered, now() - asked_at);
+                       };
+                       connection->run(driver_.position_probe, sink);
+                   });
+}
+
+void agent::note_position(const server_id& server, time_point asked_at, const log_mark& mark) {
+    const auto record = cluster_.servers.find(server);
+    const auto group =
+        record == cluster_.servers.end() ? cluster_.groups.end() : cluster_.groups.find(record->second.group);
+    const bool is_primary = group != cluster_.groups.end() && group->second.primary == server;
+    take_sample(server, is_primary,
+                {.not_before = asked_at, .timeline = mark.timeline, .position = mark.position});
+}
+
 void agent::answer_positions(const std::string& body, const http_respond& respond) {
     wire::position_request request;
     if (!request.ParseFromString(body)) {
@@ -575,17 +636,40 @@
 // [announcements]
 //-----------------------------------------------------------------------------
 
+bool agent::take_announcement(const server_announcement& a) {
+    const bool whole = !a.record.id.value.empty() && !a.record.group.value.empty() && a.record.port > 0 &&
+                       parse_endpoint(a.record.host + ":1").has_value();
+    if (!whole || announced_.size() >= max_announcements) {
+        return false;
+    }
+    heard_announcement& heard = announced_[a.record.id];
+    const bool news = heard.last.leaving != a.leaving || heard.last.gone != a.gone ||
+                      heard.last.is_primary != a.is_primary || heard.last.record != a.record;
+    if (a.sequence < heard.last.sequence) {
+        return true; // overtaken by a later one
+    }
+    heard = {.last = a, .at = now()};
+    if (news) {
+        log_event(severity::info, "server_announced",
+                  {{"server", a.record.id.value},
+                   {"group", a.record.group.value},
+                   {"primary", a.is_primary},
+                   {"leaving", a.leaving},
+                   {"gone", a.gone},
+                   {"sequence", a.sequence}});
+        renew_soon();
+    }
+    return true;
+}
+
 std::string agent::answer_announcement(const std::string& body) {
     wire::server_announcement m;
     wire::announcement_reply reply;
-    const bool read = m.ParseFromString(body) && !m.record().id().empty() && !m.record().group().empty() &&
-                      m.record().port() > 0 && parse_endpoint(m.record().host() + ":1").has_value();
-    if (!read || announced_.size() >= max_announcements) {
+    const server_announcement a = m.ParseFromString(body) ? from_wire(m) : server_announcement{};
+    if (!take_announcement(a)) {
         reply.set_code(static_cast<std::uint32_t>(result_code::bad_message));
         return reply.SerializeAsString();
     }
-    const server_announcement a = from_wire(m);
-    announced_[a.record.id] = heard_announcement{.last = a, .at = now()};
     const auto group = cluster_.groups.find(a.record.group);
     // Without a lease this copy may be old, and a server that followed it would follow a replaced primary.
     if (!has_lease() || group == cluster_.groups.end()) {
@@ -612,6 +696,7 @@
     }
     v.record = record->second;
     v.positions = &positions_[group];
+    v.servers_enforce_floor = driver_.servers_enforce_floor;
     const time_point at = now();
     const bool lease = has_lease();
     for (const server_record& server : servers_of(cluster_, group)) {
@@ -634,6 +719,9 @@
 }
 
 bool agent::is_silent(const server_record& server) const {
+    if (driver_.servers_enforce_floor) {
+        return false; // positions come with answers only; failed requests tell
+    }
     const auto group = positions_.find(server.group);
     if (group == positions_.end()) {
         return false;
@@ -643,8 +731,8 @@
            now() - known->second.newest.not_before > config_.detect_time + pull_interval * 2;
 }
 
-void agent::want_fresh_position(const group_id& group) {
-    const bool first = fresh_wanted_.emplace(group, now()).second;
+void agent::want_fresh_position(const group_id& group, const service_id& service) {
+    const bool first = fresh_wanted_.emplace(group, position_wish{.since = now(), .service = service}).second;
     if (first) {
         asio::post(io_, [this] {
             pull_positions();
--- a/src/daemon/agent.hpp
+++ b/src/daemon/agent.hpp
@@ -15,7 +15,9 @@
 #include "core/positions.hpp"
 #include "core/routing.hpp"
 #include "daemon/pools.hpp"
+#include "io/backend_driver.hpp"
 #include "io/http2.hpp"
+#include "io/settings.hpp"
 
 #include <memory>
 
@@ -27,7 +29,8 @@
 
 class agent {
 public:
-    agent(boost::asio::io_context& io, const settings& config, const shared_keys& keys, backend_pools& pools);
+    agent(boost::asio::io_context& io, const settings& config, const shared_keys& keys, backend_pools& pools,
+          const backend_driver& driver);
     ~agent();
     agent(const agent&) = delete;
     agent& operator=(const agent&) = delete;
@@ -48,12 +51,18 @@
     // Nobody here has heard of the server for the detection time.
     [[nodiscard]] bool is_silent(const server_record& server) const;
     // Asks for the primary's position anew, for sessions that have no floor yet.
-    void want_fresh_position(const group_id& group);
+    void want_fresh_position(const group_id& group, const service_id& service);
+
+    // An answer of the server carried this position; it was asked at `asked_at`.
+    void note_position(const server_id& server, time_point asked_at, const log_mark& mark);
 
     void note_request_started(const server_id& server);
     void note_request_ended(const server_id& server, bool ok, duration took);
     retry_budget& budget(const group_id& group) { return budgets_[group]; }
 
+    // A server has announced itself; true where it was understood. Passed on with the next renewals.
+    bool take_announcement(const server_announcement& a);
+
     // Bodies of /v1/announce and /v1/positions, and their answers.
     std::string answer_announcement(const std::string& body);
     void answer_positions(const std::string& body, const http_respond& respond);
@@ -101,12 +110,15 @@
     void set_alive(probed_server& p, bool alive);
     void take_sample(const server_id& id, bool is_primary, const position_sample& sample);
     void pull_positions();
+    void ask_primaries();
+    void ask_primary(const group_id& group, const service_id& service, const server_record& primary);
     http2_client& client_to(const std::string& address);
 
     boost::asio::io_context& io_;
     const settings& config_;
     shared_keys keys_;
     backend_pools& pools_;
+    const backend_driver& driver_;
     boost::asio::steady_timer timer_;
     std::uint64_t incarnation_;
     cluster_state cluster_;
@@ -115,6 +127,7 @@
     bool confirmed_once_ = false;
     bool stopping_ = false;
     // renewals
+    std::vector<std::string> control_; // peer listeners of the control instances, as last heard
     std::size_t control_index_ = 0;
     std::string leader_;
     bool renewing_ = false;
@@ -134,7 +147,12 @@
     std::map<server_id, server_health> health_;
     std::map<group_id, group_positions> positions_;
     std::map<group_id, time_point> used_at_;
-    std::map<group_id, time_point> fresh_wanted_;
+    struct position_wish {
+        time_point since{};
+        service_id service; // whose connections may be used for it
+    };
+    std::map<group_id, position_wish> fresh_wanted_;
+    std::map<group_id, bool> asking_primary_;
     std::map<group_id, retry_budget> budgets_;
     std::map<std::string, bool> pulling_;
     struct position_source {
--- a/src/daemon/client_session.cpp
+++ b/src/daemon/client_session.cpp
@@ -1,7 +1,8 @@
-// A caller's messages: see client_session.hpp. How one request is carried out stands in client_request.cpp.
+// A caller's messages: see client_session.hpp. How one request is carried out stands in request_path.cpp.
 //
 // Index
 //   [lifetime]  [reading and writing]  [startup]  [simple query]  [extended query]  [answers made here]
+//   [requests]
 #include "daemon/client_session.hpp"
 
 #include "daemon/entry.hpp"
@@ -18,6 +19,7 @@
 
 namespace {
 
+constexpr std::size_t message_header_bytes = 5;
 constexpr std::size_t max_prepared = 1000;
 constexpr std::size_t max_session_settings = 100;
 constexpr std::size_t pause_above = 1U << 20U; // bytes not yet taken by the caller
@@ -55,6 +57,42 @@
     return text;
 }
 
+std::uint32_t message_length(std::string_view bytes) {
+    field_reader r{.rest = bytes.substr(1)};
+    return read_u32(r) + 1;
+}
+
+// Splits whole messages: all before the first CommandComplete, and the rest.
+std::size_t find_acknowledgement(std::string_view bytes) {
+    std::size_t at = 0;
+    while (bytes.size() - at >= message_header_bytes) {
+        if (bytes[at] == 'C') {
+            return at;
+        }
+        at += message_length(bytes.substr(at));
+    }
+    return bytes.size();
+}
+
+// Takes the row description out of the answer to an execute that nobody asked to describe.
+std::string without_description(std::string_view bytes) {
+    std::string kept;
+    std::size_t at = 0;
+    while (bytes.size() - at >= message_header_bytes) {
+        const std::uint32_t length = message_length(bytes.substr(at));
+        if (bytes[at] != 'T') {
+            kept.append(bytes.substr(at, length));
+        }
+        at += length;
+    }
+    return kept;
+}
+
+// A described execute without rows is answered "no data" before its completion.
+bool starts_with_completion(std::string_view bytes) {
+    return !bytes.empty() && (bytes.front() == 'C' || bytes.front() == 'I');
+}
+
 } // namespace
 
 //-----------------------------------------------------------------------------
@@ -63,7 +101,8 @@
 
 client_session::client_session(entry& owner, session_number number, std::uint32_t secret,
                                asio::ip::tcp::socket socket)
-    : owner_(owner), number_(number), secret_(secret), stream_(std::move(socket)), timer_(owner.io) {}
+    : owner_(owner), number_(number), secret_(secret), stream_(std::move(socket)),
+      path_(std::make_shared<request_path>(owner, number, make_front())) {}
 
 void client_session::start() {
     read_some();
@@ -71,7 +110,7 @@
 
 void client_session::stop_when_idle() {
     stopping_ = true;
-    if (is_idle() && !closed_) {
+    if (path_->is_idle() && !closed_) {
         fail_session({.code = result_code::stopping, .run = run_state::not_run, .fatal = true});
     }
 }
@@ -81,18 +120,19 @@
         return;
     }
     closed_ = true;
-    timer_.cancel();
     stream_.close();
-    if (active_ && active_->step == request_step::queued) {
-        leave_queue();
-    } else if (active_ && pinned_) {
-        owner_.cluster.note_request_ended(active_->server, true, now() - active_->used_from);
-    }
-    active_.reset();
-    drop_connection();
+    path_->close();
     owner_.remove(number_);
 }
 
+void client_session::poke() {
+    path_->poke();
+}
+
+void client_session::cancel() {
+    path_->cancel();
+}
+
 void client_session::fail_session(const caller_error& error) {
     put_error(out_, error);
     closing_ = true;
@@ -129,7 +169,7 @@
 }
 
 void client_session::process_input() {
-    while (!active_ && !closed_ && !closing_) {
+    while (!is_busy() && !closed_ && !closing_) {
         const auto m = next_message(in_);
         if (!m) {
             break;
@@ -140,11 +180,11 @@
             handle(*m);
         }
     }
-    if (in_.broken && !closing_ && !active_) {
+    if (in_.broken && !closing_ && !is_busy()) {
         fail_session({.code = result_code::too_large, .run = run_state::not_run, .fatal = true});
     }
     send();
-    if (!active_) {
+    if (!is_busy()) {
         read_some();
     }
 }
@@ -170,8 +210,8 @@
             self->close();
             return;
         }
-        if (self->pinned_ && self->out_.size() < resume_below) {
-            self->pinned_->connection->resume();
+        if (self->out_.size() < resume_below) {
+            self->path_->resume();
         }
         self->send();
     });
@@ -179,8 +219,8 @@
 
 void client_session::forward(std::string_view bytes) {
     out_.append(bytes);
-    if (out_.size() > pause_above && pinned_) {
-        pinned_->connection->pause();
+    if (out_.size() > pause_above) {
+        path_->pause();
     }
     send();
 }
@@ -208,7 +248,7 @@
         return;
     }
     if (request->code == pg_ssl_request) {
-        active_ = active_request{}; // no messages until the handshake is done
+        securing_ = true;
         const auto self = shared_from_this();
         writing_ = "S";
         write_active_ = true;
@@ -219,7 +259,7 @@
                 return;
             }
             self->stream_.start_tls(*self->owner_.tls, [self](bool secured) {
-                self->active_.reset();
+                self->securing_ = false;
                 if (!secured) {
                     self->close();
                     return;
@@ -236,6 +276,17 @@
     greet(*request);
 }
 
+// A route, where the table has one of the caller's database's name, says what its requests are owed.
+void client_session::follow_route(session_state& state) const {
+    const route_entry* route = find_route(owner_.cluster.cluster().current, state.group.value);
+    if (route == nullptr) {
+        return;
+    }
+    state.group = route->group;
+    state.service = route->service;
+    apply_route(state.settings, *route);
+}
+
 bool client_session::apply_startup_options(const startup_request& request) {
     const auto options = request.parameters.find("options");
     if (options != request.parameters.end()) {
@@ -267,9 +318,11 @@
         return found == request.parameters.end() ? otherwise : found->second;
     };
     const std::string user = parameter("user", "");
-    state_.service = {user};
-    state_.group = {parameter("database", user)};
-    state_.arrived_at = now();
+    session_state& state = path_->state;
+    state.service = {user};
+    state.group = {parameter("database", user)};
+    state.arrived_at = now();
+    follow_route(state);
     if (owner_.is_draining()) {
         fail_session({.code = result_code::stopping, .run = run_state::not_run, .fatal = true});
         return;
@@ -285,7 +338,7 @@
                       .fatal = true});
         return;
     }
-    const service_entry* service = find_service(owner_.cluster.cluster().current, state_.service);
+    const service_entry* service = find_service(owner_.cluster.cluster().current, state.service);
     if (service == nullptr) {
         const bool known = owner_.cluster.has_confirmed_state();
         fail_session({.code = known ? result_code::unknown_service : result_code::no_lease,
@@ -294,7 +347,7 @@
                       .fatal = true});
         return;
     }
-    service_ = *service;
+    path_->service = *service;
     if (!apply_startup_options(request)) {
         fail_session({.code = result_code::bad_setting, .run = run_state::not_run, .fatal = true});
         return;
@@ -511,7 +564,7 @@
 
 // Answers a statement that needs no backend server.
 client_session::local_answer client_session::answer_locally(statement_kind kind, const std::string& text) {
-    const bool in_transaction = pinned_.has_value();
+    const bool in_transaction = path_->in_transaction();
     if (failed_transaction_) {
         if (kind == statement_kind::commit || kind == statement_kind::rollback) {
             failed_transaction_ = false;
@@ -533,7 +586,7 @@
         return local_answer::refused;
     case statement_kind::discard:
         settings_.clear();
-        settings_text_.clear();
+        path_->settings_text.clear();
         statements_.clear();
         put_command_complete(out_, "DISCARD ALL");
         return local_answer::done;
@@ -564,7 +617,7 @@
 bool client_session::change_setting(const std::string& text) {
     const setting_change change = parse_setting(text);
     if (change.name.starts_with(own_prefix)) {
-        return apply_setting(state_, change.name.substr(own_prefix.size()), change.value);
+        return apply_setting(path_->state, change.name.substr(own_prefix.size()), change.value);
     }
     if (!is_setting_name(change.name) || settings_.size() >= max_session_settings) {
         return false;
@@ -576,15 +629,15 @@
     } else if (!change.local) {
         settings_[change.name] = change.value;
     }
-    settings_text_ = to_statements(settings_);
+    path_->settings_text = to_statements(settings_);
     return true;
 }
 
 void client_session::put_token() {
-    if (!state_.wrote) {
+    if (!path_->state.wrote) {
         return;
     }
-    const std::string token = format_token(*state_.wrote);
+    const std::string token = format_token(*path_->state.wrote);
     if (token != token_sent_) {
         token_sent_ = token;
         put_parameter(out_, "larchpin.session", token);
@@ -595,11 +648,95 @@
     if (failed_transaction_) {
         return 'E';
     }
-    return pinned_ ? pinned_->transaction : 'I';
+    return path_->transaction_status();
+}
+
+//-----------------------------------------------------------------------------
+// [requests]
+//-----------------------------------------------------------------------------
+
+path_front client_session::make_front() {
+    path_front front;
+    front.split = [this](std::string& bytes, bool holds_acknowledgement, bool held) {
+        return split_answer(bytes, holds_acknowledgement, held);
+    };
+    front.forward = [this](std::string_view bytes) { forward(bytes); };
+    front.finished = [this](const request_result& result) { on_finished(result); };
+    return front;
+}
+
+void client_session::begin_request(statement_kind kind, const backend_request& request, bool extended,
+                                   bool want_description) {
+    session_state& state = path_->state;
+    const read_mode mode = state.settings.mode;
+    const bool may_read = kind == statement_kind::read_hint || kind == statement_kind::begin_read_only ||
+                          (kind == statement_kind::begin && mode == read_mode::read);
+    const auto semicolon = request.text.find(';');
+    caller_request r;
+    r.request = request;
+    r.kind = kind;
+    r.may_use_replica = may_read && mode != read_mode::primary && state.settings.idempotency_key.empty();
+    r.surely_reads = r.may_use_replica && mode == read_mode::read;
+    r.looks_like_read = r.may_use_replica && !may_call_functions(request.text);
+    r.one_statement = request.shape == request_shape::extended || semicolon == std::string::npos ||
+                      semicolon + 1 == request.text.size();
+    r.timeout = deadline_of(state, path_->service);
+    if (!path_->in_transaction() && !r.may_use_replica) {
+        r.idempotency_key.swap(state.settings.idempotency_key);
+    }
+    extended_ = extended;
+    want_description_ = want_description;
+    forwarded_ = false;
+    shape_ = request.shape;
+    kind_ = kind;
+    path_->begin(std::move(r));
+}
+
+std::size_t client_session::split_answer(std::string& bytes, bool holds_acknowledgement, bool held) {
+    if (extended_ && shape_ == request_shape::extended) {
+        if (!want_description_) {
+            bytes = without_description(bytes);
+        } else if (!forwarded_ && !held && starts_with_completion(bytes) &&
+                   (kind_ == statement_kind::write || kind_ == statement_kind::read_hint)) {
+            put_message(out_, 'n', "");
+        }
+    }
+    std::size_t split = bytes.size();
+    if (holds_acknowledgement) {
+        split = held ? 0 : find_acknowledgement(bytes);
+    }
+    forwarded_ = forwarded_ || split > 0;
+    return split;
+}
+
+void client_session::on_finished(const request_result& result) {
+    failed_transaction_ = failed_transaction_ || result.transaction_lost;
+    if (result.end == request_end::refused) {
+        put_error(out_, {.code = result.code, .run = result.run, .retry_after = result.retry_after});
+    } else {
+        out_.append(result.bytes);
+    }
+    skip_to_sync_ = extended_ && result.end != request_end::success;
+    if (!extended_) {
+        put_token();
+        put_ready(out_, transaction_status());
+        if (stopping_) {
+            stop_when_idle();
+        }
+    }
+    // Not from inside the connection's callback: the next request may use the same connection.
+    asio::post(owner_.io, [self = shared_from_this()] { self->process_input(); });
 }
 
-metric_key client_session::metric() const {
-    return {.service = state_.service, .klass = state_.settings.klass};
+session_handle make_pg_session(entry& owner, session_number number, std::uint32_t secret,
+                               asio::ip::tcp::socket socket) {
+    const auto session = std::make_shared<client_session>(owner, number, secret, std::move(socket));
+    return {.secret = secret,
+            .start = [session] { session->start(); },
+            .poke = [session] { session->poke(); },
+            .stop_when_idle = [session] { session->stop_when_idle(); },
+            .close = [session] { session->close(); },
+            .cancel = [session] { session->cancel(); }};
 }
 
 } // namespace larchpin
--- a/src/daemon/control_node.cpp
+++ b/src/daemon/control_node.cpp
@@ -4,14 +4,13 @@
 //   [loop]  [log and messages]  [actions]  [joining]  [answers to daemons]  [answers to operators]
 #include "daemon/control_node.hpp"
 
+#include "core/rendezvous.hpp"
 #include "generated/larchpin.pb.h"
 #include "io/addresses.hpp"
-#include "io/backend_connection.hpp"
-#include "io/backend_sql.hpp"
+#include "io/backend_driver.hpp"
 #include "io/clock.hpp"
 #include "io/codec.hpp"
 #include "io/log.hpp"
-#include "io/server_probe.hpp"
 #include "io/workers.hpp"
 
 #include <boost/asio/post.hpp>
@@ -40,6 +39,12 @@
                               .encode_state = encode_state,
                               .decode_state = decode_state};
 
+// The same for everyone who knows the address.
+raft::node_id founder_id(const std::string& address) {
+    const raft::node_id id = stable_hash(address, "founder");
+    return id == 0 ? 1 : id;
+}
+
 std::string operator_reply(result_code code, const std::string& detail, revision_number table_revision = 0,
                            revision_number revision = 0) {
     wire::operator_reply m;
@@ -52,8 +57,9 @@
 
 } // namespace
 
-control_node::control_node(asio::io_context& io, const settings& config, const shared_keys& keys)
-    : io_(io), config_(config), keys_(keys), random_(std::random_device{}()), timer_(io) {}
+control_node::control_node(asio::io_context& io, const settings& config, const shared_keys& keys,
+                           const backend_driver& driver)
+    : io_(io), config_(config), keys_(keys), driver_(driver), random_(std::random_device{}()), timer_(io) {}
 
 control_node::~control_node() = default;
 
@@ -61,13 +67,22 @@
 // [loop]
 //-----------------------------------------------------------------------------
 
+// What an empty folder is to be called: a founder by its address, anybody else at random.
+raft::node_id control_node::new_identity() const {
+    const auto& founders = config_.control_addresses;
+    const bool is_founder =
+        std::find(founders.begin(), founders.end(), config_.peer_address) != founders.end();
+    return config_.founds_cluster && is_founder ? founder_id(config_.peer_address) : 0;
+}
+
 leaf::result<void> control_node::start() {
-    BOOST_LEAF_ASSIGN(const recovered_store found, store_.open(config_.data_folder));
+    BOOST_LEAF_ASSIGN(const recovered_store found, store_.open(config_.data_folder, new_identity()));
     raft::settings timing;
     timing.heartbeat_interval = config_.heartbeat;
     timing.election_timeout = config_.election;
     control_settings decisions;
     decisions.lease = config_.lease;
+    decisions.always_promote = driver_.promotes_by_token;
     const raft::member self{
         .id = found.node, .name = config_.id.value, .address = config_.peer_address, .voter = false};
     core_ = make_control_core(codec, self, timing, decisions, found.state, now(), random_);
@@ -78,11 +93,31 @@
                {"log_entries", static_cast<std::uint64_t>(found.state.log.size())},
                {"log_bytes", found.file_bytes},
                {"term", found.state.hard.term}});
+    if (config_.founds_cluster && found.node == founder_id(config_.peer_address)) {
+        found_cluster();
+    }
     pump();
     on_tick();
     return {};
 }
 
+// The first start of a whole site: the instances that the settings name found the cluster together, each by
+// itself, since all make the same first entry. Identities come from the addresses for that one time.
+void control_node::found_cluster() {
+    raft::configuration founders;
+    for (const std::string& address : config_.control_addresses) {
+        founders.members.push_back(
+            {.id = founder_id(address), .name = address, .address = address, .voter = true});
+    }
+    std::sort(founders.members.begin(), founders.members.end(),
+              [](const raft::member& a, const raft::member& b) { return a.id < b.id; });
+    const bool founded = bootstrap(core_, founders, now(), random_);
+    log_event(severity::info, "control_founded",
+              {{"node", core_.self.id},
+               {"founders", static_cast<std::uint64_t>(founders.members.size())},
+               {"is_founder", founded}});
+}
+
 void control_node::on_tick() {
     tick(core_, now(), random_);
     pump();
@@ -207,9 +242,9 @@
 void control_node::carry_out(const control_actions& actions) {
     for (const control_action& action : actions) {
         if (const auto* probe = std::get_if<probe_server>(&action)) {
-            start_operation(probe->operation, probe->server, 0);
+            start_probe(probe->operation, probe->server);
         } else if (const auto* promote = std::get_if<promote_server>(&action)) {
-            start_operation(promote->operation, promote->server, promote->timeline);
+            start_promotion(*promote);
         } else if (const auto* note = std::get_if<note_event>(&action)) {
             const auto since = std::chrono::duration_cast<std::chrono::microseconds>(note->since_suspected);
             log_event(severity::warning, note->what,
@@ -221,68 +256,99 @@
     }
 }
 
-void control_node::start_operation(std::uint64_t number, const server_record& server,
-                                   std::uint64_t promote_from) {
-    server_operation operation;
-    operation.number = number;
-    operation.server = server;
-    operation.promote_from = promote_from;
-    operation.deadline =
-        now() + (promote_from != 0 ? core_.control.config.promote_wait : core_.control.config.probe_wait);
-    operation.connection = std::make_shared<backend_connection>(io_, make_probe_target(config_, server));
-    operations_[number] = operation;
-    operation.connection->connect([this, number](bool connected) {
-        if (!connected) {
-            const auto found = operations_.find(number);
-            if (found != operations_.end()) {
-                finish_operation({.operation = number, .server = found->second.server.id});
-            }
+void control_node::start_probe(std::uint64_t number, const server_record& server) {
+    operations_[number] = {.number = number,
+                           .server = server,
+                           .wait_for_lead = false,
+                           .deadline = now() + core_.control.config.probe_wait,
+                           .connection = nullptr};
+    ask_role(number);
+}
+
+void control_node::start_promotion(const promote_server& order) {
+    const std::uint64_t number = order.operation;
+    operations_[number] = {.number = number,
+                           .server = order.server,
+                           .wait_for_lead = true,
+                           .deadline = now() + core_.control.config.promote_wait,
+                           .connection = nullptr};
+    const promotion_order sent{.server = order.server, .timeline = order.timeline, .token = order.token};
+    driver_.promote(sent, [this, number, token = order.token](promotion_answer answer) {
+        log_event(severity::info, "promotion_answered",
+                  {{"operation", number},
+                   {"token", token},
+                   {"accepted", answer == promotion_answer::accepted},
+                   {"refused", answer == promotion_answer::refused}});
+        const auto found = operations_.find(number);
+        if (found == operations_.end()) {
+            return;
+        }
+        if (answer == promotion_answer::refused) {
+            finish_operation({.operation = number, .server = found->second.server.id});
             return;
         }
-        run_operation(number);
+        ask_role(number); // whatever was answered, its role tells
     });
 }
 
-void control_node::run_operation(std::uint64_t number) {
+void control_node::ask_role(std::uint64_t number) {
     const auto found = operations_.find(number);
     if (found == operations_.end()) {
         return;
     }
-    server_operation& operation = found->second;
-    const bool promote_now = operation.promote_from != 0 && !operation.promote_sent;
-    operation.promote_sent = operation.promote_sent || promote_now;
-    backend_request request;
-    request.text = promote_now ? std::string(promote_sql) + std::to_string(operation.promote_from)
-                               : std::string(probe_sql);
-    backend_sink sink;
-    sink.keep_first_row = true;
-    sink.on_done = [this, number, promote_now](const backend_outcome& outcome) {
+    const auto connection = driver_.make_probe_connection(found->second.server);
+    found->second.connection = connection;
+    connection->connect([this, number](bool connected) {
         const auto open = operations_.find(number);
         if (open == operations_.end()) {
             return;
         }
-        if (outcome.answered && !outcome.failed && promote_now) {
-            run_operation(number);
-            return;
-        }
-        const auto probed = parse_probe_row(outcome);
-        const bool wait_for_promotion = open->second.promote_from != 0 && probed && !probed->is_primary;
-        if (wait_for_promotion && now() < open->second.deadline) {
-            auto timer = std::make_shared<asio::steady_timer>(io_, probe_again_after);
-            timer->async_wait(
-                [this, number, timer](const boost::system::error_code&) { run_operation(number); });
+        if (!connected) {
+            finish_operation({.operation = number, .server = open->second.server.id});
             return;
         }
-        server_answer answer{.operation = number, .server = open->second.server.id};
-        if (probed) {
-            answer.answered = true;
-            answer.is_primary = probed->is_primary;
-            answer.timeline = probed->timeline;
-            answer.position = probed->position;
-        }
-        finish_operation(answer);
-    };
-    operation.connection->run(request, sink);
+        run_role_probe(number);
+    });
+}
+
+void control_node::run_role_probe(std::uint64_t number) {
+    const auto found = operations_.find(number);
+    if (found == operations_.end()) {
+        return;
+    }
+    backend_sink sink;
+    sink.keep_first_row = true;
+    sink.on_done = [this, number](const backend_outcome& outcome) { take_role(number, outcome); };
+    const auto connection = found->second.connection;
+    connection->run(driver_.role_probe, sink);
+}
+
+void control_node::take_role(std::uint64_t number, const backend_outcome& outcome) {
+    const auto found = operations_.find(number);
+    if (found == operations_.end()) {
+        return;
+    }
+    const server_operation& operation = found->second;
+    const auto probed = driver_.read_role(outcome);
+    const bool busy = outcome.answered && outcome.refusal == server_refusal::busy;
+    const bool not_yet = operation.wait_for_lead && probed && !probed->is_primary;
+    if ((busy || not_yet) && now() < operation.deadline) {
+        ask_role_again(number);
+        return;
+    }
+    server_answer answer{.operation = number, .server = operation.server.id};
+    if (probed) {
+        answer.answered = true;
+        answer.is_primary = probed->is_primary;
+        answer.timeline = probed->timeline;
+        answer.position = probed->position;
+    }
+    finish_operation(answer);
+}
+
+void control_node::ask_role_again(std::uint64_t number) {
+    auto timer = std::make_shared<asio::steady_timer>(io_, probe_again_after);
+    timer->async_wait([this, number, timer](const boost::system::error_code&) { run_role_probe(number); });
 }
 
 void control_node::finish_operation(const server_answer& answer) {
@@ -292,7 +358,9 @@
     }
     const auto connection = found->second.connection;
     operations_.erase(found);
-    asio::post(io_, [connection] { connection->close(); });
+    if (connection) {
+        asio::post(io_, [connection] { connection->close(); });
+    }
     server_answered(core_, answer, now());
     pump();
 }
@@ -495,6 +563,20 @@
     return operator_reply(code, code == result_code::not_leader ? leader_address() : "");
 }
 
+std::string control_node::answer_document() {
+    wire::document_reply reply;
+    if (!may_lead(core_, now())) {
+        reply.set_code(static_cast<std::uint32_t>(result_code::not_leader));
+        reply.set_leader(leader_address());
+        return reply.SerializeAsString();
+    }
+    const bool has_one = core_.cluster.table_version != 0;
+    reply.set_code(static_cast<std::uint32_t>(has_one ? result_code::ok : result_code::no_such_record));
+    reply.set_version(core_.cluster.table_version);
+    reply.set_document(core_.cluster.document);
+    return reply.SerializeAsString();
+}
+
 std::string control_node::answer_status() {
     wire::status_reply reply;
     if (!may_lead(core_, now())) {
--- a/src/daemon/control_node.hpp
+++ b/src/daemon/control_node.hpp
@@ -27,11 +27,14 @@
 class status_reply;
 } // namespace wire
 
-class backend_connection;
+struct backend_connection;
+struct backend_outcome;
+struct backend_driver;
 
 class control_node {
 public:
-    control_node(boost::asio::io_context& io, const settings& config, const shared_keys& keys);
+    control_node(boost::asio::io_context& io, const settings& config, const shared_keys& keys,
+                 const backend_driver& driver);
     ~control_node();
     control_node(const control_node&) = delete;
     control_node& operator=(const control_node&) = delete;
@@ -49,8 +52,14 @@
     void answer_edit(const std::string& body, const http_respond& respond);
     [[nodiscard]] std::string answer_switchover(const std::string& body);
     [[nodiscard]] std::string answer_status();
+    [[nodiscard]] std::string answer_document();
     [[nodiscard]] std::string answer_bootstrap();
 
+    // The settings name other control instances now: whom to ask for membership.
+    void set_control_addresses(const std::vector<std::string>& addresses) {
+        config_.control_addresses = addresses;
+    }
+
     // [consensus]
     void on_raft_message(const std::string& body);
     [[nodiscard]] std::string answer_join(const std::string& body);
@@ -72,8 +81,7 @@
     struct server_operation {
         std::uint64_t number = 0;
         server_record server;
-        std::uint64_t promote_from = 0; // the timeline it must be on; 0: only asked
-        bool promote_sent = false;
+        bool wait_for_lead = false; // promoted: asked until it leads, or until the deadline
         time_point deadline{};
         std::shared_ptr<backend_connection> connection;
     };
@@ -84,12 +92,18 @@
     void send_messages(const std::vector<raft::message>& messages);
     void carry_out(const control_actions& actions);
     void note_decided(const decided_edit& edit);
-    void start_operation(std::uint64_t number, const server_record& server, std::uint64_t promote_from);
-    void run_operation(std::uint64_t number);
+    void start_probe(std::uint64_t number, const server_record& server);
+    void start_promotion(const promote_server& order);
+    void ask_role(std::uint64_t number);
+    void ask_role_again(std::uint64_t number);
+    void run_role_probe(std::uint64_t number);
+    void take_role(std::uint64_t number, const backend_outcome& outcome);
     void finish_operation(const server_answer& answer);
     void answer_watchers();
     void answer_waiting_edits();
     void ask_to_join();
+    void found_cluster();
+    [[nodiscard]] raft::node_id new_identity() const;
     [[nodiscard]] std::string make_watch_reply(revision_number applied) const;
     [[nodiscard]] std::string leader_address() const;
     http2_client& client_to(const std::string& address);
@@ -97,6 +111,7 @@
     boost::asio::io_context& io_;
     settings config_;
     shared_keys keys_;
+    const backend_driver& driver_;
     std::mt19937_64 random_;
     raft_store store_;
     control_core core_;
--- a/src/daemon/daemon.hpp
+++ b/src/daemon/daemon.hpp
@@ -1,5 +1,8 @@
 // One larchpin daemon: the entry, the cluster agent and, on some instances, a control node, with the peer
 // listener that serves them all.
+//
+// A program chooses the protocols: the driver speaks to backend servers, the session maker to callers. Both
+// are PostgreSQL's in larchpind.
 #pragma once
 
 #include "daemon/agent.hpp"
@@ -18,22 +21,56 @@
 
 class daemon {
 public:
-    daemon(boost::asio::io_context& io, const settings& config, const shared_keys& keys);
+    // Without a session maker the instance takes no callers.
+    daemon(boost::asio::io_context& io, const settings& config, const shared_keys& keys,
+           backend_driver driver, session_maker make_session);
 
     // Errors: address_in_use, data_folder_unusable, log_damaged (as result_code).
     boost::leaf::result<void> start();
 
+    // Reads this file again at SIGHUP and whenever its content changes. Addresses of control and the log
+    // level take effect; a change of anything else waits for the next start, and the log says so.
+    void follow_settings(const std::string& file);
+
+    // A planned stop; the io_context is stopped at its end.
+    void stop();
+
+    // Whether requests of callers can be expected to be served here.
+    [[nodiscard]] bool is_ready() const;
+    // Control has been reached lately.
+    [[nodiscard]] bool has_lease() const { return agent_.has_lease(); }
+    [[nodiscard]] const cluster_state& cluster() const { return agent_.cluster(); }
+
+    // A backend server has announced itself; false where the announcement makes no sense.
+    bool take_announcement(const server_announcement& a) { return agent_.take_announcement(a); }
+
+    // Has an edit decided by whoever leads. The outcome's code is ok once a majority holds the edit;
+    // table_invalid and revision_conflict are final; with no_quorum nothing is known.
+    void submit_edit(const edit_table& edit, duration patience,
+                     const std::function<void(result_code, const std::string& detail)>& done);
+
+    // The newest table's document and version, from whoever leads; no_quorum where nobody surely does.
+    void fetch_document(const std::function<void(result_code, const std::string& document)>& done);
+
+    [[nodiscard]] std::string metrics_text();
+
 private:
     void serve(const http_request& request, const http_respond& respond);
     void serve_control(const http_request& request, const http_respond& respond);
     void forward_to_control(const http_request& request, const http_respond& respond,
                             const std::string& address, unsigned hops);
+    void ask_control(const std::string& path, const std::string& body, const http_respond& respond);
     void refresh_gauges();
-    void stop();
+    void await_reload_signal();
+    void watch_settings();
+    void reload_settings(bool by_signal);
+    http2_client& client_to(const std::string& address);
 
     boost::asio::io_context& io_;
     settings config_;
     shared_keys keys_;
+    backend_driver driver_;
+    session_maker make_session_;
     metrics counts_;
     backend_pools pools_;
     agent agent_;
@@ -42,7 +79,12 @@
     std::unique_ptr<http2_server> server_;
     std::map<std::string, std::unique_ptr<http2_client>> clients_;
     boost::asio::signal_set signals_;
+    boost::asio::signal_set reload_signal_;
+    boost::asio::steady_timer settings_timer_;
+    std::string settings_file_;
+    std::string settings_text_; // as read last
     bool stopping_ = false;
+    std::uint64_t next_edit_ = 1; // submitted by this daemon
 };
 
 } // namespace larchpin
--- a/src/daemon/entry.cpp
+++ b/src/daemon/entry.cpp
@@ -17,8 +17,10 @@
 
 } // namespace
 
-entry::entry(asio::io_context& context, const settings& s, agent& a, backend_pools& p, metrics& m)
-    : io(context), config(s), cluster(a), pools(p), counts(m), random(std::random_device{}()),
+entry::entry(asio::io_context& context, const settings& s, agent& a, backend_pools& p, metrics& m,
+             const backend_driver& d, session_maker make_session)
+    : io(context), config(s), cluster(a), pools(p), counts(m), driver(d), random(std::random_device{}()),
+      make_session_(std::move(make_session)),
       acceptor_(context, parse_endpoint(s.entry_listen).value_or(tcp::endpoint{})), drain_timer_(context) {
     if (!config.tls_certificate.empty()) {
         tls = std::make_unique<asio::ssl::context>(asio::ssl::context::tls_server);
@@ -37,9 +39,9 @@
         if (!error) {
             const session_number number = next_number_++;
             const auto secret = static_cast<std::uint32_t>(random());
-            auto session = std::make_shared<client_session>(*this, number, secret, std::move(socket));
+            const session_handle session = make_session_(*this, number, secret, std::move(socket));
             sessions_[number] = session;
-            session->start();
+            session.start();
         }
         accept();
     });
@@ -67,8 +69,8 @@
         for (const session_number number : waiting) {
             const auto found = sessions_.find(number);
             if (found != sessions_.end()) {
-                const auto session = found->second;
-                session->poke();
+                const session_handle session = found->second;
+                session.poke();
             }
         }
     });
@@ -76,25 +78,39 @@
 
 bool entry::cancel(std::uint32_t process, std::uint32_t secret) {
     const auto found = sessions_.find(process);
-    if (found == sessions_.end() || found->second->secret() != secret) {
+    if (found == sessions_.end() || found->second.secret != secret) {
         return false;
     }
-    const auto session = found->second;
-    session->cancel();
+    const session_handle session = found->second;
+    session.cancel();
     return true;
 }
 
 void entry::drain(std::function<void(std::size_t)> done) {
-    if (draining_) {
+    if (stopping_) {
         return;
     }
-    draining_ = true;
+    stopping_ = true;
     on_drained_ = std::move(done);
-    drain_deadline_ = now() + config.drain_time;
+    drain_deadline_ = now() + config.drain_notice + config.drain_time;
     log_event(severity::info, "drain_started", {{"sessions", static_cast<std::uint64_t>(sessions_.size())}});
+    if (config.drain_notice <= duration{0}) {
+        stop_sessions();
+        return;
+    }
+    drain_timer_.expires_after(config.drain_notice);
+    drain_timer_.async_wait([this](const boost::system::error_code& error) {
+        if (!error) {
+            stop_sessions();
+        }
+    });
+}
+
+void entry::stop_sessions() {
+    draining_ = true;
     const auto sessions = sessions_;
     for (const auto& [number, session] : sessions) {
-        session->stop_when_idle();
+        session.stop_when_idle();
     }
     check_drained();
 }
@@ -107,7 +123,7 @@
         const std::size_t cut = sessions_.size();
         const auto sessions = sessions_;
         for (const auto& [number, session] : sessions) {
-            session->close();
+            session.close();
         }
         log_event(severity::info, "drain_ended", {{"cut", static_cast<std::uint64_t>(cut)}});
         boost::system::error_code ignored;
--- a/src/daemon/entry.hpp
+++ b/src/daemon/entry.hpp
@@ -1,9 +1,9 @@
-// The entry: listens for callers and owns their sessions.
+// The entry: listens for callers and owns their sessions, whatever protocol they speak.
 #pragma once
 
 #include "daemon/agent.hpp"
-#include "daemon/client_session.hpp"
 #include "daemon/pools.hpp"
+#include "daemon/request_path.hpp"
 #include "io/metrics.hpp"
 #include "io/settings.hpp"
 
@@ -15,13 +15,29 @@
 
 namespace larchpin {
 
+// One caller's session, as its front made it. The callables keep it alive; all may be called after its end.
+struct session_handle {
+    std::uint32_t secret = 0;
+    std::function<void()> start;
+    std::function<void()> poke;           // news that a waiting request may go on with
+    std::function<void()> stop_when_idle; // ends now if no request or transaction is open, else after it
+    std::function<void()> close;          // ends now
+    std::function<void()> cancel;         // the caller's cancel request
+};
+
+// Makes a session of one protocol on an accepted connection.
+using session_maker = std::function<session_handle(entry& owner, session_number number, std::uint32_t secret,
+                                                   boost::asio::ip::tcp::socket socket)>;
+
 class entry {
 public:
     // Throws boost::system::system_error where the address cannot be listened to or TLS cannot be set up.
-    entry(boost::asio::io_context& context, const settings& s, agent& a, backend_pools& p, metrics& m);
+    entry(boost::asio::io_context& context, const settings& s, agent& a, backend_pools& p, metrics& m,
+          const backend_driver& d, session_maker make_session);
 
-    // Refuses new sessions, lets requests and transactions in flight finish (at most drain_time), then calls
-    // `done` with the number of sessions that had to be cut.
+    // Goes on as before for drain_notice, while the balancer learns of it; then refuses new sessions, lets
+    // requests and transactions in flight finish (at most drain_time), then calls `done` with the number of
+    // sessions that had to be cut.
     void drain(std::function<void(std::size_t)> done);
 
     // Cancels a request of one of our sessions; false where it is not ours.
@@ -29,13 +45,14 @@
     // The caller's cancel request reached us; the session may be another instance's.
     std::function<void(std::uint32_t process, std::uint32_t secret)> on_foreign_cancel;
 
-    // For client_session.
+    // For sessions.
     void remove(session_number number);
     boost::asio::io_context& io;
     const settings& config;
     agent& cluster;
     backend_pools& pools;
     metrics& counts;
+    const backend_driver& driver;
     std::unique_ptr<boost::asio::ssl::context> tls;
     std::mt19937_64 random;
     [[nodiscard]] bool is_draining() const { return draining_; }
@@ -45,13 +62,16 @@
 private:
     void accept();
     void wake_waiting();
+    void stop_sessions();
     void check_drained();
 
+    session_maker make_session_;
     boost::asio::ip::tcp::acceptor acceptor_;
-    std::unordered_map<session_number, std::shared_ptr<client_session>> sessions_;
+    std::unordered_map<session_number, session_handle> sessions_;
     std::set<session_number> waiting_; // requests that wait for news
     session_number next_number_ = 1;
-    bool draining_ = false;
+    bool draining_ = false; // refuses new sessions
+    bool stopping_ = false; // will be draining after drain_notice
     bool wake_posted_ = false;
     time_point drain_deadline_{};
     std::function<void(std::size_t)> on_drained_;
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -1,102 +1,25 @@
-// larchpind: the daemon.
+// larchpind: the daemon, for callers and backend servers that speak PostgreSQL.
+#include "daemon/client_session.hpp"
 #include "daemon/daemon.hpp"
-#include "io/log.hpp"
-
-#include <boost/asio/io_context.hpp>
-#include <boost/leaf/handle_errors.hpp>
-#include <cxxopts.hpp>
-
-#include <fstream>
-#include <iostream>
-#include <sstream>
+#include "daemon/program.hpp"
+#include "io/pg_driver.hpp"
 
 namespace {
 
-namespace leaf = boost::leaf;
-using larchpin::result_code;
-
-constexpr int exit_failure = 1;
-constexpr int exit_usage = 2;
-constexpr std::size_t shortest_key = 32;
-
-int fail(const std::string& what, result_code code) {
-    std::cerr << "larchpind: " << what << " [" << static_cast<unsigned>(code) << " "
-              << larchpin::describe(code).name << "]\n";
-    return code == result_code::bad_command_line ? exit_usage : exit_failure;
-}
-
-// The key is the file's first line.
-leaf::result<std::string> read_key(const std::string& file) {
-    std::ifstream stream(file);
-    std::string key;
-    if (!std::getline(stream, key) || key.size() < shortest_key) {
-        return leaf::new_error(
-            larchpin::settings_problem{.code = result_code::settings_out_of_range,
-                                       .file = file,
-                                       .line = 1,
-                                       .key = "peer.key_file",
-                                       .detail = "must hold a line of 32 characters or more"});
-    }
-    return key;
-}
-
-leaf::result<larchpin::shared_keys> read_keys(const larchpin::settings& s) {
-    larchpin::shared_keys keys;
-    BOOST_LEAF_ASSIGN(std::string key, read_key(s.key_file));
-    keys.keys.push_back(key);
-    if (!s.old_key_file.empty()) {
-        BOOST_LEAF_ASSIGN(std::string old_key, read_key(s.old_key_file));
-        keys.keys.push_back(old_key);
-    }
-    return keys;
-}
-
-leaf::result<int> run(const std::string& file, bool check_only) {
-    BOOST_LEAF_ASSIGN(const larchpin::settings s, larchpin::load_settings(file));
-    BOOST_LEAF_ASSIGN(const larchpin::shared_keys keys, read_keys(s));
-    if (check_only) {
-        std::cout << file << ": good\n";
-        return 0;
-    }
-    larchpin::start_log(s.log_level, s.id.value, s.domain.value);
-    boost::asio::io_context io(1);
-    larchpin::daemon daemon(io, s, keys);
-    BOOST_LEAF_CHECK(daemon.start());
-    io.run();
-    return 0;
+boost::leaf::result<std::shared_ptr<larchpin::daemon>> make_daemon(boost::asio::io_context& io,
+                                                                   const larchpin::settings& s,
+                                                                   const larchpin::shared_keys& keys,
+                                                                   const std::string& /*file*/) {
+    return std::make_shared<larchpin::daemon>(io, s, keys, larchpin::make_pg_driver(io, s),
+                                              larchpin::make_pg_session);
 }
 
 } // namespace
 
 int main(int argc, char** argv) {
-    cxxopts::Options options("larchpind", "A database proxy with session consistency: the daemon.");
-    std::string file;
-    options.add_options()("help", "print this")("version", "print the version")(
-        "settings", "the settings file (TOML)", cxxopts::value(file))("check-settings",
-                                                                      "read the settings and stop");
-    try {
-        const auto given = options.parse(argc, argv);
-        if (given.count("help") != 0) {
-            std::cout << options.help();
-            return 0;
-        }
-        if (given.count("version") != 0) {
-            std::cout << "larchpind " << LARCHPIN_VERSION << "\n";
-            return 0;
-        }
-        if (file.empty() || !given.unmatched().empty()) {
-            return fail("--settings FILE is needed", result_code::bad_command_line);
-        }
-        return leaf::try_handle_all([&] { return run(file, given.count("check-settings") != 0); },
-                                    [](const larchpin::settings_problem& p) {
-                                        std::cerr << "larchpind: " << larchpin::to_string(p) << "\n";
-                                        return exit_failure;
-                                    },
-                                    [](result_code code) { return fail("cannot start", code); },
-                                    [] { return fail("cannot start", result_code::settings_unreadable); });
-    } catch (const cxxopts::exceptions::exception& e) {
-        return fail(e.what(), result_code::bad_command_line);
-    } catch (const std::exception& e) {
-        return fail(e.what(), result_code::settings_unreadable);
-    }
+    return larchpin::run_daemon(argc, argv,
+                                {.name = "larchpind",
+                                 .description = "A database proxy with session consistency: the daemon.",
+                                 .settings_file = {},
+                                 .make = make_daemon});
 }
--- a/src/daemon/pools.cpp
+++ b/src/daemon/pools.cpp
@@ -2,7 +2,6 @@
 
 #include "io/clock.hpp"
 #include "io/log.hpp"
-#include "io/server_probe.hpp"
 
 #include <algorithm>
 
@@ -17,8 +16,8 @@
 
 } // namespace
 
-backend_pools::backend_pools(asio::io_context& io, const settings& config)
-    : io_(io), config_(config), timer_(io) {
+backend_pools::backend_pools(asio::io_context& io, const backend_driver& driver)
+    : io_(io), driver_(driver), timer_(io) {
     on_tick();
 }
 
@@ -145,8 +144,7 @@
 
 void backend_pools::open(const share_key& key, connection_number number) {
     pool& p = pools_[key];
-    auto connection =
-        std::make_shared<backend_connection>(io_, make_service_target(config_, p.server, key.service));
+    const auto connection = driver_.make_connection(p.server, key.service);
     p.connections[number] = connection;
     ++counters_.opened;
     connection->connect([this, key, number](bool connected) {
--- a/src/daemon/pools.hpp
+++ b/src/daemon/pools.hpp
@@ -8,8 +8,7 @@
 
 #include "core/pool.hpp"
 #include "core/shares.hpp"
-#include "io/backend_connection.hpp"
-#include "io/settings.hpp"
+#include "io/backend_driver.hpp"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -37,7 +36,8 @@
 
 class backend_pools {
 public:
-    backend_pools(boost::asio::io_context& io, const settings& config);
+    // The driver must outlive the pools.
+    backend_pools(boost::asio::io_context& io, const backend_driver& driver);
 
     request_number request(const share_key& key, const server_record& server, unsigned background_share,
                            request_class klass, time_point deadline, pool_callback done);
@@ -75,7 +75,7 @@
     pool& find_or_make(const share_key& key);
 
     boost::asio::io_context& io_;
-    const settings& config_;
+    const backend_driver& driver_;
     std::map<share_key, pool> pools_;
     connection_number next_connection_ = 1;
     request_number next_request_ = 1;
--- /dev/null
+++ b/src/daemon/request_path.cpp
@@ -0,0 +1,568 @@
+// Routing, connections and the ends of a request: see request_path.hpp. What happens on the connection stands
+// in request_run.cpp.
+//
+// Index
+//   [routing]  [connection]  [ending]  [failing]
+#include "daemon/request_path.hpp"
+
+#include "daemon/entry.hpp"
+#include "io/clock.hpp"
+#include "io/log.hpp"
+
+#include <algorithm>
+
+namespace larchpin {
+
+namespace {
+
+constexpr duration failover_wait = std::chrono::seconds{4}; // for a primary, within the deadline
+constexpr duration come_back_after = std::chrono::milliseconds{500};
+constexpr duration look_again_after = std::chrono::milliseconds{50};
+// For the primary's position: several round trips and a new connection (15 ms measured).
+constexpr duration sample_wait = std::chrono::milliseconds{100};
+constexpr duration lost_server_pause = std::chrono::milliseconds{1};
+
+std::int64_t to_us(duration d) {
+    return std::chrono::duration_cast<std::chrono::microseconds>(d).count();
+}
+
+std::string_view to_string(request_end end) {
+    switch (end) {
+    case request_end::success: return "success";
+    case request_end::server_error: return "server_error";
+    case request_end::refused: break;
+    }
+    return "refused";
+}
+
+} // namespace
+
+request_path::request_path(entry& owner, session_number number, path_front front)
+    : owner_(owner), number_(number), front_(std::move(front)), timer_(owner.io) {}
+
+metric_key request_path::metric() const {
+    return {.service = state.service, .klass = state.settings.klass};
+}
+
+//-----------------------------------------------------------------------------
+// [routing]
+//-----------------------------------------------------------------------------
+
+void request_path::begin(caller_request what) {
+    active_request r;
+    r.what = std::move(what);
+    r.started_at = now();
+    r.deadline = r.started_at + r.what.timeout;
+    r.serial = next_serial_++;
+    active_ = std::move(r);
+    arm_timer(active_->deadline);
+    if (!pinned_) {
+        note_request(owner_.cluster.budget(state.group));
+        route();
+        return;
+    }
+    active_->server = pinned_->server;
+    active_->on_primary = pinned_->on_primary;
+    active_->term = pinned_->term;
+    active_->used_from = now();
+    owner_.cluster.note_request_started(active_->server);
+    const bool ends = active_->what.kind == statement_kind::commit;
+    if (ends && pinned_->on_primary && !term_still_holds()) {
+        drop_connection(); // takes the transaction with it: nothing of it was committed
+        finish_with_error(result_code::term_changed, run_state::not_run, come_back_after);
+        return;
+    }
+    owner_.note_waiting(number_);
+    run_statement();
+}
+
+void request_path::route() {
+    active_request& r = *active_;
+    r.step = request_step::routed;
+    const time_point at = now();
+    if (at >= r.deadline) {
+        on_deadline();
+        return;
+    }
+    const cluster_state& cluster = owner_.cluster.cluster();
+    if (!cluster.groups.contains(state.group)) {
+        const bool surely = owner_.cluster.has_confirmed_state() && owner_.cluster.has_lease();
+        if (surely) {
+            finish_with_error(result_code::unknown_group, run_state::not_run);
+        } else {
+            r.last_refusal = result_code::no_lease;
+            wait_for_news(r.started_at + failover_wait);
+        }
+        return;
+    }
+    const group_view view = owner_.cluster.view(state.group, state.service);
+    if (const service_entry* entry = find_service(cluster.current, state.service)) {
+        service = *entry;
+    }
+    resolve_seen(state, view.record, *view.positions);
+    if (has_lost_write(state, view.record)) {
+        finish_with_error(result_code::lost_write, run_state::not_run);
+        return;
+    }
+    adopt_term(state, view.record);
+    const duration staleness = staleness_of(state, service);
+    const bool lease = owner_.cluster.has_lease();
+    if (r.what.may_use_replica && !state.floor && staleness <= duration{0}) {
+        owner_.cluster.want_fresh_position(state.group, state.service);
+    }
+    const read_wish wish{
+        .staleness = staleness, .asked_at = r.started_at, .now = at, .lease_live = lease, .avoid = r.avoid};
+    take_decision(r.what.may_use_replica ? route_read(view, state, wish, {}, owner_.random)
+                                         : route_write(view, lease),
+                  view, at);
+}
+
+void request_path::take_decision(const routing_decision& decision, const group_view& view, time_point at) {
+    active_request& r = *active_;
+    switch (decision.kind) {
+    case target_kind::server:
+        r.server = decision.server;
+        r.on_primary = decision.is_primary;
+        r.term = view.record.term;
+        r.floor.reset();
+        if (decision.floor) {
+            r.floor = log_mark{.timeline = view.record.timeline, .position = *decision.floor};
+        }
+        queue();
+        return;
+    case target_kind::wait: wait_for_news(decision.retry_at); return;
+    case target_kind::ask_primary:
+        // Without a fresh position nothing can be said of any replica.
+        r.last_refusal = result_code::no_replica;
+        if (at - r.started_at >= sample_wait) {
+            finish_with_error(result_code::no_replica, run_state::not_run, come_back_after);
+            return;
+        }
+        owner_.cluster.want_fresh_position(state.group, state.service);
+        wait_for_news(r.started_at + sample_wait);
+        return;
+    case target_kind::refuse: break;
+    }
+    r.last_refusal = decision.code;
+    if (decision.code == result_code::lost_write || at - r.started_at >= failover_wait) {
+        finish_with_error(decision.code, run_state::not_run, come_back_after);
+        return;
+    }
+    wait_for_news(r.started_at + failover_wait);
+}
+
+void request_path::wait_for_news(time_point retry_at) {
+    owner_.note_waiting(number_);
+    arm_timer(std::min(retry_at, active_->deadline));
+}
+
+void request_path::poke() {
+    if (!active_ || closed_) {
+        return;
+    }
+    if (active_->step == request_step::routed) {
+        route();
+    } else if (active_->step == request_step::queued && active_->on_primary && !term_still_holds()) {
+        leave_queue();
+        route();
+    } else if (active_->step == request_step::queued) {
+        owner_.note_waiting(number_);
+    } else if (active_->step == request_step::safety) {
+        wait_for_safety();
+    } else if (active_->on_primary && pinned_) {
+        abandon_if_replaced();
+    } else if (pinned_) {
+        abandon_if_silent();
+    }
+}
+
+// A read on a replica that nobody hears of any more is tried elsewhere, if the caller has got nothing of it.
+void request_path::abandon_if_silent() {
+    const auto& servers = owner_.cluster.cluster().servers;
+    const auto server = servers.find(active_->server);
+    const bool silent = server != servers.end() && owner_.cluster.is_silent(server->second);
+    if (!silent || active_->forwarded || pinned_->in_transaction()) {
+        owner_.note_waiting(number_);
+        return;
+    }
+    active_->serial = next_serial_++; // a late answer reaches nobody
+    on_connection_lost();
+}
+
+// Once the primary is fenced or replaced, or the lease is gone, nothing that it still answers can be passed
+// on as a success: the caller learns at once what is known of its request.
+void request_path::abandon_if_replaced() {
+    if (term_still_holds()) {
+        owner_.note_waiting(number_);
+        return;
+    }
+    active_request& r = *active_;
+    const run_state run = outcome_if_lost();
+    lost_transaction_ = loses_transaction();
+    owner_.cluster.note_request_ended(r.server, true, now() - r.used_from);
+    r.serial = next_serial_++; // a late answer reaches nobody
+    pinned_->connection->cancel_running();
+    drop_connection();
+    finish_with_error(result_code::term_changed, run,
+                      run == run_state::not_run ? come_back_after : duration{0});
+}
+
+//-----------------------------------------------------------------------------
+// [connection]
+//-----------------------------------------------------------------------------
+
+void request_path::queue() {
+    active_request& r = *active_;
+    const auto server = owner_.cluster.cluster().servers.find(r.server);
+    if (server == owner_.cluster.cluster().servers.end()) {
+        finish_with_error(result_code::no_replica, run_state::not_run, come_back_after);
+        return;
+    }
+    r.step = request_step::queued;
+    arm_timer(r.deadline);
+    owner_.cluster.note_request_started(r.server);
+    const share_key key{.service = state.service, .server = r.server};
+    const std::uint64_t serial = r.serial;
+    const auto self = shared_from_this();
+    const request_number number =
+        owner_.pools.request(key, server->second, service.background_share, state.settings.klass, r.deadline,
+                             [self, serial, key](const pool_answer& answer) {
+                                 const bool awaited = self->active_ && self->active_->serial == serial &&
+                                                      self->active_->step == request_step::queued &&
+                                                      !self->closed_;
+                                 if (awaited) {
+                                     self->on_connection(answer);
+                                 } else if (answer.connection) {
+                                     self->owner_.pools.release(key, answer.number, true, duration{0});
+                                 }
+                             });
+    if (active_ && active_->serial == serial && active_->step == request_step::queued) {
+        active_->waiting = number;
+        owner_.note_waiting(number_); // a new primary would make this queue the wrong one
+    }
+}
+
+void request_path::leave_queue() {
+    const share_key key{.service = state.service, .server = active_->server};
+    owner_.pools.cancel(key, active_->waiting);
+    owner_.cluster.note_request_ended(active_->server, true, duration{0});
+    active_->serial = next_serial_++;
+}
+
+void request_path::on_connection(const pool_answer& answer) {
+    active_request& r = *active_;
+    if (!answer.connection) {
+        owner_.cluster.note_request_ended(r.server, true, duration{0});
+        r.serial = next_serial_++;
+        const bool server_gone = answer.code == result_code::connection_lost;
+        const bool elsewhere = server_gone || answer.code == result_code::no_lease;
+        if (elsewhere && !r.on_primary && ++r.attempts < r.what.max_attempts) {
+            r.avoid.push_back(r.server);
+            route(); // another server may do
+            return;
+        }
+        if (server_gone && r.on_primary) {
+            r.step = request_step::routed; // there may be a new primary soon
+            r.last_refusal = result_code::no_primary;
+            wait_for_news(now() + look_again_after);
+            return;
+        }
+        finish_with_error(answer.code, run_state::not_run, std::max(answer.retry_after, lost_server_pause));
+        return;
+    }
+    r.used_from = now();
+    pinned_ = pinned_connection{.key = {.service = state.service, .server = r.server},
+                                .number = answer.number,
+                                .connection = answer.connection,
+                                .server = r.server,
+                                .on_primary = r.on_primary,
+                                .term = r.term,
+                                .since = r.used_from};
+    // It may have waited in the queue for long: what was true when it was routed may not be any more.
+    if (r.on_primary && !term_still_holds()) {
+        owner_.cluster.note_request_ended(r.server, true, duration{0});
+        release_if_done();
+        route();
+        return;
+    }
+    owner_.note_waiting(number_);
+    run_settings();
+}
+
+void request_path::run_settings() {
+    if (pinned_->connection->applied_settings == settings_text) {
+        run_begin();
+        return;
+    }
+    run_plain("reset all;" + settings_text, request_step::settings, [this](const backend_outcome& outcome) {
+        if (outcome.failed) {
+            pinned_->connection->applied_settings = "?"; // another reset comes first
+            finish_with_server_error(outcome);
+            return;
+        }
+        pinned_->connection->applied_settings = settings_text;
+        run_begin();
+    });
+}
+
+//-----------------------------------------------------------------------------
+// [ending]
+//-----------------------------------------------------------------------------
+
+void request_path::finish_success() {
+    active_request& r = *active_;
+    const time_point at = now();
+    if (r.on_primary && !term_still_holds() && !(pinned_ && pinned_->in_transaction())) {
+        drop_connection();
+        // A read of a replaced primary may miss others' writes; a write on it may be lost.
+        finish_with_error(result_code::term_changed, r.was_write ? run_state::unknown : run_state::not_run);
+        return;
+    }
+    if (!r.was_write || r.what.kind == statement_kind::begin_read_only) {
+        note_read(state, r.server, at);
+    }
+    if (r.what.may_use_replica) {
+        owner_.counts.note_read(metric(), r.on_primary ? request_target::primary : request_target::replica,
+                                at - r.started_at);
+    } else {
+        owner_.counts.note_write(metric(), at - r.started_at);
+    }
+    owner_.cluster.note_request_ended(r.server, true, at - r.used_from);
+    request_result result;
+    result.end = request_end::success;
+    result.run = run_state::ran;
+    result.bytes = std::move(r.held);
+    release_if_done();
+    report(std::move(result));
+}
+
+void request_path::finish_with_server_error(const backend_outcome& outcome) {
+    active_request& r = *active_;
+    owner_.cluster.note_request_ended(r.server, true, now() - r.used_from);
+    request_result result;
+    result.end = request_end::server_error;
+    result.bytes = outcome.error_message;
+    result.error_code = outcome.error_code;
+    result.run = outcome.refusal == server_refusal::none ? run_state::unknown : run_state::not_run;
+    release_if_done();
+    report(std::move(result));
+}
+
+void request_path::finish_with_error(result_code code, run_state run, duration retry_after) {
+    owner_.counts.note_refusal(metric(), code);
+    release_if_done();
+    request_result result;
+    result.end = request_end::refused;
+    result.code = code;
+    result.run = run;
+    result.retry_after = retry_after;
+    report(std::move(result));
+}
+
+void request_path::report(request_result result) {
+    result.transaction_lost = lost_transaction_;
+    lost_transaction_ = false;
+    if (state.wrote) {
+        const auto group = owner_.cluster.cluster().groups.find(state.group);
+        const std::uint64_t timeline =
+            group == owner_.cluster.cluster().groups.end() ? 0 : group->second.timeline;
+        result.position = log_mark{.timeline = timeline, .position = state.wrote->position};
+    }
+    log_end(result);
+    active_.reset();
+    ++timer_serial_;
+    front_.finished(result);
+}
+
+void request_path::log_end(const request_result& result) const {
+    const active_request& r = *active_;
+    const severity level = result.end == request_end::success ? severity::debug : severity::info;
+    log_event(level, "request_ended",
+              {{"request", r.what.request.id},
+               {"session", static_cast<std::uint64_t>(number_)},
+               {"group", state.group.value},
+               {"server", r.server.value},
+               {"on_primary", r.on_primary},
+               {"term", r.term},
+               {"floor", r.floor ? r.floor->position : 0},
+               {"attempts", static_cast<std::uint64_t>(r.attempts)},
+               {"end", to_string(result.end)},
+               {"code", static_cast<std::uint64_t>(result.code)},
+               {"server_error", result.error_code},
+               {"run", to_string(result.run)},
+               {"retry_after_us", to_us(result.retry_after)},
+               {"lease", owner_.cluster.has_lease()},
+               {"took_us", to_us(now() - r.started_at)}});
+}
+
+void request_path::release_if_done() {
+    if (!pinned_ || pinned_->in_transaction()) {
+        return;
+    }
+    const pinned_connection held = *pinned_;
+    pinned_.reset();
+    held.connection->resume();
+    owner_.pools.release(held.key, held.number, true, now() - held.since);
+}
+
+void request_path::drop_connection() {
+    if (!pinned_) {
+        return;
+    }
+    const pinned_connection held = *pinned_;
+    pinned_.reset();
+    owner_.pools.release(held.key, held.number, false, now() - held.since);
+}
+
+void request_path::drop_transaction() {
+    if (!active_) {
+        drop_connection();
+    }
+}
+
+void request_path::pause() {
+    if (pinned_) {
+        pinned_->connection->pause();
+    }
+}
+
+void request_path::resume() {
+    if (pinned_) {
+        pinned_->connection->resume();
+    }
+}
+
+void request_path::close() {
+    if (closed_) {
+        return;
+    }
+    closed_ = true;
+    timer_.cancel();
+    if (active_ && active_->step == request_step::queued) {
+        leave_queue();
+    } else if (active_ && pinned_) {
+        owner_.cluster.note_request_ended(active_->server, true, now() - active_->used_from);
+    }
+    active_.reset();
+    drop_connection();
+    front_ = {};
+}
+
+//-----------------------------------------------------------------------------
+// [failing]
+//-----------------------------------------------------------------------------
+
+// What is true of the request if nothing more is heard of it.
+run_state request_path::outcome_if_lost() const {
+    const active_request& r = *active_;
+    switch (r.step) {
+    case request_step::commit:
+    case request_step::position: return run_state::unknown;
+    case request_step::safety: return run_state::ran;
+    case request_step::statement: break;
+    default: return run_state::not_run;
+    }
+    if (!r.on_primary || r.what.surely_reads || r.what.request.shape == request_shape::describe) {
+        return run_state::not_run;
+    }
+    const bool never_commits = !r.what.idempotency_key.empty() || r.what.kind == statement_kind::begin ||
+                               r.what.kind == statement_kind::begin_read_only ||
+                               r.what.kind == statement_kind::rollback;
+    const bool inside =
+        pinned_ && pinned_->in_transaction() && r.what.kind != statement_kind::commit && r.what.one_statement;
+    return never_commits || inside ? run_state::not_run : run_state::unknown;
+}
+
+bool request_path::loses_transaction() const {
+    return pinned_ && pinned_->in_transaction() && active_->what.kind != statement_kind::commit &&
+           active_->what.kind != statement_kind::rollback;
+}
+
+bool request_path::may_retry() {
+    active_request& r = *active_;
+    const bool harmless = r.what.may_use_replica && !r.on_primary && !r.forwarded &&
+                          !pinned_->in_transaction() && r.what.begin.empty();
+    const bool unsent = r.step == request_step::settings || r.step == request_step::begin;
+    return (harmless || unsent) && ++r.attempts < r.what.max_attempts && now() < r.deadline &&
+           take_retry(owner_.cluster.budget(state.group));
+}
+
+void request_path::on_connection_lost() {
+    active_request& r = *active_;
+    owner_.cluster.note_request_ended(r.server, false, now() - r.used_from);
+    lost_transaction_ = loses_transaction();
+    const bool retry = may_retry();
+    const run_state run = outcome_if_lost();
+    drop_connection();
+    if (retry) {
+        lost_transaction_ = false;
+        owner_.counts.note_retry(metric());
+        log_event(severity::info, "request_retried",
+                  {{"request", r.what.request.id}, {"server", r.server.value}, {"why", "connection lost"}});
+        r.avoid.push_back(r.server);
+        r.serial = next_serial_++;
+        r.held.clear();
+        route();
+        return;
+    }
+    finish_with_error(result_code::connection_lost, run,
+                      run == run_state::not_run ? come_back_after : duration{0});
+}
+
+void request_path::arm_timer(time_point at) {
+    const std::uint64_t serial = ++timer_serial_;
+    timer_.expires_at(std::chrono::steady_clock::time_point(
+        std::chrono::duration_cast<std::chrono::steady_clock::duration>(at)));
+    timer_.async_wait([self = shared_from_this(), serial](const boost::system::error_code& error) {
+        if (error || serial != self->timer_serial_ || !self->active_ || self->closed_) {
+            return;
+        }
+        if (now() >= self->active_->deadline) {
+            self->on_deadline();
+        } else {
+            self->poke();
+        }
+    });
+}
+
+void request_path::on_deadline() {
+    active_request& r = *active_;
+    if (r.step == request_step::routed) {
+        finish_with_error(r.what.may_use_replica ? result_code::deadline_passed : r.last_refusal,
+                          run_state::not_run, come_back_after);
+        return;
+    }
+    if (r.step == request_step::queued) {
+        leave_queue();
+        finish_with_error(result_code::deadline_passed, run_state::not_run, come_back_after);
+        return;
+    }
+    if (r.step == request_step::safety) {
+        finish_with_error(result_code::not_safe_yet, run_state::ran);
+        return;
+    }
+    const run_state run = outcome_if_lost();
+    lost_transaction_ = loses_transaction();
+    owner_.cluster.note_request_ended(r.server, false, now() - r.used_from);
+    r.serial = next_serial_++; // a late answer reaches nobody
+    if (pinned_) {
+        pinned_->connection->cancel_running();
+    }
+    drop_connection();
+    finish_with_error(result_code::deadline_passed, run,
+                      run == run_state::not_run ? come_back_after : duration{0});
+}
+
+void request_path::cancel() {
+    if (!active_) {
+        return;
+    }
+    if (active_->step == request_step::statement && pinned_) {
+        pinned_->connection->cancel_running();
+    } else if (active_->step == request_step::routed || active_->step == request_step::queued) {
+        active_->deadline = now();
+        on_deadline();
+    }
+}
+
+} // namespace larchpin
--- a/src/io/codec.cpp
+++ b/src/io/codec.cpp
@@ -15,6 +15,12 @@
     return std::chrono::milliseconds{static_cast<std::int64_t>(std::min(ms, longest))};
 }
 
+// The strictest one for a number of a later version.
+read_consistency to_consistency(std::uint32_t number) {
+    const bool known = number <= static_cast<std::uint32_t>(read_consistency::own_writes);
+    return known ? static_cast<read_consistency>(number) : read_consistency::primary;
+}
+
 result_code to_code(std::uint32_t number) {
     return static_cast<result_code>(number);
 }
@@ -38,6 +44,18 @@
     for (const auto& s : m.servers()) {
         v.servers.push_back({.id = {s.id()}, .weight = s.weight(), .leaving = s.leaving()});
     }
+    for (const auto& r : m.routes()) {
+        v.routes.push_back({.database = r.database(),
+                            .group = {r.group()},
+                            .service = {r.service()},
+                            .consistency = to_consistency(r.consistency()),
+                            .max_staleness = from_ms(r.max_staleness_ms()),
+                            .statement_timeout = from_ms(r.statement_timeout_ms()),
+                            .objective = from_ms(r.objective_ms()),
+                            .priority = r.priority(),
+                            .max_attempts = r.max_attempts()});
+    }
+    v.transaction_idle = from_ms(m.transaction_idle_ms());
     return v;
 }
 
@@ -57,16 +75,34 @@
         e->set_weight(s.weight);
         e->set_leaving(s.leaving);
     }
+    for (const route_entry& r : v.routes) {
+        auto* e = m.add_routes();
+        e->set_database(r.database);
+        e->set_group(r.group.value);
+        e->set_service(r.service.value);
+        e->set_consistency(static_cast<std::uint32_t>(r.consistency));
+        e->set_max_staleness_ms(to_ms(r.max_staleness));
+        e->set_statement_timeout_ms(to_ms(r.statement_timeout));
+        e->set_objective_ms(to_ms(r.objective));
+        e->set_priority(r.priority);
+        e->set_max_attempts(r.max_attempts);
+    }
+    m.set_transaction_idle_ms(to_ms(v.transaction_idle));
 }
 
 edit_table from_wire(const wire::edit_table& m) {
-    return {
-        .change_id = m.change_id(), .expected_revision = m.expected_revision(), .next = from_wire(m.next())};
+    return {.change_id = m.change_id(),
+            .expected_revision = m.expected_revision(),
+            .version = m.version(),
+            .document = m.document(),
+            .next = from_wire(m.next())};
 }
 
 void to_wire(const edit_table& v, wire::edit_table& m) {
     m.set_change_id(v.change_id);
     m.set_expected_revision(v.expected_revision);
+    m.set_version(v.version);
+    m.set_document(v.document);
     to_wire(v.next, *m.mutable_next());
 }
 
@@ -136,6 +172,8 @@
     v.table_revision = m.table_revision();
     v.instances_revision = m.instances_revision();
     v.current = from_wire(m.current());
+    v.table_version = m.table_version();
+    v.document = m.document();
     for (const auto& g : m.groups()) {
         v.groups[{g.id()}] = from_wire(g);
     }
@@ -159,6 +197,8 @@
     m.set_table_revision(v.table_revision);
     m.set_instances_revision(v.instances_revision);
     to_wire(v.current, *m.mutable_current());
+    m.set_table_version(v.table_version);
+    m.set_document(v.document);
     for (const auto& [id, g] : v.groups) {
         to_wire(g, *m.add_groups());
     }
@@ -190,6 +230,8 @@
         g->set_expected_term(group->expected_term);
         g->set_expected_phase(static_cast<std::uint32_t>(group->expected_phase));
         to_wire(group->next, *g->mutable_next());
+    } else if (const auto* gone = std::get_if<remove_server>(&c)) {
+        m.set_removed_server(gone->id.value);
     }
     return m.SerializeAsString();
 }
@@ -208,6 +250,7 @@
                          .expected_phase =
                              m.group().expected_phase() == 0 ? group_phase::serving : group_phase::fencing,
                          .next = from_wire(m.group().next())};
+    case wire::command::kRemovedServer: return remove_server{.id = {m.removed_server()}};
     case wire::command::KIND_NOT_SET: break;
     }
     return std::monostate{};
@@ -236,7 +279,9 @@
             .is_primary = m.is_primary(),
             .timeline = m.timeline(),
             .position = m.position(),
-            .leaving = m.leaving()};
+            .leaving = m.leaving(),
+            .gone = m.gone(),
+            .sequence = m.sequence()};
 }
 
 void to_wire(const server_announcement& v, wire::server_announcement& m) {
@@ -245,6 +290,8 @@
     m.set_timeline(v.timeline);
     m.set_position(v.position);
     m.set_leaving(v.leaving);
+    m.set_gone(v.gone);
+    m.set_sequence(v.sequence);
 }
 
 renewal from_wire(const wire::renewal& m) {
@@ -316,6 +363,7 @@
     for (const auto& id : m.leaving()) {
         v.leaving.push_back({id});
     }
+    v.control_addresses.assign(m.control_addresses().begin(), m.control_addresses().end());
     return v;
 }
 
@@ -336,6 +384,9 @@
     for (const server_id& id : v.leaving) {
         m.add_leaving(id.value);
     }
+    for (const std::string& address : v.control_addresses) {
+        m.add_control_addresses(address);
+    }
 }
 
 //-----------------------------------------------------------------------------
--- a/src/io/log.cpp
+++ b/src/io/log.cpp
@@ -3,7 +3,9 @@
 #include <boost/json/serialize.hpp>
 #include <boost/json/value.hpp>
 #include <boost/log/core.hpp>
-#include <boost/log/sinks/sync_frontend.hpp>
+#include <boost/log/sinks/async_frontend.hpp>
+#include <boost/log/sinks/bounded_fifo_queue.hpp>
+#include <boost/log/sinks/drop_on_overflow.hpp>
 #include <boost/log/sinks/text_ostream_backend.hpp>
 #include <boost/log/sources/logger.hpp>
 #include <boost/log/sources/record_ostream.hpp>
@@ -14,6 +16,7 @@
 #include <chrono>
 #include <ctime>
 #include <iostream>
+#include <map>
 
 namespace larchpin {
 namespace {
@@ -21,12 +24,31 @@
 namespace json = boost::json;
 namespace blog = boost::log;
 
+constexpr std::size_t queued_lines = 4096; // about 1.5 MB
+
+using backend = blog::sinks::text_ostream_backend;
+using frontend = blog::sinks::asynchronous_sink<
+    backend, blog::sinks::bounded_fifo_queue<queued_lines, blog::sinks::drop_on_overflow>>;
+
 struct log_identity {
     severity lowest = severity::info;
     std::string instance;
     std::string domain;
+    boost::shared_ptr<frontend> sink;
 };
 
+// How many lines of each event this second has seen.
+struct log_budget {
+    std::int64_t second = 0;
+    std::map<std::string, unsigned, std::less<>> written;
+    std::uint64_t dropped = 0;
+};
+
+log_budget& budget() {
+    static log_budget one;
+    return one;
+}
+
 log_identity& identity() {
     static log_identity one;
     return one;
@@ -56,38 +78,88 @@
     return std::string(text.data(), length) + "." + fraction + "Z";
 }
 
-json::value to_json(const log_field& field) {
-    return std::visit([](const auto& v) { return json::value(v); }, field.value);
+std::int64_t current_second() {
+    const auto since_start = std::chrono::steady_clock::now().time_since_epoch();
+    return std::chrono::duration_cast<std::chrono::seconds>(since_start).count();
 }
 
-void write(severity level, std::string_view event, json::object extra, log_fields fields) {
-    if (level < identity().lowest) {
-        return;
-    }
+void write_line(const json::object& line) {
+    BOOST_LOG(logger()) << json::serialize(line);
+}
+
+json::object begin_line(severity level, std::string_view event) {
     json::object line;
     line["time"] = utc_now();
     line["level"] = to_string(level);
     line["event"] = event;
     line["instance"] = identity().instance;
     line["failure_domain"] = identity().domain;
+    return line;
+}
+
+// False where this second has had enough of the event already.
+bool take_budget(std::string_view event) {
+    log_budget& b = budget();
+    const std::int64_t second = current_second();
+    if (second != b.second) {
+        const std::uint64_t dropped = b.dropped;
+        b = log_budget{.second = second, .written = {}, .dropped = 0};
+        if (dropped > 0) {
+            json::object line = begin_line(severity::warning, "log_lines_dropped");
+            line["count"] = dropped;
+            write_line(line);
+        }
+    }
+    auto found = b.written.find(event);
+    if (found == b.written.end()) {
+        found = b.written.emplace(std::string(event), 0U).first;
+    }
+    const bool left = found->second < default_lines_per_event;
+    found->second += left ? 1 : 0;
+    b.dropped += left ? 0 : 1;
+    return left;
+}
+
+json::value to_json(const log_field& field) {
+    return std::visit([](const auto& v) { return json::value(v); }, field.value);
+}
+
+void write(severity level, std::string_view event, json::object extra, log_fields fields) {
+    if (level < identity().lowest || !take_budget(event)) {
+        return;
+    }
+    json::object line = begin_line(level, event);
     for (auto& item : extra) {
         line[item.key()] = item.value();
     }
     for (const log_field& field : fields) {
         line[field.key] = to_json(field);
     }
-    BOOST_LOG(logger()) << json::serialize(line);
+    write_line(line);
 }
 
 } // namespace
 
 void start_log(severity lowest, const std::string& instance, const std::string& domain) {
-    identity() = log_identity{.lowest = lowest, .instance = instance, .domain = domain};
-    using backend = blog::sinks::text_ostream_backend;
     auto sink_backend = boost::make_shared<backend>();
-    sink_backend->add_stream(boost::shared_ptr<std::ostream>(&std::clog, [](std::ostream*) {}));
+    sink_backend->add_stream(boost::shared_ptr<std::ostream>(&std::cout, [](std::ostream*) {}));
     sink_backend->auto_flush(true);
-    blog::core::get()->add_sink(boost::make_shared<blog::sinks::synchronous_sink<backend>>(sink_backend));
+    const auto sink = boost::make_shared<frontend>(sink_backend);
+    identity() = log_identity{.lowest = lowest, .instance = instance, .domain = domain, .sink = sink};
+    blog::core::get()->add_sink(sink);
+}
+
+void set_log_level(severity lowest) {
+    identity().lowest = lowest;
+}
+
+void stop_log() {
+    const auto sink = identity().sink;
+    if (sink) {
+        blog::core::get()->remove_sink(sink);
+        sink->stop();
+        sink->flush();
+    }
 }
 
 void log_event(severity level, std::string_view event, log_fields fields) {
--- a/src/io/backend_connection.cpp
+++ b/src/io/pg_connection.cpp
@@ -1,9 +1,10 @@
-// See backend_connection.hpp.
+// See pg_connection.hpp.
 //
 // Index
 //   [results as messages]  [connecting]  [running]  [reading]
-#include "io/backend_connection.hpp"
+#include "io/pg_connection.hpp"
 
+#include "io/backend_sql.hpp"
 #include "io/pg_frame.hpp"
 #include "io/workers.hpp"
 
@@ -106,10 +107,10 @@
 // [connecting]
 //-----------------------------------------------------------------------------
 
-backend_connection::backend_connection(asio::io_context& io, backend_target target)
+pg_connection::pg_connection(asio::io_context& io, backend_target target)
     : io_(io), target_(std::move(target)), connect_timer_(io) {}
 
-backend_connection::~backend_connection() {
+pg_connection::~pg_connection() {
     if (socket_) {
         socket_->release(); // libpq closes it
     }
@@ -118,7 +119,7 @@
     }
 }
 
-void backend_connection::connect(std::function<void(bool)> done) {
+void pg_connection::connect(std::function<void(bool)> done) {
     on_connect_ = std::move(done);
     const std::string port = std::to_string(target_.port);
     const std::array<const char*, 8> keys{
@@ -154,7 +155,7 @@
                         });
 }
 
-void backend_connection::poll_connect() {
+void pg_connection::poll_connect() {
     if (broken_) {
         return;
     }
@@ -190,7 +191,7 @@
 // [running]
 //-----------------------------------------------------------------------------
 
-void backend_connection::run(const backend_request& request, backend_sink sink) {
+void pg_connection::run(const backend_request& request, backend_sink sink) {
     sink_ = std::move(sink);
     outcome_ = backend_outcome{};
     running_ = true;
@@ -237,7 +238,7 @@
     wait_readable();
 }
 
-void backend_connection::flush() {
+void pg_connection::flush() {
     const int state = PQflush(connection_);
     if (state < 0) {
         fail();
@@ -246,7 +247,7 @@
     }
 }
 
-void backend_connection::wait_writable() {
+void pg_connection::wait_writable() {
     if (writing_ || broken_) {
         return;
     }
@@ -260,7 +261,7 @@
                         });
 }
 
-void backend_connection::cancel_running() {
+void pg_connection::cancel_running() {
     if (connection_ == nullptr || broken_ || !running_) {
         return;
     }
@@ -275,11 +276,11 @@
     });
 }
 
-void backend_connection::pause() {
+void pg_connection::pause() {
     paused_ = true;
 }
 
-void backend_connection::resume() {
+void pg_connection::resume() {
     if (!paused_) {
         return;
     }
@@ -290,7 +291,7 @@
     }
 }
 
-void backend_connection::close() {
+void pg_connection::close() {
     if (!broken_) {
         fail();
     }
@@ -300,7 +301,7 @@
 // [reading]
 //-----------------------------------------------------------------------------
 
-void backend_connection::wait_readable() {
+void pg_connection::wait_readable() {
     if (reading_ || broken_ || paused_) {
         return;
     }
@@ -314,7 +315,7 @@
                         });
 }
 
-void backend_connection::on_readable() {
+void pg_connection::on_readable() {
     if (PQconsumeInput(connection_) == 0) {
         // What came before the end may still be a whole answer.
         if (running_) {
@@ -333,7 +334,7 @@
     wait_readable();
 }
 
-void backend_connection::drain_results() {
+void pg_connection::drain_results() {
     const auto self = shared_from_this(); // a sink may drop the last reference
     while (running_ && !paused_ && PQisBusy(connection_) == 0) {
         PGresult* result = PQgetResult(connection_);
@@ -365,7 +366,7 @@
     }
 }
 
-void backend_connection::take_result(PGresult* result) {
+void pg_connection::take_result(PGresult* result) {
     switch (PQresultStatus(result)) {
     case PGRES_SINGLE_TUPLE:
     case PGRES_TUPLES_OK:
@@ -403,7 +404,9 @@
         }
         if (!outcome_.failed) {
             outcome_.failed = true;
-            outcome_.sqlstate = state;
+            outcome_.error_code = state;
+            outcome_.refusal =
+                outcome_.error_code == sqlstate_read_only ? server_refusal::read_only : server_refusal::none;
             put_server_error(outcome_.error_message, result);
         }
         if (!sink_.hold_errors) {
@@ -416,7 +419,7 @@
     }
 }
 
-void backend_connection::finish(bool answered) {
+void pg_connection::finish(bool answered) {
     if (!running_) {
         return;
     }
@@ -436,7 +439,7 @@
     }
 }
 
-void backend_connection::fail() {
+void pg_connection::fail() {
     if (broken_) {
         return;
     }
@@ -461,4 +464,24 @@
     }
 }
 
+//-----------------------------------------------------------------------------
+// [handle]
+//-----------------------------------------------------------------------------
+
+std::shared_ptr<backend_connection> make_pg_connection(asio::io_context& io, const backend_target& target) {
+    const auto behind = std::make_shared<pg_connection>(io, target);
+    auto handle = std::make_shared<backend_connection>();
+    handle->connect = [behind](std::function<void(bool)> done) { behind->connect(std::move(done)); };
+    handle->run = [behind](const backend_request& request, backend_sink sink) {
+        behind->run(request, std::move(sink));
+    };
+    handle->cancel_running = [behind] { behind->cancel_running(); };
+    handle->pause = [behind] { behind->pause(); };
+    handle->resume = [behind] { behind->resume(); };
+    handle->close = [behind] { behind->close(); };
+    handle->is_open = [behind] { return behind->is_open(); };
+    handle->is_running = [behind] { return behind->is_running(); };
+    return handle;
+}
+
 } // namespace larchpin
--- a/src/io/raft_store.cpp
+++ b/src/io/raft_store.cpp
@@ -160,7 +160,7 @@
     }
 }
 
-leaf::result<recovered_store> raft_store::open(const std::string& folder) {
+leaf::result<recovered_store> raft_store::open(const std::string& folder, raft::node_id identity) {
     folder_ = folder;
     std::error_code error;
     std::filesystem::create_directories(folder, error);
@@ -170,10 +170,10 @@
     if (file_ < 0) {
         return leaf::new_error(result_code::data_folder_unusable);
     }
-    return read_back();
+    return read_back(identity);
 }
 
-leaf::result<recovered_store> raft_store::read_back() {
+leaf::result<recovered_store> raft_store::read_back(raft::node_id identity) {
     const std::string bytes = read_file(folder_ + "/" + log_name);
     decoded_log log = decode_log(bytes);
     if (log.damaged) {
@@ -184,7 +184,10 @@
         return leaf::new_error(result_code::data_folder_unusable);
     }
     found.is_new = log.node == 0;
-    node_ = found.is_new ? make_node_id() : log.node;
+    node_ = log.node;
+    if (found.is_new) {
+        node_ = identity != 0 ? identity : make_node_id();
+    }
     found.node = node_;
     found.state = replay_records(log.records);
     found.file_bytes = log.good_bytes;
--- a/src/io/raft_store.hpp
+++ b/src/io/raft_store.hpp
@@ -35,15 +35,15 @@
     raft_store(raft_store&&) = delete;
     raft_store& operator=(raft_store&&) = delete;
 
-    // Reads the folder back, or starts a new identity in an empty one. Errors: data_folder_unusable,
-    // log_damaged (as result_code).
-    boost::leaf::result<recovered_store> open(const std::string& folder);
+    // Reads the folder back, or starts a new identity in an empty one: `identity`, or a random one for 0.
+    // Errors: data_folder_unusable, log_damaged (as result_code).
+    boost::leaf::result<recovered_store> open(const std::string& folder, raft::node_id identity = 0);
 
     // Appends and syncs; returns ok or data_folder_unusable. After an error nothing more may be appended.
     result_code append(const std::vector<raft::record>& records);
 
 private:
-    boost::leaf::result<recovered_store> read_back();
+    boost::leaf::result<recovered_store> read_back(raft::node_id identity);
     result_code write_and_sync(const std::string& bytes) const;
     result_code rewrite(const raft::record& first, const std::vector<raft::record>& rest);
 
--- a/src/io/settings.cpp
+++ b/src/io/settings.cpp
@@ -134,6 +134,9 @@
 // [the keys]
 //-----------------------------------------------------------------------------
 
+// Belongs to what the daemon is built into, and is read there.
+constexpr std::string_view foreign_section = "platform";
+
 using key_reader = std::function<leaf::result<void>(const key_context&, const toml::node&, settings&)>;
 
 key_reader text(std::string settings::*member) {
@@ -164,6 +167,7 @@
         {"entry.listen", address(&settings::entry_listen)},
         {"entry.max_clients", count(&settings::max_clients, {1, 100'000})},
         {"entry.drain_ms", milliseconds(&settings::drain_time, {0, 600'000})},
+        {"entry.drain_notice_ms", milliseconds(&settings::drain_notice, {0, 600'000})},
         {"entry.tls_certificate", text(&settings::tls_certificate)},
         {"entry.tls_key", text(&settings::tls_key)},
         {"peer.listen", address(&settings::peer_listen)},
@@ -174,6 +178,9 @@
          [](const auto& at, const auto& n, settings& s) { return read_flag(at, n, s.control_member); }},
         {"control.addresses", [](const auto& at, const auto& n,
                                  settings& s) { return read_addresses(at, n, s.control_addresses); }},
+        {"control.port", count(&settings::control_port, {0, 65'535})},
+        {"control.found",
+         [](const auto& at, const auto& n, settings& s) { return read_flag(at, n, s.founds_cluster); }},
         {"control.data_folder", text(&settings::data_folder)},
         {"control.lease_ms", milliseconds(&settings::lease, {200, 60'000})},
         {"control.heartbeat_ms", milliseconds(&settings::heartbeat, {10, 5'000})},
@@ -261,27 +268,39 @@
             const key_context at{.file = file, .key = section};
             return leaf::new_error(problem(at, node, result_code::settings_unknown_key, "no such key"));
         }
-        BOOST_LEAF_CHECK(read_section(file, section, *keys, s));
+        if (section != foreign_section) {
+            BOOST_LEAF_CHECK(read_section(file, section, *keys, s));
+        }
     }
     BOOST_LEAF_CHECK(check_whole(file, s));
+    if (s.control_port != 0) {
+        for (std::string& address : s.control_addresses) {
+            address = address.substr(0, address.rfind(':') + 1) + std::to_string(s.control_port);
+        }
+    }
     if (s.peer_address.empty()) {
         s.peer_address = s.peer_listen;
     }
     return s;
 }
 
-leaf::result<settings> load_settings(const std::string& file) {
+std::optional<std::string> read_settings_text(const std::string& file) {
     std::ifstream stream(file);
     std::ostringstream text;
     text << stream.rdbuf();
-    if (!stream) {
+    return stream ? std::optional{text.str()} : std::nullopt;
+}
+
+leaf::result<settings> load_settings(const std::string& file) {
+    const auto text = read_settings_text(file);
+    if (!text) {
         return leaf::new_error(settings_problem{.code = result_code::settings_unreadable,
                                                 .file = file,
                                                 .line = 0,
                                                 .key = {},
                                                 .detail = "cannot be read"});
     }
-    return parse_settings(text.str(), file);
+    return parse_settings(*text, file);
 }
 
 std::string to_string(const settings_problem& p) {
--- a/src/io/settings.hpp
+++ b/src/io/settings.hpp
@@ -11,6 +11,7 @@
 
 #include <boost/leaf/result.hpp>
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -25,8 +26,9 @@
     std::string entry_listen = "127.0.0.1:6432"; // callers, PostgreSQL protocol
     unsigned max_clients = 5000;
     duration drain_time = std::chrono::seconds{30}; // a planned stop waits this long for requests in flight
-    std::string tls_certificate;                    // PEM; empty: no TLS for callers
-    std::string tls_key;                            // PEM
+    duration drain_notice{0};    // before that it goes on as before, while a balancer takes it out
+    std::string tls_certificate; // PEM; empty: no TLS for callers
+    std::string tls_key;         // PEM
     // [peer]
     std::string peer_listen =
         "127.0.0.1:7432";     // our own processes, backend servers' announcements, operators
@@ -36,6 +38,8 @@
     // [control]
     bool control_member = false;                // keeps a copy of the control log; needs data_folder
     std::vector<std::string> control_addresses; // peer listeners of the control instances
+    unsigned control_port = 0; // replaces the port of each of them, where they name another listener; 0: none
+    bool founds_cluster = false; // first start of all: the instances of control_addresses found the cluster
     std::string data_folder;
     duration lease = std::chrono::milliseconds{1000};
     duration heartbeat = std::chrono::milliseconds{75};
@@ -48,6 +52,7 @@
     duration detect_time = std::chrono::milliseconds{400}; // without an answer for so long: dead
     // [log]
     severity log_level = severity::info;
+    auto operator<=>(const settings&) const = default;
 };
 
 struct settings_problem {
@@ -58,6 +63,9 @@
     std::string detail;
 };
 
+// The file's text; nothing where it cannot be read.
+std::optional<std::string> read_settings_text(const std::string& file);
+
 boost::leaf::result<settings> load_settings(const std::string& file);
 
 // The same from text, for tests and fuzzing.
--- a/tests/io_test.cpp
+++ b/tests/io_test.cpp
@@ -6,9 +6,9 @@
 #include "generated/larchpin.pb.h"
 #include "io/auth.hpp"
 #include "io/codec.hpp"
+#include "io/pg_driver.hpp"
 #include "io/pg_frame.hpp"
 #include "io/raft_store.hpp"
-#include "io/server_probe.hpp"
 #include "io/settings.hpp"
 
 #include <boost/leaf/handle_errors.hpp>
--- a/tests/session_fuzz_test.cpp
+++ b/tests/session_fuzz_test.cpp
@@ -186,8 +186,12 @@
         for (const model_server& m : servers_) {
             view_.servers.push_back({.id = m.id});
         }
-        const routing_decision d = route_read(view_, s.state, s.staleness, true, {},
-                                              now_ - std::chrono::milliseconds{number(50)}, now_, random_);
+        const read_wish wish{.staleness = s.staleness,
+                             .asked_at = now_ - std::chrono::milliseconds{number(50)},
+                             .now = now_,
+                             .lease_live = true,
+                             .avoid = {}};
+        const routing_decision d = route_read(view_, s.state, wish, {}, random_);
         if (d.kind != target_kind::server) {
             return;
         }
