Dead peers are left at once, lost promotion orders are repeated, replicas are chosen by their lag

Ruled out: the election (core had leases again 0.7 s after its start). (2) A promotion order without an answer was waited for 2 s. (4) Shares filled a server's whole limit, so probes met "too many connections".

Tests, each failing first: peers.a_connection_on_which_nothing_comes_back_is_replaced, promotion.an_order_without_an_answer_is_given_again_to_the_same_server, shares_of_connections.leave_room_for_probes.

--- a/src/core/control.cpp
+++ b/src/core/control.cpp
@@ -15,12 +15,6 @@
 constexpr std::size_t max_unconfirmed_replies = 32;
 constexpr unsigned leader_term_shift = 40; // leaves a leader 2^40 of them
 
-// Rises with `count`, also over a change of leader. Numbers the replies to a daemon (one that names a reply
-// has acted upon no later one of any leader) and the attempts to promote.
-std::uint64_t number_across_leaders(const control_state& c, std::uint64_t count) {
-    return (c.leader_term << leader_term_shift) + count;
-}
-
 //-----------------------------------------------------------------------------
 // [leases]
 //-----------------------------------------------------------------------------
@@ -208,10 +202,12 @@
         held_by_others += other.held;
         wishes.push_back(other.wanted);
     }
-    const unsigned target = divide_fairly(service->max_connections, wishes).front();
+    const unsigned kept = std::min(c.config.kept_connections, service->max_connections - 1);
+    const unsigned limit = service->max_connections - kept;
+    const unsigned target = divide_fairly(limit, wishes).front();
     // Until the earlier leader's grants have run out, nobody gets more than it has.
     const unsigned cap = settled(c, now) ? target : std::min(target, claim.in_effect);
-    return next_share(service->max_connections, cap, held_by_others);
+    return next_share(limit, cap, held_by_others);
 }
 
 // Whoever may hold a part of a key stays a claimant of it until it is known to hold nothing.
@@ -415,6 +411,20 @@
     note(actions, f, "promoted", group.id, winner.server, now);
 }
 
+// Each order carries a token above all earlier ones, so that one whose answer was lost cannot be carried out
+// once a later one has been seen.
+void order_promotion(control_state& c, const cluster_state& s, const group_record& group, failover& f,
+                     std::uint64_t timeline, time_point now, control_actions& actions) {
+    const std::uint64_t operation = c.next_operation++;
+    f.open_operations = {operation};
+    f.ordered_timeline = timeline;
+    note(actions, f, "promoting", group.id, *f.candidate, now);
+    actions.emplace_back(promote_server{.operation = operation,
+                                        .server = s.servers.at(*f.candidate),
+                                        .timeline = timeline,
+                                        .token = number_across_leaders(c, operation)});
+}
+
 void promote_best(control_state& c, const cluster_state& s, const group_record& group, failover& f,
                   time_point now, control_actions& actions) {
     const server_answer* best = best_candidate(c, s, group, f, now);
@@ -428,13 +438,7 @@
     }
     enter(f, failover_step::promoting, now);
     f.candidate = best->server;
-    const std::uint64_t operation = c.next_operation++;
-    f.open_operations = {operation};
-    note(actions, f, "promoting", group.id, best->server, now);
-    actions.emplace_back(promote_server{.operation = operation,
-                                        .server = s.servers.at(best->server),
-                                        .timeline = best->timeline,
-                                        .token = number_across_leaders(c, operation)});
+    order_promotion(c, s, group, f, best->timeline, now, actions);
 }
 
 void advance(control_state& c, const cluster_state& s, const group_record& group, failover& f, time_point now,
@@ -513,6 +517,10 @@
 // [public functions]
 //-----------------------------------------------------------------------------
 
+std::uint64_t number_across_leaders(const control_state& c, std::uint64_t count) {
+    return (c.leader_term << leader_term_shift) + count;
+}
+
 void start_leading(control_state& c, std::uint64_t leader_term, time_point now) {
     const control_settings config = c.config;
     const std::uint64_t next_operation = c.next_operation;
@@ -669,6 +677,9 @@
                                     a.timeline == group->second.timeline;
             if (a.answered && a.is_primary && (new_reign || same_reign)) {
                 publish(group->second, f, a, now, actions);
+            } else if (a.undecided && s.servers.contains(a.server) &&
+                       now - f.step_at < c.config.promote_wait) {
+                order_promotion(c, s, group->second, f, f.ordered_timeline, now, actions);
             } else {
                 f.failed.insert(a.server);
                 ask_replicas(c, s, group->second, f, now, actions);
--- a/src/core/control.hpp
+++ b/src/core/control.hpp
@@ -119,6 +119,7 @@
     bool is_primary = false;
     std::uint64_t timeline = 0;
     log_position position = 0;
+    bool undecided = false; // an order to promote had no answer: it may be carried out yet
     auto operator<=>(const server_answer&) const = default;
 };
 
@@ -135,6 +136,7 @@
     duration observation_age = std::chrono::milliseconds{1000}; // older ones count no more
     duration announcement_age = std::chrono::milliseconds{3000};
     duration switchover_pause = std::chrono::milliseconds{1000}; // between two tries to leave one primary
+    unsigned kept_connections = 0; // of a service's limit to one server, kept back for probes
     // Where promotions go through an authority that fences by token, a call whose answer was lost may be
     // carried out later. Each failover then ends with a call of its own, also for the present primary.
     bool always_promote = false;
@@ -174,8 +176,9 @@
     std::map<server_id, server_answer> answers;
     std::set<server_id> failed; // candidates that did not answer a promotion
     std::optional<server_id> candidate;
-    std::optional<server_id> wanted; // a switchover's target
-    bool planned = false;            // the old primary may be chosen again
+    std::uint64_t ordered_timeline = 0; // that the candidate was seen on
+    std::optional<server_id> wanted;    // a switchover's target
+    bool planned = false;               // the old primary may be chosen again
 };
 
 struct seen_server {
@@ -211,6 +214,10 @@
 // [functions]
 //-----------------------------------------------------------------------------
 
+// Rises with `count`, also over a change of leader. Numbers the replies to a daemon (one that names a reply
+// has acted upon no later one of any leader) and the orders to promote.
+std::uint64_t number_across_leaders(const control_state& c, std::uint64_t count);
+
 // This instance has won an election and knows every committed command, or has lost the lead.
 void start_leading(control_state& c, std::uint64_t leader_term, time_point now);
 void stop_leading(control_state& c);
--- a/src/core/pool.cpp
+++ b/src/core/pool.cpp
@@ -8,7 +8,9 @@
 constexpr duration open_retry_pause = std::chrono::milliseconds{50};
 constexpr duration expected_open_time = std::chrono::milliseconds{15};
 constexpr duration lost_share_pause = std::chrono::milliseconds{500};
-constexpr int smoothing = 8; // a new service time counts one eighth
+constexpr duration demand_memory = std::chrono::seconds{5}; // half of a usual wave of load
+constexpr duration demand_step = std::chrono::seconds{1};   // from one connection given back to the next
+constexpr int smoothing = 8;                                // a new service time counts one eighth
 
 std::deque<pool_waiter>& queue_of(pool_state& p, request_class klass) {
     return p.waiting.at(static_cast<std::size_t>(klass));
@@ -22,9 +24,12 @@
     return p.busy_background.size() >= background_limit(p);
 }
 
-void note_demand(pool_state& p) {
+void note_demand(pool_state& p, time_point now) {
     const auto demand = static_cast<unsigned>(p.busy.size()) + waiting_count(p);
-    p.peak_demand = std::max(p.peak_demand, demand);
+    if (demand >= p.peak_demand) {
+        p.peak_demand = demand;
+        p.peak_at = now;
+    }
 }
 
 void hand_out(pool_state& p, const pool_waiter& w, pool_actions& actions) {
@@ -140,7 +145,7 @@
         return;
     }
     queue_of(p, w.klass).push_back(w);
-    note_demand(p);
+    note_demand(p, now);
     settle(p, now, next_connection, actions);
 }
 
@@ -226,11 +231,13 @@
     settle(p, now, next_connection, actions);
 }
 
-unsigned take_peak_demand(pool_state& p) {
-    const auto current = static_cast<unsigned>(p.busy.size()) + waiting_count(p);
-    const unsigned peak = std::max(p.peak_demand, current);
-    p.peak_demand = current;
-    return peak;
+unsigned take_peak_demand(pool_state& p, time_point now) {
+    note_demand(p, now);
+    if (now - p.peak_at > demand_memory && p.peak_demand > 0) {
+        --p.peak_demand; // gives back one connection at a time
+        p.peak_at = now - demand_memory + demand_step;
+    }
+    return p.peak_demand;
 }
 
 } // namespace larchpin
--- a/src/core/pool.hpp
+++ b/src/core/pool.hpp
@@ -48,7 +48,8 @@
     std::array<std::deque<pool_waiter>, request_class_count> waiting; // by class
     duration service_time = std::chrono::milliseconds{2};             // smoothed time a request keeps one
     time_point open_retry_at{};                                       // no attempt to open before
-    unsigned peak_demand = 0;                                         // since the last claim
+    unsigned peak_demand = 0;                                         // of the last demand_memory, or above
+    time_point peak_at{};                                             // when it was reached last
 };
 
 struct open_connection {
@@ -110,7 +111,8 @@
 unsigned open_count(const pool_state& p);
 unsigned waiting_count(const pool_state& p);
 
-// What the load since the last call could have used; for the claim on a share.
-unsigned take_peak_demand(pool_state& p);
+// What the load of the last seconds could have used; for the claim on a share. A share that followed each
+// moment's load would close connections that are opened again a moment later.
+unsigned take_peak_demand(pool_state& p, time_point now);
 
 } // namespace larchpin
--- a/src/core/positions.cpp
+++ b/src/core/positions.cpp
@@ -41,9 +41,30 @@
                        time_point now) {
     server_position& known = g.servers[server];
     known.heard_at = std::max(known.heard_at, now);
-    if (sample.not_before >= known.newest.not_before) {
-        known.newest = sample;
+    if (sample.not_before < known.newest.not_before) {
+        return;
+    }
+    known.newest = sample;
+    // The first sample of the primary beyond what the server holds tells since when it lacks something.
+    const auto beyond = std::partition_point(g.primary.begin(), g.primary.end(), [&sample](const auto& s) {
+        return s.position <= sample.position;
+    });
+    known.lag = beyond == g.primary.end() ? duration{0} : std::max(duration{0}, now - beyond->not_before);
+}
+
+bool is_likely_to_hold(const group_positions& g, const server_id& server, std::uint64_t timeline,
+                       log_position position, time_point now, duration trust) {
+    const auto found = g.servers.find(server);
+    if (found == g.servers.end() || now - found->second.heard_at > trust) {
+        return true; // nothing is known: asking tells
+    }
+    const server_position& p = found->second;
+    if (p.newest.timeline == timeline && p.newest.position >= position) {
+        return true;
     }
+    const auto reached = std::partition_point(g.primary.begin(), g.primary.end(),
+                                              [position](const auto& s) { return s.position < position; });
+    return reached != g.primary.end() && now - reached->not_before >= p.lag;
 }
 
 std::optional<time_point> fresh_as_of(const group_positions& g, const server_id& server,
--- a/src/core/positions.hpp
+++ b/src/core/positions.hpp
@@ -26,6 +26,7 @@
 struct server_position {
     position_sample newest;
     time_point heard_at{};
+    duration lag{0}; // how far behind the primary it was then, at most; 0 also where that is not known
     auto operator<=>(const server_position&) const = default;
 };
 
@@ -43,6 +44,11 @@
 void add_server_sample(group_positions& g, const server_id& server, const position_sample& sample,
                        time_point now);
 
+// Whether the server most likely holds this position by now, going by its lag when it was heard last. A
+// guess: only a server that enforces the floor may be chosen by it.
+bool is_likely_to_hold(const group_positions& g, const server_id& server, std::uint64_t timeline,
+                       log_position position, time_point now, duration trust);
+
 // A moment such that the server holds every write acknowledged before it; nothing where unknown.
 std::optional<time_point> fresh_as_of(const group_positions& g, const server_id& server,
                                       std::uint64_t timeline);
--- a/src/core/routing.cpp
+++ b/src/core/routing.cpp
@@ -74,18 +74,6 @@
     return std::find(wish.avoid.begin(), wish.avoid.end(), id) != wish.avoid.end();
 }
 
-// A server that was behind the floor a moment ago most likely still is: not even asked.
-bool is_surely_behind(const group_view& g, const server_view& server, log_position floor, time_point now,
-                      const routing_settings& settings) {
-    const auto known = g.positions->servers.find(server.id);
-    if (known == g.positions->servers.end()) {
-        return false;
-    }
-    const server_position& p = known->second;
-    const bool lately = now - p.heard_at < settings.position_trust;
-    return lately && (p.newest.timeline != g.record.timeline || p.newest.position < floor);
-}
-
 // Servers that refuse what they do not hold make the choice simple: the floor goes with the request.
 routing_decision route_with_floor(const group_view& g, const session_state& s, const read_wish& wish,
                                   const routing_settings& settings, std::mt19937_64& random) {
@@ -100,7 +88,8 @@
     std::vector<const server_view*> fit;
     for (const server_view& server : g.servers) {
         if (may_take_reads(g, server, false, wish.now) && !is_avoided(wish, server.id) &&
-            !is_surely_behind(g, server, *floor, wish.now, settings)) {
+            is_likely_to_hold(*g.positions, server.id, g.record.timeline, *floor, wish.now,
+                              settings.position_trust)) {
             fit.push_back(&server);
         }
     }
--- a/src/core/routing.hpp
+++ b/src/core/routing.hpp
@@ -69,8 +69,9 @@
 struct routing_settings {
     duration replica_wait = std::chrono::milliseconds{25};  // at most this long for a replica to catch up
     duration position_wait = std::chrono::milliseconds{10}; // between two looks
-    // A position heard so lately is taken for today's: about half of the least replication lag measured.
-    duration position_trust = std::chrono::milliseconds{10};
+    // A lag heard so long ago says nothing any more, and the server is asked again: a refusal costs a round
+    // trip.
+    duration position_trust = std::chrono::milliseconds{500};
     double far_penalty = 2.0; // factor on the delay of another failure domain
 };
 
--- a/src/daemon/control_node.cpp
+++ b/src/daemon/control_node.cpp
@@ -82,6 +82,7 @@
     timing.election_timeout = config_.election;
     control_settings decisions;
     decisions.lease = config_.lease;
+    decisions.kept_connections = config_.kept_connections;
     decisions.always_promote = driver_.promotes_by_token;
     const raft::member self{
         .id = found.node, .name = config_.id.value, .address = config_.peer_address, .voter = false};
@@ -283,8 +284,11 @@
         if (found == operations_.end()) {
             return;
         }
-        if (answer == promotion_answer::refused) {
-            finish_operation({.operation = number, .server = found->second.server.id});
+        // Without an answer only another order tells: an authority that lost this one may carry it out later.
+        const bool undecided = answer == promotion_answer::unknown && driver_.promotes_by_token;
+        if (undecided || answer == promotion_answer::refused) {
+            finish_operation(
+                {.operation = number, .server = found->second.server.id, .undecided = undecided});
             return;
         }
         ask_role(number); // whatever was answered, its role tells
--- a/src/io/http2.cpp
+++ b/src/io/http2.cpp
@@ -245,6 +245,7 @@
         }
         std::erase_if(waiting, [at](const waiting_request& r) { return at >= r.deadline; });
         std::vector<std::int32_t> reset;
+        bool silent = false; // nothing came since a request was sent that is late now
         bool open = !waiting.empty();
         if (connection) {
             for (auto& [id, stream] : connection->streams()) {
@@ -252,6 +253,7 @@
                     late.push_back(std::move(stream.done));
                     stream.done = nullptr;
                     reset.push_back(id);
+                    silent = silent || connection->heard_at() < stream.sent_at;
                 }
                 open = open || stream.done != nullptr;
             }
@@ -259,6 +261,14 @@
                 connection->reset_stream(id);
             }
         }
+        // The peer may be gone without a word: its successor would never see what we send on this connection.
+        if (silent) {
+            connection->close();
+        }
+        if (!late.empty() && pending_socket) {
+            boost::system::error_code ignored;
+            pending_socket->close(ignored); // the next request tries anew
+        }
         for (const http_callback& done : late) {
             done(http_outcome{});
         }
--- a/src/io/http2_connection.cpp
+++ b/src/io/http2_connection.cpp
@@ -1,5 +1,7 @@
 #include "io/http2_internal.hpp"
 
+#include "io/clock.hpp"
+
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/write.hpp>
 
@@ -100,6 +102,7 @@
     stream.sent_signature = signature.signature;
     stream.done = done;
     stream.deadline = deadline;
+    stream.sent_at = now();
     write_some();
     return id;
 }
@@ -203,6 +206,7 @@
             self->close();
             return;
         }
+        self->heard_at_ = now();
         self->in_callback_ = true;
         const ssize_t used = nghttp2_session_mem_recv(self->session_, self->read_buffer_.data(), length);
         self->in_callback_ = false;
--- a/src/io/http2_internal.hpp
+++ b/src/io/http2_internal.hpp
@@ -23,6 +23,7 @@
     bool too_large = false;
     http_callback done;    // client side
     time_point deadline{}; // client side
+    time_point sent_at{};  // client side
 };
 
 class http2_connection : public std::enable_shared_from_this<http2_connection> {
@@ -41,6 +42,8 @@
     void start();
     void close();
     [[nodiscard]] bool is_open() const { return open_; }
+    // When bytes came last.
+    [[nodiscard]] time_point heard_at() const { return heard_at_; }
 
     // Client side: sends a request; returns its stream, or a negative number.
     std::int32_t submit_request(const std::string& path, const std::string& body,
@@ -72,6 +75,7 @@
     nghttp2_session* session_ = nullptr;
     bool is_server_;
     bool open_ = true;
+    time_point heard_at_{};
     bool writing_ = false;
     bool in_callback_ = false; // nghttp2 must not be asked for output from inside its own callbacks
     std::array<std::uint8_t, read_buffer_size> read_buffer_{};
--- a/src/io/settings.cpp
+++ b/src/io/settings.cpp
@@ -188,6 +188,7 @@
         {"control.snapshot_entries", count(&settings::snapshot_entries, {16, 1'000'000})},
         {"backend.user", text(&settings::backend_user)},
         {"backend.password_file", text(&settings::backend_password_file)},
+        {"backend.kept_connections", count(&settings::kept_connections, {0, 100})},
         {"backend.probe_ms", milliseconds(&settings::probe_interval, {10, 10'000})},
         {"backend.detect_ms", milliseconds(&settings::detect_time, {50, 60'000})},
         {"log.level",
--- a/src/io/settings.hpp
+++ b/src/io/settings.hpp
@@ -48,6 +48,7 @@
     // [backend]
     std::string backend_user;          // empty: the caller's user
     std::string backend_password_file; // empty: none
+    unsigned kept_connections = 0;     // of a service's limit to one server, kept back for our own probes
     duration probe_interval = std::chrono::milliseconds{50};
     duration detect_time = std::chrono::milliseconds{400}; // without an answer for so long: dead
     // [log]
--- /dev/null
+++ b/tests/control_test.cpp
@@ -0,0 +1,303 @@
+// What the leading control instance decides, one decision at a time and without I/O.
+//
+// Index
+//   [a site]  [founding]  [edits]  [leaving]  [promotion]  [shares]
+#include "core/control.hpp"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+
+namespace larchpin {
+namespace {
+
+using std::chrono::milliseconds;
+
+//-----------------------------------------------------------------------------
+// [a site]
+//-----------------------------------------------------------------------------
+
+// One group of three servers, one daemon a failure domain, a leader; commands apply as soon as proposed.
+struct control_site {
+    control_state control;
+    cluster_state cluster;
+    time_point now{std::chrono::seconds{100}};
+    std::vector<control_action> open; // probes and promotions that nobody has answered
+    std::vector<std::string> notes;
+    std::map<instance_id, std::uint64_t> seqs;
+
+    control_site() {
+        start_leading(control, 3, now);
+        now += std::chrono::seconds{3}; // the leases of an earlier leader have run out
+    }
+
+    void take(control_actions& actions) {
+        for (const control_action& a : actions) {
+            if (const auto* proposal = std::get_if<propose_command>(&a)) {
+                apply(cluster, cluster.revision + 1, proposal->proposed);
+                control_actions more;
+                on_applied(control, cluster, now, more);
+                take(more);
+            } else if (const auto* note = std::get_if<note_event>(&a)) {
+                notes.push_back(note->what);
+            } else {
+                open.push_back(a);
+            }
+        }
+    }
+
+    renewal_reply renew(const std::string& daemon, const std::vector<server_announcement>& announced = {},
+                        const std::vector<server_observation>& seen = {},
+                        const std::vector<share_claim>& claims = {}) {
+        renewal r;
+        r.instance = {.id = {daemon}, .domain = {"d-" + daemon}, .address = "127.0.0.1:1"};
+        r.incarnation = 1;
+        r.applied = cluster.revision;
+        r.last_reply_seq = seqs[r.instance.id];
+        r.announcements = announced;
+        r.observations = seen;
+        r.claims = claims;
+        control_actions actions;
+        const renewal_reply reply = on_renewal(control, cluster, r, now, actions);
+        seqs[r.instance.id] = reply.seq;
+        take(actions);
+        return reply;
+    }
+
+    void tick() {
+        control_actions actions;
+        on_tick(control, cluster, now, actions);
+        take(actions);
+    }
+
+    void answer(const server_answer& a) {
+        control_actions actions;
+        on_server_answer(control, cluster, a, now, actions);
+        take(actions);
+    }
+
+    // The only open action of this kind, taken off the list.
+    template <typename kind> std::optional<kind> take_open() {
+        const auto found = std::find_if(open.begin(), open.end(), [](const control_action& a) {
+            return std::holds_alternative<kind>(a);
+        });
+        if (found == open.end()) {
+            return std::nullopt;
+        }
+        const kind taken = std::get<kind>(*found);
+        open.erase(found);
+        return taken;
+    }
+
+    // Answers every open probe as a healthy group would: the primary leads, all hold `position`.
+    void answer_probes(const server_id& primary, log_position position) {
+        while (const auto probe = take_open<probe_server>()) {
+            answer({.operation = probe->operation,
+                    .server = probe->server.id,
+                    .answered = true,
+                    .is_primary = probe->server.id == primary,
+                    .timeline = cluster.groups.contains({"g"}) ? cluster.groups.at({"g"}).timeline : 1,
+                    .position = position});
+        }
+    }
+
+    group_record group() { return cluster.groups.at({"g"}); }
+};
+
+server_announcement announce(const std::string& id, bool primary, std::uint64_t sequence) {
+    server_announcement a;
+    a.record = {.id = {id}, .group = {"g"}, .host = "127.0.0.1", .port = 5432, .domain = {"d-x"}};
+    a.is_primary = primary;
+    a.sequence = sequence;
+    return a;
+}
+
+std::vector<server_observation> all_alive() {
+    return {{.server = {"s1"}, .alive = true}, {.server = {"s2"}, .alive = true}, {.server = {"s3"}, .alive = true}};
+}
+
+// A founded group with s1 as its primary.
+control_site make_site() {
+    control_site s;
+    s.renew("x", {announce("s1", true, 1), announce("s2", false, 1), announce("s3", false, 1)}, all_alive());
+    s.answer_probes({"s1"}, 10);
+    return s;
+}
+
+//-----------------------------------------------------------------------------
+// [founding]
+//-----------------------------------------------------------------------------
+
+TEST(founding, a_primary_that_does_not_tell_its_timeline_is_asked_for_it) {
+    control_site s;
+    s.renew("x", {announce("s1", true, 1)});
+    const auto probe = s.take_open<probe_server>();
+    ASSERT_TRUE(probe.has_value());
+    EXPECT_FALSE(s.cluster.groups.contains({"g"}));
+    s.renew("x", {announce("s1", true, 2)});
+    EXPECT_FALSE(s.take_open<probe_server>().has_value()) << "one question at a time";
+    s.answer({.operation = probe->operation,
+              .server = {"s1"},
+              .answered = true,
+              .is_primary = true,
+              .timeline = 4,
+              .position = 9});
+    EXPECT_EQ(s.group().timeline, 4U);
+    EXPECT_EQ(s.group().primary, server_id{"s1"});
+}
+
+TEST(founding, a_question_without_an_answer_is_asked_again) {
+    control_site s;
+    s.renew("x", {announce("s1", true, 1)});
+    s.answer({.operation = s.take_open<probe_server>()->operation, .server = {"s1"}});
+    EXPECT_FALSE(s.cluster.groups.contains({"g"}));
+    s.renew("x", {announce("s1", true, 2)});
+    EXPECT_TRUE(s.take_open<probe_server>().has_value());
+}
+
+//-----------------------------------------------------------------------------
+// [edits]
+//-----------------------------------------------------------------------------
+
+edit_table make_versioned(std::uint64_t version, unsigned connections) {
+    edit_table e;
+    e.change_id = "c" + std::to_string(version) + "-" + std::to_string(connections);
+    e.version = version;
+    e.document = "document " + std::to_string(version);
+    e.next.services = {{.id = {"g"}, .max_connections = connections}};
+    return e;
+}
+
+TEST(versioned_edits, the_highest_version_wins_whatever_the_order) {
+    cluster_state s;
+    EXPECT_EQ(apply(s, 1, make_versioned(7, 5)).code, result_code::ok);
+    EXPECT_EQ(apply(s, 2, make_versioned(3, 6)).code, result_code::ok) << "taken as done";
+    EXPECT_EQ(apply(s, 3, make_versioned(7, 8)).code, result_code::ok) << "other content, same version";
+    EXPECT_EQ(s.current.services[0].max_connections, 5U);
+    EXPECT_EQ(s.document, "document 7");
+    EXPECT_EQ(apply(s, 4, make_versioned(9, 0)).code, result_code::table_invalid);
+    EXPECT_EQ(s.table_version, 7U);
+    EXPECT_TRUE(s.changes.empty()) << "versions need no memory of ids";
+}
+
+TEST(versioned_edits, a_route_must_name_a_service_and_a_time) {
+    table t;
+    t.services = {{.id = {"g"}}};
+    t.routes = {{.database = "db", .group = {"g"}, .service = {"g"}}};
+    EXPECT_EQ(check_table(t), "");
+    t.routes[0].service = {"other"};
+    EXPECT_NE(check_table(t), "");
+    t.routes[0].service = {"g"};
+    t.routes[0].statement_timeout = {};
+    EXPECT_NE(check_table(t), "");
+    t.routes[0].statement_timeout = std::chrono::seconds{1};
+    t.routes.push_back(t.routes[0]);
+    EXPECT_NE(check_table(t), "") << "twice the same database";
+}
+
+//-----------------------------------------------------------------------------
+// [leaving]
+//-----------------------------------------------------------------------------
+
+TEST(leaving, a_primary_that_leaves_hands_over_to_another_server) {
+    control_site s = make_site();
+    server_announcement bye = announce("s1", true, 2);
+    bye.leaving = true;
+    const renewal_reply reply = s.renew("x", {bye}, all_alive());
+    EXPECT_EQ(reply.leaving, std::vector<server_id>{{"s1"}});
+    s.tick();
+    EXPECT_EQ(s.group().phase, group_phase::fencing);
+    s.renew("x", {}, all_alive()); // confirms the fence
+    s.tick();
+    s.answer_probes({"s1"}, 20);
+    const auto order = s.take_open<promote_server>();
+    ASSERT_TRUE(order.has_value());
+    EXPECT_NE(order->server.id, server_id{"s1"});
+}
+
+TEST(leaving, an_announcement_that_was_overtaken_changes_nothing) {
+    control_site s = make_site();
+    server_announcement bye = announce("s2", false, 5);
+    bye.leaving = true;
+    s.renew("x", {bye});
+    EXPECT_EQ(s.renew("x", {announce("s2", false, 4)}).leaving, std::vector<server_id>{{"s2"}});
+}
+
+TEST(leaving, a_server_that_is_gone_loses_its_record_but_not_while_it_is_the_primary) {
+    control_site s = make_site();
+    server_announcement gone = announce("s2", false, 9);
+    gone.gone = true;
+    s.renew("x", {gone});
+    s.tick();
+    EXPECT_FALSE(s.cluster.servers.contains({"s2"}));
+    s.renew("x", {announce("s2", false, 8)});
+    EXPECT_FALSE(s.cluster.servers.contains({"s2"})) << "a late announcement brings nobody back";
+    server_announcement primary_gone = announce("s1", true, 9);
+    primary_gone.gone = true;
+    s.renew("x", {primary_gone});
+    s.tick();
+    EXPECT_TRUE(s.cluster.servers.contains({"s1"}));
+}
+
+//-----------------------------------------------------------------------------
+// [promotion]
+//-----------------------------------------------------------------------------
+
+// Drives a failover of the dead s1 up to the order to promote.
+promote_server lose_primary(control_site& s) {
+    const std::vector<server_observation> seen{{.server = {"s1"}, .alive = false},
+                                               {.server = {"s2"}, .alive = true},
+                                               {.server = {"s3"}, .alive = true}};
+    s.renew("x", {}, seen);
+    s.tick();
+    s.renew("x", {}, seen);
+    s.tick();
+    s.answer_probes({"s1"}, 20);
+    const auto order = s.take_open<promote_server>();
+    EXPECT_TRUE(order.has_value());
+    return order.value_or(promote_server{});
+}
+
+TEST(promotion, each_order_has_a_token_above_all_earlier_ones) {
+    control_site s = make_site();
+    const promote_server first = lose_primary(s);
+    s.answer({.operation = first.operation, .server = first.server.id});
+    s.tick();
+    s.answer_probes({"s1"}, 20);
+    const auto second = s.take_open<promote_server>();
+    ASSERT_TRUE(second.has_value());
+    EXPECT_GT(second->token, first.token);
+    control_state later;
+    start_leading(later, 4, s.now);
+    EXPECT_GT(number_across_leaders(later, 0), second->token) << "of the next leader";
+}
+
+TEST(promotion, an_order_without_an_answer_is_given_again_to_the_same_server) {
+    control_site s = make_site();
+    s.control.config.always_promote = true;
+    const promote_server first = lose_primary(s);
+    s.answer({.operation = first.operation, .server = first.server.id, .undecided = true});
+    const auto second = s.take_open<promote_server>();
+    ASSERT_TRUE(second.has_value()) << "at once, without asking everyone again";
+    EXPECT_EQ(second->server.id, first.server.id);
+    EXPECT_GT(second->token, first.token);
+}
+
+//-----------------------------------------------------------------------------
+// [shares]
+//-----------------------------------------------------------------------------
+
+TEST(shares_of_connections, leave_room_for_probes) {
+    control_site s = make_site();
+    s.control.config.kept_connections = 4;
+    control_actions actions;
+    apply(s.cluster, s.cluster.revision + 1, make_versioned(1, 23));
+    const share_claim all{.key = {.service = {"g"}, .server = {"s1"}}, .in_effect = 0, .wanted = 100};
+    s.renew("x", {}, {}, {all});
+    const renewal_reply reply = s.renew("x", {}, {}, {all});
+    ASSERT_EQ(reply.shares.size(), 1U);
+    EXPECT_EQ(reply.shares[0].connections, 19U);
+}
+
+} // namespace
+} // namespace larchpin
--- a/tests/io_test.cpp
+++ b/tests/io_test.cpp
@@ -6,6 +6,7 @@
 #include "generated/larchpin.pb.h"
 #include "io/auth.hpp"
 #include "io/codec.hpp"
+#include "io/http2.hpp"
 #include "io/pg_driver.hpp"
 #include "io/pg_frame.hpp"
 #include "io/raft_store.hpp"
@@ -254,6 +255,41 @@
     EXPECT_FALSE(check_reply(keys, "another request", "answer", sign_reply(keys, s.signature, "answer")));
 }
 
+//-----------------------------------------------------------------------------
+// [connections between daemons]
+//-----------------------------------------------------------------------------
+
+// A peer that lost its power answers nothing and resets nothing, and its successor knows no old connection.
+TEST(peers, a_connection_on_which_nothing_comes_back_is_replaced) {
+    boost::asio::io_context io(1);
+    using tcp = boost::asio::ip::tcp;
+    tcp::acceptor acceptor(io, tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0));
+    std::vector<tcp::socket> accepted;
+    std::function<void()> accept = [&] {
+        acceptor.async_accept([&](const boost::system::error_code& error, tcp::socket socket) {
+            if (!error) {
+                accepted.push_back(std::move(socket));
+                accept();
+            }
+        });
+    };
+    accept();
+    http2_client client(io, acceptor.local_endpoint(), {.keys = {std::string(40, 'k')}});
+    int unanswered = 0;
+    const auto ask = [&] {
+        client.post("/v1/x", "", std::chrono::milliseconds{30},
+                    [&](const http_outcome& o) { unanswered += o.answered ? 0 : 1; });
+        const int before = unanswered;
+        while (unanswered == before) {
+            io.run_one();
+        }
+    };
+    ask();
+    ask();
+    io.poll();
+    EXPECT_EQ(accepted.size(), 2U);
+}
+
 //-----------------------------------------------------------------------------
 // [settings]
 //-----------------------------------------------------------------------------
