Waits are bounded by the route's objective; instances without a lease send their callers elsewhere

Ruled out: the lag estimate (the replicas really stood at 42 of 195), the shares, the election.

What the objective, the evacuation and the lease gave each is not measured apart.

--- a/src/daemon/client_session.cpp
+++ b/src/daemon/client_session.cpp
@@ -110,6 +110,10 @@
 
 void client_session::stop_when_idle() {
     stopping_ = true;
+    end_if_idle();
+}
+
+void client_session::end_if_idle() {
     if (path_->is_idle() && !closed_) {
         fail_session({.code = result_code::stopping, .run = run_state::not_run, .fatal = true});
     }
@@ -735,6 +739,7 @@
             .start = [session] { session->start(); },
             .poke = [session] { session->poke(); },
             .stop_when_idle = [session] { session->stop_when_idle(); },
+            .end_if_idle = [session] { session->end_if_idle(); },
             .close = [session] { session->close(); },
             .cancel = [session] { session->cancel(); }};
 }
--- a/src/daemon/client_session.hpp
+++ b/src/daemon/client_session.hpp
@@ -27,6 +27,7 @@
     // [lifetime]
     void start();
     void stop_when_idle(); // ends now if no request or transaction is open, else after it
+    void end_if_idle();    // ends now if no request or transaction is open
     void close();          // ends now
     void poke();           // news that a waiting request may go on with
     void cancel();         // the caller's cancel request
--- a/src/daemon/entry.cpp
+++ b/src/daemon/entry.cpp
@@ -27,7 +27,11 @@
         tls->use_certificate_chain_file(config.tls_certificate);
         tls->use_private_key_file(config.tls_key, asio::ssl::context::pem);
     }
-    cluster.on_change = [this] { wake_waiting(); };
+    cluster.on_change = [this] {
+        has_served_ = has_served_ || cluster.has_lease();
+        evacuate();
+        wake_waiting();
+    };
     accept();
 }
 
@@ -106,6 +110,25 @@
     });
 }
 
+// Idle sessions are ended, so that their callers connect again, by way of the balancer, where they are
+// served.
+void entry::evacuate() {
+    const bool leaves = is_evacuating();
+    if (leaves == evacuated_) {
+        return;
+    }
+    evacuated_ = leaves;
+    log_event(leaves ? severity::warning : severity::info, leaves ? "sessions_evacuated" : "sessions_welcome",
+              {{"sessions", static_cast<std::uint64_t>(sessions_.size())}});
+    if (!leaves) {
+        return;
+    }
+    const auto sessions = sessions_;
+    for (const auto& [number, session] : sessions) {
+        session.end_if_idle();
+    }
+}
+
 void entry::stop_sessions() {
     draining_ = true;
     const auto sessions = sessions_;
--- a/src/daemon/entry.hpp
+++ b/src/daemon/entry.hpp
@@ -21,6 +21,7 @@
     std::function<void()> start;
     std::function<void()> poke;           // news that a waiting request may go on with
     std::function<void()> stop_when_idle; // ends now if no request or transaction is open, else after it
+    std::function<void()> end_if_idle;    // ends now if no request or transaction is open
     std::function<void()> close;          // ends now
     std::function<void()> cancel;         // the caller's cancel request
 };
@@ -55,6 +56,10 @@
     const backend_driver& driver;
     std::unique_ptr<boost::asio::ssl::context> tls;
     std::mt19937_64 random;
+    // Control is out of reach, and callers are better served by another instance.
+    [[nodiscard]] bool is_evacuating() const {
+        return config.close_without_lease && has_served_ && !cluster.has_lease();
+    }
     [[nodiscard]] bool is_draining() const { return draining_; }
     [[nodiscard]] std::size_t session_count() const { return sessions_.size(); }
     void note_waiting(session_number number) { waiting_.insert(number); }
@@ -63,6 +68,7 @@
     void accept();
     void wake_waiting();
     void stop_sessions();
+    void evacuate();
     void check_drained();
 
     session_maker make_session_;
@@ -73,6 +79,8 @@
     bool draining_ = false; // refuses new sessions
     bool stopping_ = false; // will be draining after drain_notice
     bool wake_posted_ = false;
+    bool has_served_ = false; // has held a lease
+    bool evacuated_ = false;
     time_point drain_deadline_{};
     std::function<void(std::size_t)> on_drained_;
     boost::asio::steady_timer drain_timer_;
--- a/src/daemon/request_path.cpp
+++ b/src/daemon/request_path.cpp
@@ -15,11 +15,13 @@
 
 namespace {
 
-constexpr duration failover_wait = std::chrono::seconds{4}; // for a primary, within the deadline
+constexpr duration failover_wait = std::chrono::seconds{4}; // for a primary, where no patience is stated
 constexpr duration come_back_after = std::chrono::milliseconds{500};
 constexpr duration look_again_after = std::chrono::milliseconds{50};
 // For the primary's position: several round trips and a new connection (15 ms measured).
 constexpr duration sample_wait = std::chrono::milliseconds{100};
+// A request that comes to a queue at the end of its patience may still get a connection that opens (15 ms).
+constexpr duration least_queue_time = std::chrono::milliseconds{30};
 constexpr duration lost_server_pause = std::chrono::milliseconds{1};
 
 std::int64_t to_us(duration d) {
@@ -91,7 +93,7 @@
             finish_with_error(result_code::unknown_group, run_state::not_run);
         } else {
             r.last_refusal = result_code::no_lease;
-            wait_for_news(r.started_at + failover_wait);
+            wait_for_news(give_up_at());
         }
         return;
     }
@@ -144,11 +146,18 @@
     case target_kind::refuse: break;
     }
     r.last_refusal = decision.code;
-    if (decision.code == result_code::lost_write || at - r.started_at >= failover_wait) {
+    if (decision.code == result_code::lost_write || at >= give_up_at()) {
         finish_with_error(decision.code, run_state::not_run, come_back_after);
         return;
     }
-    wait_for_news(r.started_at + failover_wait);
+    wait_for_news(give_up_at());
+}
+
+// A request that cannot be sent soon is better refused while its caller has time to try again.
+time_point request_path::give_up_at() const {
+    const caller_request& what = active_->what;
+    const duration patience = what.patience > duration{0} ? what.patience : failover_wait;
+    return std::min(active_->started_at + patience, active_->deadline);
 }
 
 void request_path::wait_for_news(time_point retry_at) {
@@ -219,13 +228,15 @@
         return;
     }
     r.step = request_step::queued;
+    const time_point queue_until =
+        r.what.patience > duration{0} ? std::max(give_up_at(), now() + least_queue_time) : r.deadline;
     arm_timer(r.deadline);
     owner_.cluster.note_request_started(r.server);
     const share_key key{.service = state.service, .server = r.server};
     const std::uint64_t serial = r.serial;
     const auto self = shared_from_this();
     const request_number number =
-        owner_.pools.request(key, server->second, service.background_share, state.settings.klass, r.deadline,
+        owner_.pools.request(key, server->second, service.background_share, state.settings.klass, queue_until,
                              [self, serial, key](const pool_answer& answer) {
                                  const bool awaited = self->active_ && self->active_->serial == serial &&
                                                       self->active_->step == request_step::queued &&
@@ -264,6 +275,10 @@
         if (server_gone && r.on_primary) {
             r.step = request_step::routed; // there may be a new primary soon
             r.last_refusal = result_code::no_primary;
+            if (now() >= give_up_at()) {
+                finish_with_error(result_code::no_primary, run_state::not_run, come_back_after);
+                return;
+            }
             wait_for_news(now() + look_again_after);
             return;
         }
@@ -376,8 +391,7 @@
 
 void request_path::log_end(const request_result& result) const {
     const active_request& r = *active_;
-    const severity level = result.end == request_end::success ? severity::debug : severity::info;
-    log_event(level, "request_ended",
+    log_event(severity::info, "request_ended",
               {{"request", r.what.request.id},
                {"session", static_cast<std::uint64_t>(number_)},
                {"group", state.group.value},
--- a/src/daemon/request_path.hpp
+++ b/src/daemon/request_path.hpp
@@ -50,7 +50,8 @@
     std::string idempotency_key;
     std::optional<prepared_statement> prepared; // must be prepared on the connection
     duration timeout{0};                        // from now on
-    unsigned max_attempts = 3;                  // servers tried
+    duration patience{0};      // longest wait before it is sent, for a server or a connection; 0: the timeout
+    unsigned max_attempts = 3; // servers tried
 };
 
 //-----------------------------------------------------------------------------
@@ -164,6 +165,7 @@
     void route();
     void take_decision(const routing_decision& decision, const group_view& view, time_point at);
     void wait_for_news(time_point retry_at);
+    [[nodiscard]] time_point give_up_at() const;
     void abandon_if_replaced();
     void abandon_if_silent();
     // [connection]
--- a/src/io/settings.cpp
+++ b/src/io/settings.cpp
@@ -168,6 +168,8 @@
         {"entry.max_clients", count(&settings::max_clients, {1, 100'000})},
         {"entry.drain_ms", milliseconds(&settings::drain_time, {0, 600'000})},
         {"entry.drain_notice_ms", milliseconds(&settings::drain_notice, {0, 600'000})},
+        {"entry.close_without_lease",
+         [](const auto& at, const auto& n, settings& s) { return read_flag(at, n, s.close_without_lease); }},
         {"entry.tls_certificate", text(&settings::tls_certificate)},
         {"entry.tls_key", text(&settings::tls_key)},
         {"peer.listen", address(&settings::peer_listen)},
--- a/src/io/settings.hpp
+++ b/src/io/settings.hpp
@@ -26,7 +26,9 @@
     std::string entry_listen = "127.0.0.1:6432"; // callers, PostgreSQL protocol
     unsigned max_clients = 5000;
     duration drain_time = std::chrono::seconds{30}; // a planned stop waits this long for requests in flight
-    duration drain_notice{0};    // before that it goes on as before, while a balancer takes it out
+    duration drain_notice{0}; // before that it goes on as before, while a balancer takes it out
+    bool close_without_lease =
+        false;                   // ends idle sessions while control is out of reach: a balancer finds others
     std::string tls_certificate; // PEM; empty: no TLS for callers
     std::string tls_key;         // PEM
     // [peer]
--- a/tests/control_test.cpp
+++ b/tests/control_test.cpp
@@ -113,7 +113,9 @@
 }
 
 std::vector<server_observation> all_alive() {
-    return {{.server = {"s1"}, .alive = true}, {.server = {"s2"}, .alive = true}, {.server = {"s3"}, .alive = true}};
+    return {{.server = {"s1"}, .alive = true},
+            {.server = {"s2"}, .alive = true},
+            {.server = {"s3"}, .alive = true}};
 }
 
 // A founded group with s1 as its primary.
