--- a/src/core/control.cpp
+++ b/src/core/control.cpp
@@ -33,6 +33,10 @@
     }
 }
 
+bool outlived_earlier_leases(const control_state& c, time_point now) {
+    return now - c.leading_since >= grantor_length(c.config.lease);
+}
+
 // A grant of an older revision may still be acted upon until it runs out, unless the daemon has confirmed.
 bool may_act_on_older(const daemon_state& d, revision_number revision, time_point now) {
     if (d.confirmed >= revision) {
@@ -205,8 +209,8 @@
     const unsigned kept = std::min(c.config.kept_connections, service->max_connections - 1);
     const unsigned limit = service->max_connections - kept;
     const unsigned target = divide_fairly(limit, wishes).front();
-    // Until the earlier leader's grants have run out, nobody gets more than it has.
-    const unsigned cap = settled(c, now) ? target : std::min(target, claim.in_effect);
+    // Until it is known what everyone holds, nobody gets more than it has.
+    const unsigned cap = settled(c, s, now) ? target : std::min(target, claim.in_effect);
     return next_share(limit, cap, held_by_others);
 }
 
@@ -447,7 +451,7 @@
     case failover_step::fencing:
     case failover_step::publishing: return; // waits for the log
     case failover_step::revoking:
-        if (settled(c, now) && is_in_force(c, f.fence_revision, now)) {
+        if (is_in_force(c, s, f.fence_revision, now)) {
             note(actions, f, "writes_revoked", group.id, group.primary, now);
             ask_replicas(c, s, group, f, now, actions);
         }
@@ -537,8 +541,12 @@
     c.failovers.clear();
 }
 
-bool settled(const control_state& c, time_point now) {
-    return c.leading && now - c.leading_since >= grantor_length(c.config.lease);
+bool settled(const control_state& c, const cluster_state& s, time_point now) {
+    if (!c.leading || outlived_earlier_leases(c, now)) {
+        return c.leading;
+    }
+    return std::all_of(s.instances.begin(), s.instances.end(),
+                       [&c](const auto& i) { return c.daemons.contains(i.first); });
 }
 
 bool has_live_lease(const daemon_state& d, time_point now) {
@@ -710,17 +718,29 @@
     return result_code::ok;
 }
 
-bool is_in_force(const control_state& c, revision_number revision, time_point now) {
-    return settled(c, now) && holding_back(c, revision, now).empty();
+bool is_in_force(const control_state& c, const cluster_state& s, revision_number revision, time_point now) {
+    return settled(c, s, now) && holding_back(c, s, revision, now).empty();
 }
 
-std::vector<instance_id> holding_back(const control_state& c, revision_number revision, time_point now) {
+std::vector<instance_id> holding_back(const control_state& c, const cluster_state& s,
+                                      revision_number revision, time_point now) {
     std::vector<instance_id> found;
     for (const auto& [id, d] : c.daemons) {
         if (may_act_on_older(d, revision, now)) {
             found.push_back(id);
         }
     }
+    if (outlived_earlier_leases(c, now)) {
+        return found;
+    }
+    // An earlier leader may have granted anyone a lease for anything that it has not confirmed to be past.
+    for (const auto& [id, record] : s.instances) {
+        const auto d = c.daemons.find(id);
+        const bool confirmed = d != c.daemons.end() && d->second.confirmed >= revision;
+        if (!confirmed && std::find(found.begin(), found.end(), id) == found.end()) {
+            found.push_back(id);
+        }
+    }
     return found;
 }
 
--- a/src/core/control.hpp
+++ b/src/core/control.hpp
@@ -222,8 +222,9 @@
 void start_leading(control_state& c, std::uint64_t leader_term, time_point now);
 void stop_leading(control_state& c);
 
-// Every lease that an earlier leader granted has run out.
-bool settled(const control_state& c, time_point now);
+// Every lease that an earlier leader granted has run out, or its holder is known to be in touch with this
+// one: then what it holds is known, and what it has confirmed counts (see is_in_force()).
+bool settled(const control_state& c, const cluster_state& s, time_point now);
 
 // A daemon renews its lease. Call only while raft::leader_has_lease().
 renewal_reply on_renewal(control_state& c, const cluster_state& s, const renewal& r, time_point now,
@@ -240,10 +241,11 @@
                              const server_id& target, time_point now, control_actions& actions);
 
 // No daemon can act on anything older than this revision any more.
-bool is_in_force(const control_state& c, revision_number revision, time_point now);
+bool is_in_force(const control_state& c, const cluster_state& s, revision_number revision, time_point now);
 
 // The daemons that still may, for an operator who waits.
-std::vector<instance_id> holding_back(const control_state& c, revision_number revision, time_point now);
+std::vector<instance_id> holding_back(const control_state& c, const cluster_state& s,
+                                      revision_number revision, time_point now);
 
 bool has_live_lease(const daemon_state& d, time_point now);
 
--- a/src/daemon/control_node.cpp
+++ b/src/daemon/control_node.cpp
@@ -538,8 +538,8 @@
     open.swap(edits_);
     for (waiting_edit& w : open) {
         const bool refused = w.applied && w.outcome.code != result_code::ok;
-        const bool in_force =
-            w.applied && may_lead(core_, at) && is_in_force(core_.control, w.outcome.revision, at);
+        const bool in_force = w.applied && may_lead(core_, at) &&
+                              is_in_force(core_.control, core_.cluster, w.outcome.revision, at);
         std::string reply;
         if (refused || (w.applied && (!w.until_in_force || in_force))) {
             reply = operator_reply(w.outcome.code, w.until_in_force && !refused ? "in force" : "",
--- a/tests/cluster_model.cpp
+++ b/tests/cluster_model.cpp
@@ -563,7 +563,7 @@
         for (const auto& [id, outcome] : decided_) {
             if (outcome.code == result_code::ok && !in_force_.contains(id) &&
                 outcome.revision <= c.core.cluster.revision &&
-                is_in_force(c.core.control, outcome.revision, clock_of(c))) {
+                is_in_force(c.core.control, c.core.cluster, outcome.revision, clock_of(c))) {
                 in_force_[id] = outcome.revision;
                 ++edits_in_force;
             }
--- a/tests/control_test.cpp
+++ b/tests/control_test.cpp
@@ -1,7 +1,7 @@
 // What the leading control instance decides, one decision at a time and without I/O.
 //
 // Index
-//   [a site]  [founding]  [edits]  [leaving]  [promotion]  [shares]
+//   [a site]  [founding]  [edits]  [leaving]  [promotion]  [a new leader]  [shares]
 #include "core/control.hpp"
 
 #include <gtest/gtest.h>
@@ -285,6 +285,26 @@
     EXPECT_GT(second->token, first.token);
 }
 
+//-----------------------------------------------------------------------------
+// [a new leader]
+//-----------------------------------------------------------------------------
+
+TEST(a_new_leader, goes_on_once_everyone_has_confirmed_and_not_before) {
+    control_site s = make_site();
+    s.renew("y");
+    start_leading(s.control, 4, s.now); // another one, at once
+    s.seqs.clear();
+    const revision_number fence = s.cluster.revision;
+    s.renew("x");
+    EXPECT_FALSE(is_in_force(s.control, s.cluster, fence, s.now))
+        << "y may hold a lease of the earlier leader";
+    s.renew("y");
+    EXPECT_TRUE(is_in_force(s.control, s.cluster, fence, s.now)) << "no need to wait for any lease";
+    EXPECT_FALSE(is_in_force(s.control, s.cluster, fence + 1, s.now)) << "nobody has confirmed that";
+    s.now += std::chrono::seconds{3};
+    EXPECT_TRUE(is_in_force(s.control, s.cluster, fence, s.now));
+}
+
 //-----------------------------------------------------------------------------
 // [shares]
 //-----------------------------------------------------------------------------
--- /dev/null
+++ b/tests/platform_site.hpp
@@ -0,0 +1,174 @@
+// A small site on the users' platform, in one process and one thread on loopback: daemons with the platform's
+// fronts, database servers and the promotion authority as fakes, callers that send lines. The daemon that keeps
+// the control log has an io_context of its own, so that it can stand still while the others go on.
+//
+// Usage
+//   platform_site s;
+//   s.start();                                   // a group of three servers, one daemon, a table
+//   line_caller c = s.connect("shop");
+//   answer a = c.ask("q1", "STORE k v");
+//
+// Everything waits by running the io_contexts, and gives up after `patience` of wall time.
+#pragma once
+
+#include "daemon/daemon.hpp"
+#include "http_client.hpp"
+#include "http_server.hpp"
+#include "messages.hpp"
+
+#include <boost/asio/io_context.hpp>
+
+#include <filesystem>
+#include <functional>
+#include <list>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace larchpin::testing {
+
+constexpr std::chrono::seconds patience{10};
+
+//-----------------------------------------------------------------------------
+// [servers]
+//-----------------------------------------------------------------------------
+
+// What a server was asked to run, and in which surroundings.
+struct seen_statement {
+    std::string server;
+    std::uint64_t connection = 0;
+    std::string id;
+    std::string text; // with the prefix, if there was one
+    std::map<std::string, std::string> values;
+    bool in_transaction = false;
+    auto operator<=>(const seen_statement&) const = default;
+};
+
+struct fake_group;
+
+struct fake_server {
+    std::string id;
+    std::string zone;
+    bool is_primary = false;
+    std::uint64_t applied = 0; // number of the last commit
+    bool follows = true;       // gets the primary's commits at once
+    bool silent = false;       // runs statements and answers nothing
+    bool cuts_writes = false;  // closes the connection in place of a write's answer
+    std::string refuse_with;   // error code for every read, write and commit; empty: none
+    std::unique_ptr<boost::asio::ip::tcp::acceptor> acceptor;
+    std::vector<std::weak_ptr<boost::asio::ip::tcp::socket>> sockets;
+    [[nodiscard]] unsigned port() const { return acceptor->local_endpoint().port(); }
+};
+
+struct fake_group {
+    std::string name;
+    std::uint64_t term = 1;
+    std::list<fake_server> servers;
+    std::vector<seen_statement> statements; // reads, writes, begins and commits, in order
+    std::map<std::string, std::string> items;
+};
+
+// An order to promote as the authority got it.
+struct seen_promotion {
+    std::string server;
+    std::string token;
+    auto operator<=>(const seen_promotion&) const = default;
+};
+
+//-----------------------------------------------------------------------------
+// [callers]
+//-----------------------------------------------------------------------------
+
+struct answer {
+    std::vector<std::string> rows;
+    std::string done;  // the signature
+    std::string error; // code and text
+    std::string state; // of READY; empty: the connection ended first
+};
+
+class platform_site;
+
+class line_caller {
+public:
+    line_caller(platform_site& where, unsigned port);
+    answer open(const std::string& line);
+    answer ask(const std::string& id, const std::string& text);
+    void send(const std::string& bytes);
+    answer receive();
+    [[nodiscard]] bool has_ended(); // the other side has closed; looks without waiting
+    void close();
+
+private:
+    platform_site& where_;
+    std::shared_ptr<boost::asio::ip::tcp::socket> socket_;
+    std::shared_ptr<platform::line_input> in_;
+    std::shared_ptr<bool> ended_;
+    void read();
+};
+
+//-----------------------------------------------------------------------------
+// [site]
+//-----------------------------------------------------------------------------
+
+struct site_daemon {
+    settings config;
+    std::unique_ptr<larchpin::daemon> core;
+    std::unique_ptr<platform::http_server> control_listener;
+    std::unique_ptr<platform::http_server> ready_listener;
+    unsigned entry_port = 0;
+    unsigned control_port = 0;
+    unsigned ready_port = 0;
+};
+
+class platform_site {
+public:
+    platform_site();
+    ~platform_site();
+    platform_site(const platform_site&) = delete;
+    platform_site& operator=(const platform_site&) = delete;
+    platform_site(platform_site&&) = delete;
+    platform_site& operator=(platform_site&&) = delete;
+
+    // One daemon with control and entry, three servers, the table of table_body().
+    void start();
+    // A daemon that takes callers but keeps no control log.
+    site_daemon& add_entry();
+    void freeze_control();
+
+    line_caller connect(const std::string& database);
+    platform::http_result post(unsigned port, const std::string& path, const std::string& body);
+    platform::http_result get(unsigned port, const std::string& path);
+    void beat(); // every server reports itself
+    void run_for(std::chrono::milliseconds time);
+    [[nodiscard]] bool run_until(const std::function<bool()>& holds);
+    fake_server& server(const std::string& id);
+    void stop_server(const std::string& id); // its process ends
+    [[nodiscard]] std::vector<seen_statement> statements_with(const std::string& id) const;
+    static std::string table_body(std::uint64_t version, const std::string& more_routes = "");
+
+    boost::asio::io_context io{1};
+    boost::asio::io_context control_io{1};
+    fake_group group;
+    std::vector<seen_promotion> promotions;
+    std::list<site_daemon> daemons;
+
+private:
+    struct server_session;
+    void start_server(fake_server& s);
+    void accept(fake_server& s);
+    void start_authority();
+    site_daemon& start_daemon(bool control);
+    unsigned free_port();
+    void pump();
+
+    bool control_frozen_ = false;
+    std::filesystem::path folder_;
+    std::unique_ptr<platform::http_server> authority_;
+    unsigned authority_port_ = 0;
+    unsigned control_peer_ = 0;
+    std::uint64_t next_connection_ = 1;
+    std::uint64_t next_beat_ = 1;
+};
+
+} // namespace larchpin::testing
--- /dev/null
+++ b/tests/platform_test.cpp
@@ -0,0 +1,392 @@
+// The users' platform: its messages, and the product behind them on a small site without the bench.
+//
+// Index
+//   [messages]  [bodies]  [table]  [sessions]  [freshness]  [transactions]  [outcomes]  [failover]  [lease]
+#include "operator_messages.hpp"
+#include "platform_site.hpp"
+
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+
+namespace larchpin::testing {
+namespace {
+
+using std::chrono::milliseconds;
+
+//-----------------------------------------------------------------------------
+// [messages]
+//-----------------------------------------------------------------------------
+
+TEST(lines, any_bytes_are_read_without_harm) {
+    EXPECT_TRUE(rc::check([](const std::string& bytes) {
+        platform::parse_caller_message(bytes);
+        platform::parse_caller_text(bytes);
+        platform::parse_server_message(bytes);
+        platform::parse_status(bytes);
+        platform::parse_mark(bytes);
+        platform::line_input in{.bytes = bytes};
+        while (platform::next_line(in)) {
+        }
+    }));
+}
+
+TEST(lines, come_out_as_they_went_in_however_they_are_cut) {
+    EXPECT_TRUE(rc::check([](const std::vector<std::string>& texts) {
+        std::vector<std::string> sent;
+        std::string stream;
+        for (std::string text : texts) {
+            std::erase_if(text, [](char c) { return c == '\r' || c == '\n'; });
+            sent.push_back(text);
+            stream += text + "\r\n";
+        }
+        platform::line_input in;
+        std::vector<std::string> seen;
+        for (const char c : stream) {
+            in.bytes.push_back(c);
+            while (const auto line = platform::next_line(in)) {
+                seen.push_back(*line);
+            }
+        }
+        RC_ASSERT(seen == sent);
+    }));
+}
+
+TEST(lines, of_a_mebibyte_and_one_byte_are_refused) {
+    platform::line_input in;
+    in.bytes = std::string(platform::max_line_bytes + 1, 'x');
+    EXPECT_FALSE(platform::next_line(in).has_value());
+    EXPECT_TRUE(in.too_long);
+    platform::line_input ended;
+    ended.bytes = std::string(platform::max_line_bytes - 1, 'x') + "\r\n";
+    EXPECT_FALSE(platform::next_line(ended).has_value());
+    EXPECT_TRUE(ended.too_long);
+    platform::line_input fits;
+    fits.bytes = std::string(platform::max_line_bytes - 2, 'x') + "\r\n";
+    EXPECT_TRUE(platform::next_line(fits).has_value());
+}
+
+TEST(lines, a_control_character_smuggles_nothing) {
+    using platform::caller_message_kind;
+    EXPECT_EQ(platform::parse_caller_message("QUERY 1 FETCH a\nQUERY 2 STORE a b").kind,
+              caller_message_kind::unknown);
+    EXPECT_EQ(platform::parse_caller_message("QUERY 1 FETCH a").kind, caller_message_kind::statement);
+}
+
+TEST(lines, a_caller_cannot_state_a_floor) {
+    EXPECT_EQ(platform::parse_caller_text("WAITLSN 1.1 FETCH a").kind, platform::text_kind::unknown);
+}
+
+//-----------------------------------------------------------------------------
+// [bodies]
+//-----------------------------------------------------------------------------
+
+std::string why_refused(const std::string& body) {
+    std::string why;
+    return platform::parse_table(body, why) ? "good" : why;
+}
+
+std::string replace(std::string text, const std::string& what, const std::string& by) {
+    const auto at = text.find(what);
+    EXPECT_NE(at, std::string::npos) << what;
+    return text.replace(at, what.size(), by);
+}
+
+TEST(bodies, any_text_is_read_without_harm) {
+    EXPECT_TRUE(rc::check([](const std::string& text) {
+        std::string why;
+        platform::parse_table(text, why);
+        platform::parse_heartbeat("i", text, why);
+    }));
+}
+
+TEST(bodies, an_invalid_table_is_refused_with_a_reason) {
+    const std::string good = platform_site::table_body(5);
+    EXPECT_EQ(why_refused(good), "good");
+    EXPECT_NE(why_refused(good.substr(0, good.size() / 2)), "good") << "cut short";
+    EXPECT_NE(why_refused(replace(good, R"("timeout_ms":800)", R"("timeout_ms":0)")), "good");
+    EXPECT_NE(why_refused(replace(good, R"("service":"svc")", R"("service":"other")")), "good");
+    EXPECT_NE(why_refused(replace(good, R"("host":"strict")", R"("host":"shop")")), "good") << "same place";
+    EXPECT_NE(why_refused(replace(good, R"("version":5)", R"("version":"5")")), "good");
+    EXPECT_NE(why_refused(replace(good, R"("read_consistency":"primary")", R"("read_consistency":"any")")), "good");
+    EXPECT_NE(why_refused(replace(good, R"("host":"strict",)", "")), "good") << "a field is missing";
+}
+
+TEST(bodies, a_table_says_what_each_route_is_owed) {
+    std::string why;
+    const auto t = platform::parse_table(platform_site::table_body(5), why);
+    ASSERT_TRUE(t.has_value()) << why;
+    const route_entry* r = find_route(t->content, "shop");
+    ASSERT_NE(r, nullptr);
+    EXPECT_EQ(r->consistency, read_consistency::own_writes);
+    EXPECT_EQ(r->max_staleness, milliseconds{1500});
+    EXPECT_EQ(r->statement_timeout, milliseconds{800});
+    EXPECT_EQ(r->objective, milliseconds{250});
+    EXPECT_EQ(t->content.transaction_idle, milliseconds{300});
+}
+
+//-----------------------------------------------------------------------------
+// [table]
+//-----------------------------------------------------------------------------
+
+TEST(table_calls, the_highest_version_is_in_force_and_read_back_as_sent) {
+    platform_site s;
+    s.start();
+    const unsigned port = s.daemons.front().control_port;
+    const std::string seven = platform_site::table_body(7);
+    EXPECT_EQ(s.post(port, "/larchpin/config/replace", seven).status, 200);
+    EXPECT_EQ(s.post(port, "/larchpin/config/replace", seven).status, 200) << "sent again";
+    EXPECT_EQ(s.post(port, "/larchpin/config/replace", platform_site::table_body(6)).status, 200) << "overtaken";
+    EXPECT_EQ(s.post(port, "/larchpin/config/replace", "{").status, 400);
+    EXPECT_EQ(s.get(port, "/larchpin/config/fetch").body, seven);
+    EXPECT_EQ(s.get(port, "/larchpin/config/nothing").status, 404);
+}
+
+TEST(table_calls, a_body_over_the_limit_harms_nobody) {
+    platform_site s;
+    s.start();
+    const unsigned port = s.daemons.front().control_port;
+    EXPECT_EQ(s.post(port, "/larchpin/config/replace", std::string(platform::max_body_bytes + 1, ' ')).status, 413);
+    EXPECT_EQ(s.get(port, "/larchpin/config/fetch").status, 200);
+}
+
+TEST(heartbeats, that_make_no_sense_are_refused) {
+    platform_site s;
+    s.start();
+    const unsigned port = s.daemons.front().control_port;
+    EXPECT_EQ(s.post(port, "/larchpin/instances/x/heartbeat", "{}").status, 400);
+    EXPECT_EQ(s.post(port, "/larchpin/instances//heartbeat", "{}").status, 404);
+    EXPECT_EQ(s.post(port, "/larchpin/instances/s3/deregister", "").status, 200);
+    EXPECT_TRUE(s.run_until([&] { return !s.daemons.front().core->cluster().servers.contains({"s3"}); }));
+}
+
+//-----------------------------------------------------------------------------
+// [sessions]
+//-----------------------------------------------------------------------------
+
+TEST(sessions, an_unknown_database_is_named_so) {
+    platform_site s;
+    s.start();
+    line_caller c(s, s.daemons.back().entry_port);
+    const answer a = c.open("STARTUP nowhere somebody");
+    EXPECT_TRUE(a.error.starts_with("NODB")) << a.error;
+    EXPECT_TRUE(s.run_until([&] { return c.has_ended(); }));
+}
+
+TEST(sessions, values_and_prepared_statements_follow_their_session_over_shared_connections) {
+    platform_site s;
+    s.start();
+    line_caller a = s.connect("strict");
+    line_caller b = s.connect("strict");
+    EXPECT_EQ(a.ask("1", "SET v0 one").done, "-");
+    EXPECT_EQ(a.ask("2", "PREPARE s0 FETCH q1").done, "-");
+    EXPECT_EQ(b.ask("3", "PREPARE s0 STORE q2").done, "-");
+    EXPECT_FALSE(a.ask("4", "EXECUTE s0 k").done.empty());
+    EXPECT_FALSE(b.ask("5", "EXECUTE s0 k data").done.empty());
+    EXPECT_FALSE(a.ask("6", "EXECUTE s0 k").done.empty());
+    EXPECT_EQ(s.statements_with("4")[0].values, (std::map<std::string, std::string>{{"v0", "one"}}));
+    EXPECT_EQ(s.statements_with("4")[0].text, "EXECUTE r_q1 k");
+    EXPECT_TRUE(s.statements_with("5")[0].values.empty());
+    EXPECT_EQ(s.statements_with("5")[0].text, "EXECUTE w_q2 k data");
+    EXPECT_EQ(s.statements_with("6")[0].values, (std::map<std::string, std::string>{{"v0", "one"}}));
+    EXPECT_TRUE(a.ask("7", "DEALLOC s0").error.empty());
+    EXPECT_TRUE(a.ask("8", "EXECUTE s0 k").error.starts_with("MALFORMED"));
+}
+
+TEST(sessions, what_is_not_understood_ends_the_session_and_nobody_else) {
+    platform_site s;
+    s.start();
+    line_caller good = s.connect("shop");
+    line_caller bad = s.connect("shop");
+    bad.send("NONSENSE\r\n");
+    EXPECT_TRUE(bad.receive().error.starts_with("MALFORMED"));
+    EXPECT_TRUE(s.run_until([&] { return bad.has_ended(); }));
+    line_caller early(s, s.daemons.back().entry_port);
+    EXPECT_TRUE(early.ask("1", "FETCH k").error.starts_with("MALFORMED")) << "before STARTUP";
+    EXPECT_TRUE(good.ask("1", "HELLO").error.starts_with("MALFORMED"));
+    EXPECT_EQ(good.ask("2", "FETCH k").rows.size(), 1U);
+}
+
+//-----------------------------------------------------------------------------
+// [freshness]
+//-----------------------------------------------------------------------------
+
+TEST(freshness, a_read_after_a_write_demands_that_write_of_the_replica) {
+    platform_site s;
+    s.start();
+    line_caller c = s.connect("shop");
+    EXPECT_FALSE(c.ask("w", "STORE k v").done.empty());
+    EXPECT_EQ(c.ask("r", "FETCH k").rows.size(), 1U);
+    const seen_statement read = s.statements_with("r").at(0);
+    EXPECT_NE(read.server, "s1");
+    EXPECT_TRUE(read.text.starts_with("WAITLSN 1.1 ")) << read.text;
+}
+
+TEST(freshness, a_read_that_replicas_refuse_goes_to_the_primary) {
+    platform_site s;
+    s.start();
+    s.server("s2").follows = false;
+    s.server("s3").follows = false;
+    line_caller c = s.connect("shop");
+    EXPECT_FALSE(c.ask("w", "STORE k v").done.empty());
+    EXPECT_EQ(c.ask("r", "FETCH k").rows.size(), 1U);
+    EXPECT_EQ(s.statements_with("r").at(0).server, "s1");
+}
+
+TEST(freshness, strict_reads_never_leave_the_primary) {
+    platform_site s;
+    s.start();
+    line_caller c = s.connect("strict");
+    for (int i = 0; i < 10; ++i) {
+        EXPECT_EQ(c.ask("r" + std::to_string(i), "FETCH k").rows.size(), 1U);
+        EXPECT_EQ(s.statements_with("r" + std::to_string(i)).at(0).server, "s1");
+    }
+}
+
+//-----------------------------------------------------------------------------
+// [transactions]
+//-----------------------------------------------------------------------------
+
+TEST(transactions, run_on_one_connection_and_begin_with_their_first_statement) {
+    platform_site s;
+    s.start();
+    line_caller c = s.connect("shop");
+    EXPECT_EQ(c.ask("b", "BEGIN").state, "T");
+    EXPECT_TRUE(s.group.statements.empty()) << "no connection is held while nothing is asked";
+    EXPECT_EQ(c.ask("1", "FETCH k").state, "T");
+    EXPECT_EQ(c.ask("2", "STORE k v").state, "T");
+    const answer end = c.ask("c", "COMMIT");
+    EXPECT_EQ(end.state, "I");
+    EXPECT_EQ(end.done, "s1/c") << "the server's own word";
+    EXPECT_EQ(s.statements_with("1").at(0).connection, s.statements_with("c").at(0).connection);
+    EXPECT_TRUE(s.statements_with("1").at(0).in_transaction);
+    EXPECT_EQ(s.server("s1").applied, 1U);
+}
+
+TEST(transactions, that_only_read_run_on_a_replica) {
+    platform_site s;
+    s.start();
+    line_caller c = s.connect("poll");
+    EXPECT_EQ(c.ask("b", "BEGIN FETCH").state, "T");
+    EXPECT_EQ(c.ask("1", "FETCH k").state, "T");
+    EXPECT_EQ(c.ask("c", "COMMIT").state, "I");
+    EXPECT_NE(s.statements_with("1").at(0).server, "s1");
+}
+
+TEST(transactions, lost_with_their_connection_are_aborted_for_certain) {
+    platform_site s;
+    s.start();
+    line_caller c = s.connect("shop");
+    c.ask("b", "BEGIN");
+    EXPECT_EQ(c.ask("1", "STORE k v").state, "T");
+    s.server("s1").cuts_writes = true;
+    const answer lost = c.ask("2", "STORE k w");
+    EXPECT_TRUE(lost.error.starts_with("ABORTED")) << lost.error;
+    EXPECT_EQ(lost.state, "E");
+    EXPECT_TRUE(c.ask("3", "FETCH k").error.starts_with("MALFORMED"));
+    const answer end = c.ask("c", "COMMIT");
+    EXPECT_TRUE(end.error.starts_with("ABORTED")) << "no success for what was rolled back";
+    EXPECT_EQ(end.state, "I");
+    EXPECT_EQ(s.server("s1").applied, 0U);
+}
+
+TEST(transactions, left_idle_give_their_connection_back) {
+    platform_site s;
+    s.start();
+    line_caller c = s.connect("shop");
+    c.ask("b", "BEGIN");
+    EXPECT_EQ(c.ask("1", "STORE k v").state, "T");
+    s.run_for(milliseconds{500});
+    EXPECT_TRUE(c.ask("c", "COMMIT").error.starts_with("ABORTED"));
+    EXPECT_EQ(s.server("s1").applied, 0U);
+}
+
+//-----------------------------------------------------------------------------
+// [outcomes]
+//-----------------------------------------------------------------------------
+
+TEST(outcomes, a_write_whose_answer_is_lost_is_in_doubt_at_once) {
+    platform_site s;
+    s.start();
+    line_caller c = s.connect("shop");
+    s.server("s1").cuts_writes = true;
+    EXPECT_TRUE(c.ask("w", "STORE k v").error.starts_with("INDOUBT"));
+    EXPECT_EQ(s.statements_with("w").size(), 1U) << "never sent twice";
+}
+
+TEST(outcomes, a_commit_whose_answer_is_lost_is_in_doubt) {
+    platform_site s;
+    s.start();
+    line_caller c = s.connect("shop");
+    c.ask("b", "BEGIN");
+    c.ask("1", "STORE k v");
+    s.server("s1").cuts_writes = true;
+    const answer a = c.ask("c", "COMMIT");
+    EXPECT_TRUE(a.error.starts_with("INDOUBT")) << a.error;
+    EXPECT_EQ(a.state, "I");
+}
+
+TEST(outcomes, a_refusal_by_the_server_is_passed_on) {
+    platform_site s;
+    s.start();
+    line_caller c = s.connect("strict");
+    s.server("s1").refuse_with = "BUSY";
+    const answer a = c.ask("w", "STORE k v");
+    EXPECT_TRUE(a.error.starts_with("BUSY")) << a.error;
+    EXPECT_EQ(a.state, "I");
+}
+
+TEST(outcomes, a_read_that_one_replica_refuses_is_served_by_another) {
+    platform_site s;
+    s.start();
+    s.server("s2").refuse_with = "BUSY";
+    line_caller c = s.connect("poll");
+    for (int i = 0; i < 10; ++i) {
+        EXPECT_EQ(c.ask("r" + std::to_string(i), "FETCH k").rows.size(), 1U);
+    }
+}
+
+//-----------------------------------------------------------------------------
+// [failover]
+//-----------------------------------------------------------------------------
+
+TEST(failover, goes_through_the_authority_and_writes_land_again) {
+    platform_site s;
+    s.start();
+    line_caller c = s.connect("shop");
+    EXPECT_FALSE(c.ask("w1", "STORE k v").done.empty());
+    s.server("s2").applied = 0; // has received less
+    s.stop_server("s1");
+    int tries = 0;
+    const auto lands = [&] {
+        ++tries;
+        return !c.ask("w" + std::to_string(tries + 1), "STORE k v").done.empty();
+    };
+    while (tries < 40 && !lands()) {
+        s.run_for(milliseconds{50});
+    }
+    ASSERT_FALSE(s.promotions.empty());
+    EXPECT_EQ(s.promotions.front().server, "s3") << "the one with the longest log";
+    EXPECT_LT(tries, 40);
+    EXPECT_EQ(c.ask("r", "FETCH k").rows.size(), 1U);
+}
+
+//-----------------------------------------------------------------------------
+// [lease]
+//-----------------------------------------------------------------------------
+
+TEST(lease_lost, idle_sessions_are_ended_and_new_ones_refused_without_a_claim) {
+    platform_site s;
+    s.start();
+    site_daemon& entry = s.add_entry();
+    line_caller idle = s.connect("shop");
+    EXPECT_EQ(idle.ask("r", "FETCH k").rows.size(), 1U);
+    s.freeze_control();
+    EXPECT_TRUE(s.run_until([&] { return idle.has_ended(); }));
+    EXPECT_EQ(s.get(entry.ready_port, "/larchpin/readiness").status, 503);
+    line_caller late(s, entry.entry_port);
+    const answer a = late.open("STARTUP nowhere somebody");
+    EXPECT_TRUE(a.error.starts_with("BUSY")) << "whether it exists is not known here: " << a.error;
+}
+
+} // namespace
+} // namespace larchpin::testing
