A server that turns connections away is alive; positions from observers; reads go on for a while without a lease

(2) Entries without a connection to the primary had no position, so they refused reads that replicas could serve (3003). (3) While all control instances were down, entries refused everything at once, though known positions were fresh enough for 1.5 to 2.5 s of reads.

Change: opening a connection ends as connected, turned_away or failed, and only the last speaks against a server; positions are pulled from the failure domain's observers every 400 ms also where floors are enforced; evacuation starts 1.5 s after the lease is lost. Test failing first: failover.a_primary_that_turns_connections_away_is_not_dead.

--- a/src/daemon/agent.cpp
+++ b/src/daemon/agent.cpp
@@ -29,6 +29,8 @@
 constexpr duration announcement_age = std::chrono::seconds{1};
 constexpr duration group_use_time = std::chrono::seconds{2};
 constexpr duration pull_interval = std::chrono::milliseconds{50};
+// Where answers carry positions, others' are needed only by who has no traffic of his own to the primary.
+constexpr duration slow_pull_interval = std::chrono::milliseconds{400};
 constexpr duration pull_timeout = std::chrono::milliseconds{250};
 constexpr unsigned refusals_for_dead = 2;
 constexpr duration share_request_interval = std::chrono::milliseconds{50};
@@ -359,21 +361,25 @@
     p.connecting = true;
     const auto connection = driver_.make_probe_connection(p.record);
     p.connection = connection;
-    connection->connect([this, id, connection](bool connected) {
+    connection->connect([this, id, connection](connect_result result) {
         const auto found = probed_.find(id);
         if (found == probed_.end() || found->second.connection != connection) {
             return;
         }
         probed_server& owner = found->second;
         owner.connecting = false;
-        if (connected) {
+        if (result == connect_result::turned_away) {
+            owner.answered_at = now(); // it lives, though there is no room to ask it more
+            set_alive(owner, true);
+        }
+        if (result == connect_result::connected) {
             owner.refusals = 0;
             probe(id);
             return;
         }
         owner.connection.reset();
         owner.next_at = now() + config_.probe_interval / 2;
-        if (++owner.refusals >= refusals_for_dead) {
+        if (result == connect_result::failed && ++owner.refusals >= refusals_for_dead) {
             set_alive(owner, false);
         }
     });
@@ -469,9 +475,8 @@
     const time_point at = now();
     if (driver_.servers_enforce_floor) {
         ask_primaries();
-        return;
     }
-    if (at < next_pull_ && fresh_wanted_.empty()) {
+    if (at < next_pull_ && (fresh_wanted_.empty() || driver_.servers_enforce_floor)) {
         return;
     }
     std::map<std::string, wire::position_request> requests;
@@ -480,7 +485,7 @@
             continue;
         }
         const auto record = cluster_.groups.find(group);
-        const bool fresh = fresh_wanted_.contains(group);
+        const bool fresh = fresh_wanted_.contains(group) && !driver_.servers_enforce_floor;
         for (const server_record& server : servers_of(cluster_, group)) {
             const auto own = probed_.find(server.id);
             const bool is_primary = record != cluster_.groups.end() && record->second.primary == server.id;
@@ -508,7 +513,7 @@
         }
     }
     if (at >= next_pull_) {
-        next_pull_ = at + pull_interval;
+        next_pull_ = at + (driver_.servers_enforce_floor ? slow_pull_interval : pull_interval);
     }
     for (const auto& [address, request] : requests) {
         if (pulling_[address]) {
--- a/src/daemon/control_node.cpp
+++ b/src/daemon/control_node.cpp
@@ -302,12 +302,16 @@
     }
     const auto connection = driver_.make_probe_connection(found->second.server);
     found->second.connection = connection;
-    connection->connect([this, number](bool connected) {
+    connection->connect([this, number](connect_result result) {
         const auto open = operations_.find(number);
         if (open == operations_.end()) {
             return;
         }
-        if (!connected) {
+        if (result == connect_result::turned_away && now() < open->second.deadline) {
+            ask_role_again(number); // there may be room in a moment
+            return;
+        }
+        if (result != connect_result::connected) {
             finish_operation({.operation = number, .server = open->second.server.id});
             return;
         }
@@ -352,7 +356,14 @@
 
 void control_node::ask_role_again(std::uint64_t number) {
     auto timer = std::make_shared<asio::steady_timer>(io_, probe_again_after);
-    timer->async_wait([this, number, timer](const boost::system::error_code&) { run_role_probe(number); });
+    timer->async_wait([this, number, timer](const boost::system::error_code&) {
+        const auto found = operations_.find(number);
+        if (found != operations_.end() && found->second.connection->is_open()) {
+            run_role_probe(number);
+        } else {
+            ask_role(number);
+        }
+    });
 }
 
 void control_node::finish_operation(const server_answer& answer) {
--- a/src/daemon/entry.cpp
+++ b/src/daemon/entry.cpp
@@ -13,6 +13,8 @@
 
 namespace {
 
+// As long as the least staleness that routes state (1.5 s); later hardly a read can be served.
+constexpr duration evacuate_after = std::chrono::milliseconds{1500};
 constexpr duration drain_check_interval = std::chrono::milliseconds{10};
 
 } // namespace
@@ -21,15 +23,15 @@
              const backend_driver& d, session_maker make_session)
     : io(context), config(s), cluster(a), pools(p), counts(m), driver(d), random(std::random_device{}()),
       make_session_(std::move(make_session)),
-      acceptor_(context, parse_endpoint(s.entry_listen).value_or(tcp::endpoint{})), drain_timer_(context) {
+      acceptor_(context, parse_endpoint(s.entry_listen).value_or(tcp::endpoint{})), drain_timer_(context),
+      lease_timer_(context) {
     if (!config.tls_certificate.empty()) {
         tls = std::make_unique<asio::ssl::context>(asio::ssl::context::tls_server);
         tls->use_certificate_chain_file(config.tls_certificate);
         tls->use_private_key_file(config.tls_key, asio::ssl::context::pem);
     }
     cluster.on_change = [this] {
-        has_served_ = has_served_ || cluster.has_lease();
-        evacuate();
+        watch_lease();
         wake_waiting();
     };
     accept();
@@ -110,19 +112,37 @@
     });
 }
 
-// Idle sessions are ended, so that their callers connect again, by way of the balancer, where they are
-// served.
-void entry::evacuate() {
-    const bool leaves = is_evacuating();
-    if (leaves == evacuated_) {
+// For a while reads are served from replicas by the positions that are known.
+void entry::watch_lease() {
+    if (cluster.has_lease()) {
+        has_served_ = true;
+        lease_watched_ = false;
+        lease_timer_.cancel();
+        if (evacuated_) {
+            evacuated_ = false;
+            log_event(severity::info, "sessions_welcome");
+        }
         return;
     }
-    evacuated_ = leaves;
-    log_event(leaves ? severity::warning : severity::info, leaves ? "sessions_evacuated" : "sessions_welcome",
-              {{"sessions", static_cast<std::uint64_t>(sessions_.size())}});
-    if (!leaves) {
+    if (!config.close_without_lease || !has_served_ || evacuated_ || lease_watched_) {
         return;
     }
+    lease_watched_ = true;
+    lease_timer_.expires_after(evacuate_after);
+    lease_timer_.async_wait([this](const boost::system::error_code& error) {
+        if (!error && !cluster.has_lease()) {
+            lease_watched_ = false;
+            evacuate();
+        }
+    });
+}
+
+// Idle sessions are ended, so that their callers connect again, by way of the balancer, where they are
+// served.
+void entry::evacuate() {
+    evacuated_ = true;
+    log_event(severity::warning, "sessions_evacuated",
+              {{"sessions", static_cast<std::uint64_t>(sessions_.size())}});
     const auto sessions = sessions_;
     for (const auto& [number, session] : sessions) {
         session.end_if_idle();
--- a/src/daemon/entry.hpp
+++ b/src/daemon/entry.hpp
@@ -56,10 +56,8 @@
     const backend_driver& driver;
     std::unique_ptr<boost::asio::ssl::context> tls;
     std::mt19937_64 random;
-    // Control is out of reach, and callers are better served by another instance.
-    [[nodiscard]] bool is_evacuating() const {
-        return config.close_without_lease && has_served_ && !cluster.has_lease();
-    }
+    // Control has been out of reach for too long: callers are better served by another instance.
+    [[nodiscard]] bool is_evacuating() const { return evacuated_; }
     [[nodiscard]] bool is_draining() const { return draining_; }
     [[nodiscard]] std::size_t session_count() const { return sessions_.size(); }
     void note_waiting(session_number number) { waiting_.insert(number); }
@@ -69,6 +67,7 @@
     void wake_waiting();
     void stop_sessions();
     void evacuate();
+    void watch_lease();
     void check_drained();
 
     session_maker make_session_;
@@ -81,9 +80,11 @@
     bool wake_posted_ = false;
     bool has_served_ = false; // has held a lease
     bool evacuated_ = false;
+    bool lease_watched_ = false; // the timer runs
     time_point drain_deadline_{};
     std::function<void(std::size_t)> on_drained_;
     boost::asio::steady_timer drain_timer_;
+    boost::asio::steady_timer lease_timer_;
 };
 
 } // namespace larchpin
--- a/src/daemon/pools.cpp
+++ b/src/daemon/pools.cpp
@@ -147,16 +147,16 @@
     const auto connection = driver_.make_connection(p.server, key.service);
     p.connections[number] = connection;
     ++counters_.opened;
-    connection->connect([this, key, number](bool connected) {
+    connection->connect([this, key, number](connect_result result) {
         pool& owner = pools_[key];
         pool_actions actions;
-        if (connected) {
+        if (result == connect_result::connected) {
             connection_opened(owner.state, number, now(), next_connection_, actions);
         } else {
             ++counters_.open_failed;
             owner.connections.erase(number);
             connection_failed(owner.state, number, now(), next_connection_, actions);
-            if (on_open_failed) {
+            if (on_open_failed && result == connect_result::failed) {
                 on_open_failed(key.server);
             }
         }
--- a/src/io/backend_connection.hpp
+++ b/src/io/backend_connection.hpp
@@ -5,7 +5,7 @@
 // held whole; pause() stops reading while the caller cannot take more.
 //
 // Usage
-//   c->connect([](bool connected) { ... });
+//   c->connect([](connect_result r) { ... });
 //   c->run(request, sink);       // one at a time; sink.on_done is called once, last
 //
 // A connection whose answer is unfinished cannot be used again: close it.
@@ -77,8 +77,15 @@
     bool hold_errors = false; // errors go to the outcome only, not to on_bytes
 };
 
+enum class connect_result : std::uint8_t {
+    connected,
+    turned_away, // the server answers, but has no room for another connection
+    failed,      // nobody answers, or not the server that was meant
+};
+using connect_callback = std::function<void(connect_result)>;
+
 struct backend_connection {
-    std::function<void(std::function<void(bool)>)> connect;
+    std::function<void(connect_callback)> connect;
     std::function<void(const backend_request&, backend_sink)> run;
     // Asks the server to end the running statement; its answer tells whether that worked.
     std::function<void()> cancel_running;
--- a/src/io/pg_connection.cpp
+++ b/src/io/pg_connection.cpp
@@ -119,7 +119,7 @@
     }
 }
 
-void pg_connection::connect(std::function<void(bool)> done) {
+void pg_connection::connect(connect_callback done) {
     on_connect_ = std::move(done);
     const std::string port = std::to_string(target_.port);
     const std::array<const char*, 8> keys{
@@ -183,7 +183,7 @@
     const auto done = std::move(on_connect_);
     on_connect_ = nullptr;
     if (done) {
-        done(true);
+        done(connect_result::connected);
     }
 }
 
@@ -455,7 +455,7 @@
     if (on_connect_) {
         const auto done = std::move(on_connect_);
         on_connect_ = nullptr;
-        done(false);
+        done(connect_result::failed);
     }
     finish(false);
     if (connection_ != nullptr) {
@@ -471,7 +471,7 @@
 std::shared_ptr<backend_connection> make_pg_connection(asio::io_context& io, const backend_target& target) {
     const auto behind = std::make_shared<pg_connection>(io, target);
     auto handle = std::make_shared<backend_connection>();
-    handle->connect = [behind](std::function<void(bool)> done) { behind->connect(std::move(done)); };
+    handle->connect = [behind](connect_callback done) { behind->connect(std::move(done)); };
     handle->run = [behind](const backend_request& request, backend_sink sink) {
         behind->run(request, std::move(sink));
     };
--- a/src/io/pg_connection.hpp
+++ b/src/io/pg_connection.hpp
@@ -37,7 +37,7 @@
     pg_connection(pg_connection&&) = delete;
     pg_connection& operator=(pg_connection&&) = delete;
 
-    void connect(std::function<void(bool)> done);
+    void connect(connect_callback done);
     void run(const backend_request& request, backend_sink sink);
 
     // Sends a cancel request from a worker; the running statement's answer tells whether it worked.
@@ -70,7 +70,7 @@
     pg_conn* connection_ = nullptr;
     std::optional<boost::asio::posix::stream_descriptor> socket_;
     boost::asio::steady_timer connect_timer_;
-    std::function<void(bool)> on_connect_;
+    connect_callback on_connect_;
     backend_sink sink_;
     backend_outcome outcome_;
     std::string bytes_;
--- a/src/io/pg_driver.cpp
+++ b/src/io/pg_driver.cpp
@@ -42,8 +42,8 @@
 // The connection keeps itself alive until it has answered.
 void run_promotion(const std::shared_ptr<backend_connection>& connection, std::uint64_t timeline,
                    const std::function<void(promotion_answer)>& done) {
-    connection->connect([connection, timeline, done](bool connected) {
-        if (!connected) {
+    connection->connect([connection, timeline, done](connect_result result) {
+        if (result != connect_result::connected) {
             done(promotion_answer::refused);
             return;
         }
--- a/tests/platform_site.cpp
+++ b/tests/platform_site.cpp
@@ -53,16 +53,17 @@
         : where(owner), server(on), socket(std::move(s)), number(owner.next_connection_++) {}
 
     void read() {
-        socket->async_read_some(asio::buffer(buffer), [self = shared_from_this()](const auto& error, auto length) {
-            if (error) {
-                return;
-            }
-            self->in.bytes.append(self->buffer.data(), length);
-            while (const auto line = platform::next_line(self->in)) {
-                self->take(*line);
-            }
-            self->read();
-        });
+        socket->async_read_some(asio::buffer(buffer),
+                                [self = shared_from_this()](const auto& error, auto length) {
+                                    if (error) {
+                                        return;
+                                    }
+                                    self->in.bytes.append(self->buffer.data(), length);
+                                    while (const auto line = platform::next_line(self->in)) {
+                                        self->take(*line);
+                                    }
+                                    self->read();
+                                });
     }
 
     void send(const std::string& bytes) {
@@ -71,8 +72,8 @@
     }
 
     std::string ready() const {
-        return "READY " + std::string(in_transaction ? "T" : "I") + " " + std::to_string(where.group.term) + "." +
-               std::to_string(server.applied) + "\r\n";
+        return "READY " + std::string(in_transaction ? "T" : "I") + " " + std::to_string(where.group.term) +
+               "." + std::to_string(server.applied) + "\r\n";
     }
 
     void take(const std::string& line) {
@@ -81,6 +82,10 @@
         if (word == "STARTUP") {
             const auto service = platform::take_word(rest);
             platform::take_word(rest);
+            if (server.full) {
+                send("ERROR TOOMANY no\r\n");
+                return;
+            }
             const bool right = service == where.group.name && (rest.empty() || rest == server.id);
             send(right ? ready() : "ERROR WRONGNODE no\r\n");
             return;
@@ -154,7 +159,8 @@
             send("ERROR " + server.refuse_with + " as told\r\n" + ready());
             return;
         }
-        const auto shape = prepared.find(text.substr(0, text.find(' ', 8)).substr(std::min<std::size_t>(8, text.size())));
+        const auto shape =
+            prepared.find(text.substr(0, text.find(' ', 8)).substr(std::min<std::size_t>(8, text.size())));
         const bool executes = text.starts_with("EXECUTE ");
         if (executes && shape == prepared.end()) {
             send("ERROR NOSTMT no\r\n" + ready());
@@ -239,10 +245,14 @@
 }
 
 void platform_site::stop_server(const std::string& id) {
-    fake_server& s = server(id);
     boost::system::error_code ignored;
-    s.acceptor->close(ignored);
-    for (const auto& weak : s.sockets) {
+    server(id).acceptor->close(ignored);
+    drop_connections(id);
+}
+
+void platform_site::drop_connections(const std::string& id) {
+    boost::system::error_code ignored;
+    for (const auto& weak : server(id).sockets) {
         if (const auto socket = weak.lock()) {
             socket->close(ignored);
         }
@@ -252,7 +262,8 @@
 void platform_site::start_authority() {
     authority_port_ = free_port();
     authority_ = std::make_unique<platform::http_server>(
-        io, local(authority_port_), [this](const platform::web_request& q, const platform::web_respond& respond) {
+        io, local(authority_port_),
+        [this](const platform::web_request& q, const platform::web_respond& respond) {
             const auto body = boost::json::parse(q.body).as_object();
             const std::string chosen(body.at("instance_id").as_string());
             promotions.push_back({.server = chosen, .token = std::string(body.at("service").as_string())});
@@ -373,12 +384,13 @@
     const platform::driver_settings driver{.who = d.config.id.value,
                                            .promotion_authority = address_of(authority_port_)};
     asio::io_context& runs_on = control ? control_io : io;
-    d.core = std::make_unique<larchpin::daemon>(runs_on, d.config, shared_keys{.keys = {std::string(40, 'k')}},
-                                                platform::make_driver(runs_on, driver),
-                                                platform::make_caller_session);
-    boost::leaf::try_handle_all([&] { return d.core->start(); },
-                                [](result_code code) { throw std::runtime_error(std::string(describe(code).name)); },
-                                [] { throw std::runtime_error("a daemon does not start"); });
+    d.core = std::make_unique<larchpin::daemon>(
+        runs_on, d.config, shared_keys{.keys = {std::string(40, 'k')}},
+        platform::make_driver(runs_on, driver), platform::make_caller_session);
+    boost::leaf::try_handle_all(
+        [&] { return d.core->start(); },
+        [](result_code code) { throw std::runtime_error(std::string(describe(code).name)); },
+        [] { throw std::runtime_error("a daemon does not start"); });
     d.control_listener = std::make_unique<platform::http_server>(
         runs_on, local(d.control_port), [core = d.core.get()](const auto& q, const auto& respond) {
             platform::answer_control(*core, q, respond);
@@ -419,8 +431,8 @@
     const auto ready = [&] {
         beat();
         post(d.control_port, "/larchpin/config/replace", table_body(5));
-        return get(d.ready_port, "/larchpin/readiness").status == 200 && d.core->cluster().groups.contains({"svc"}) &&
-               d.core->cluster().servers.size() == 3;
+        return get(d.ready_port, "/larchpin/readiness").status == 200 &&
+               d.core->cluster().groups.contains({"svc"}) && d.core->cluster().servers.size() == 3;
     };
     for (int i = 0; i < 100; ++i) {
         if (ready()) {
@@ -461,8 +473,8 @@
 platform::http_result platform_site::post(unsigned port, const std::string& path, const std::string& body) {
     platform::http_result result;
     bool done = false;
-    platform::post_json(io, {.address = address_of(port), .path = path, .headers = {}, .body = body}, patience,
-                        [&](const platform::http_result& r) {
+    platform::post_json(io, {.address = address_of(port), .path = path, .headers = {}, .body = body},
+                        patience, [&](const platform::http_result& r) {
                             result = r;
                             done = true;
                         });
@@ -490,7 +502,8 @@
         if (!s.acceptor->is_open()) {
             continue;
         }
-        const std::string body = R"({"service":"svc","address":")" + address_of(s.port()) + R"(","zone":")" + s.zone +
+        const std::string body = R"({"service":"svc","address":")" + address_of(s.port()) + R"(","zone":")" +
+                                 s.zone +
                                  R"(","version":"v1","capacity":3,"state":"ready","warmup_remaining_ms":0,)" +
                                  R"("database_role":")" + (s.is_primary ? "primary" : "replica") +
                                  R"(","sequence_number":)" + std::to_string(next_beat_++) + "}";
@@ -525,12 +538,13 @@
 
 std::string platform_site::table_body(std::uint64_t version, const std::string& more_routes) {
     const auto route = [](const std::string& host, const std::string& kind) {
-        return R"({"name":"r-)" + host + R"(","host":")" + host + R"(","path_prefix":"/","read_consistency":")" + kind +
+        return R"({"name":"r-)" + host + R"(","host":")" + host +
+               R"(","path_prefix":"/","read_consistency":")" + kind +
                R"(","timeout_ms":800,"target_latency_ms":250,"priority":1,"service":"svc","max_attempts":2,)" +
                R"("max_staleness_ms":1500})";
     };
-    return R"({"version":)" + std::to_string(version) + R"(,"routes":[)" + route("shop", "read_your_writes") + "," +
-           route("strict", "primary") + "," + route("poll", "bounded_staleness") + more_routes +
+    return R"({"version":)" + std::to_string(version) + R"(,"routes":[)" + route("shop", "read_your_writes") +
+           "," + route("strict", "primary") + "," + route("poll", "bounded_staleness") + more_routes +
            R"(],"services":[{"name":"svc","health_path":"/health","max_connections":20,"protocol":"h1",)" +
            R"("tls_enabled":false,"sync_replica_count":0}],"limits":{"txn_idle_ms":300}})";
 }
--- a/tests/platform_site.hpp
+++ b/tests/platform_site.hpp
@@ -1,6 +1,6 @@
 // A small site on the users' platform, in one process and one thread on loopback: daemons with the platform's
-// fronts, database servers and the promotion authority as fakes, callers that send lines. The daemon that keeps
-// the control log has an io_context of its own, so that it can stand still while the others go on.
+// fronts, database servers and the promotion authority as fakes, callers that send lines. The daemon that
+// keeps the control log has an io_context of its own, so that it can stand still while the others go on.
 //
 // Usage
 //   platform_site s;
@@ -55,6 +55,7 @@
     bool follows = true;       // gets the primary's commits at once
     bool silent = false;       // runs statements and answers nothing
     bool cuts_writes = false;  // closes the connection in place of a write's answer
+    bool full = false;         // turns every new connection away
     std::string refuse_with;   // error code for every read, write and commit; empty: none
     std::unique_ptr<boost::asio::ip::tcp::acceptor> acceptor;
     std::vector<std::weak_ptr<boost::asio::ip::tcp::socket>> sockets;
@@ -143,7 +144,8 @@
     void run_for(std::chrono::milliseconds time);
     [[nodiscard]] bool run_until(const std::function<bool()>& holds);
     fake_server& server(const std::string& id);
-    void stop_server(const std::string& id); // its process ends
+    void stop_server(const std::string& id);      // its process ends
+    void drop_connections(const std::string& id); // all that are open
     [[nodiscard]] std::vector<seen_statement> statements_with(const std::string& id) const;
     static std::string table_body(std::uint64_t version, const std::string& more_routes = "");
 
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -107,7 +107,8 @@
     EXPECT_NE(why_refused(replace(good, R"("service":"svc")", R"("service":"other")")), "good");
     EXPECT_NE(why_refused(replace(good, R"("host":"strict")", R"("host":"shop")")), "good") << "same place";
     EXPECT_NE(why_refused(replace(good, R"("version":5)", R"("version":"5")")), "good");
-    EXPECT_NE(why_refused(replace(good, R"("read_consistency":"primary")", R"("read_consistency":"any")")), "good");
+    EXPECT_NE(why_refused(replace(good, R"("read_consistency":"primary")", R"("read_consistency":"any")")),
+              "good");
     EXPECT_NE(why_refused(replace(good, R"("host":"strict",)", "")), "good") << "a field is missing";
 }
 
@@ -135,7 +136,8 @@
     const std::string seven = platform_site::table_body(7);
     EXPECT_EQ(s.post(port, "/larchpin/config/replace", seven).status, 200);
     EXPECT_EQ(s.post(port, "/larchpin/config/replace", seven).status, 200) << "sent again";
-    EXPECT_EQ(s.post(port, "/larchpin/config/replace", platform_site::table_body(6)).status, 200) << "overtaken";
+    EXPECT_EQ(s.post(port, "/larchpin/config/replace", platform_site::table_body(6)).status, 200)
+        << "overtaken";
     EXPECT_EQ(s.post(port, "/larchpin/config/replace", "{").status, 400);
     EXPECT_EQ(s.get(port, "/larchpin/config/fetch").body, seven);
     EXPECT_EQ(s.get(port, "/larchpin/config/nothing").status, 404);
@@ -145,7 +147,8 @@
     platform_site s;
     s.start();
     const unsigned port = s.daemons.front().control_port;
-    EXPECT_EQ(s.post(port, "/larchpin/config/replace", std::string(platform::max_body_bytes + 1, ' ')).status, 413);
+    EXPECT_EQ(s.post(port, "/larchpin/config/replace", std::string(platform::max_body_bytes + 1, ' ')).status,
+              413);
     EXPECT_EQ(s.get(port, "/larchpin/config/fetch").status, 200);
 }
 
@@ -370,6 +373,16 @@
     EXPECT_EQ(c.ask("r", "FETCH k").rows.size(), 1U);
 }
 
+// After a loss of power a server counts the lost connections for seconds and has no room for new ones.
+TEST(failover, a_primary_that_turns_connections_away_is_not_dead) {
+    platform_site s;
+    s.start();
+    s.server("s1").full = true;
+    s.drop_connections("s1");
+    s.run_for(milliseconds{1000});
+    EXPECT_TRUE(s.promotions.empty());
+}
+
 //-----------------------------------------------------------------------------
 // [lease]
 //-----------------------------------------------------------------------------
