Refusals without a lease come at once; connections outlive the lease; an idle primary relieves crowded replicas

(1) Entries cut off from control held requests up to their objective (3001) although the caller's next try reaches another instance. (2) Their connections were closed with the lease, so the reads that known positions still allowed found none (3013 without a lease). (3) With a failure domain cut off the remaining replicas were crowded (3005, 3013) beside a primary that had room. (4) After a loss of power the election took 1.3 s: refused pre-votes waited a whole election time each. (5) Shares held a spare each, so the servers counted nearly 23 lost connections for 3 s. (6) Records of servers lost for good stayed, and were probed at addresses that other services use again (WRONGNODE).

Change: longest_wait() by reason; share_grace in control and agent; a read goes to the primary where a replica's expected delay is three times the primary's; pre-votes are repeated soon, real votes get twice the election time; a share is what the demand was, without a spare; servers that neither announce themselves nor answer for 12 s are forgotten. Tests failing first: choice.an_idle_primary..., leaving.a_server_that_is_lost_for_good..., shares_of_connections.of_a_lost_daemon...; choice.what_another_instance_may_know_better... came with its function.

--- a/src/core/control.cpp
+++ b/src/core/control.cpp
@@ -28,7 +28,7 @@
 }
 
 void forget_old_leases(daemon_state& d, time_point now) {
-    while (!d.leases.empty() && d.leases.front().until <= now) {
+    while (d.leases.size() > 1 && d.leases.front().until <= now) { // the last one tells when it ended
         d.leases.pop_front();
     }
 }
@@ -136,11 +136,12 @@
                        control_actions& actions) {
     const auto earlier = c.announced.find(a.record.id);
     const bool overtaken = earlier != c.announced.end() && earlier->second.last.sequence > a.sequence;
-    if (overtaken || (earlier != c.announced.end() && earlier->second.last.gone)) {
+    if (overtaken || c.said_goodbye.contains(a.record.id)) {
         return;
     }
     c.announced[a.record.id] = seen_server{.last = a, .at = now};
     if (a.gone) {
+        c.said_goodbye.insert(a.record.id);
         return; // on_tick() lets go of its record
     }
     register_if_new(c, s, a.record, actions);
@@ -174,7 +175,8 @@
 share_position position_of(const control_state& c, const instance_id& daemon, const share_key& key,
                            unsigned reserve, time_point now) {
     const auto found = c.daemons.find(daemon);
-    if (found == c.daemons.end() || !has_live_lease(found->second, now)) {
+    if (found == c.daemons.end() ||
+        !has_live_lease(found->second, now - grantor_length(c.config.share_grace))) {
         return {.held = reserve, .wanted = reserve};
     }
     const auto claim = found->second.claims.find(key);
@@ -478,6 +480,26 @@
     }
 }
 
+// Others announce themselves, but it neither does nor answers: it is gone without a word. Should it come
+// back, it announces itself.
+void forget_lost_servers(control_state& c, const cluster_state& s, time_point now, control_actions& actions) {
+    const bool hears = std::any_of(c.announced.begin(), c.announced.end(), [&](const auto& a) {
+        return now - a.second.at <= c.config.announcement_age;
+    });
+    if (!hears || now - c.leading_since < c.config.forget_after) {
+        return;
+    }
+    for (const auto& [id, server] : s.servers) {
+        const auto heard = c.announced.find(id);
+        const bool silent = heard == c.announced.end() || now - heard->second.at >= c.config.forget_after;
+        const auto group = s.groups.find(server.group);
+        const bool needed = group != s.groups.end() && group->second.primary == id;
+        if (silent && !needed && !looks_alive(c, id, now) && c.proposed_removals.insert(id).second) {
+            actions.emplace_back(propose_command{remove_server{id}});
+        }
+    }
+}
+
 // The primary says that it is leaving, and another server of the group can take over.
 bool must_leave_primary(const control_state& c, const cluster_state& s, const group_record& group,
                         time_point now) {
@@ -630,6 +652,11 @@
         const auto known = s.servers.find(p.first);
         return known != s.servers.end() && known->second == p.second;
     });
+    for (const server_id& id : c.proposed_removals) {
+        if (!s.servers.contains(id)) {
+            c.announced.erase(id); // whoever comes back starts anew
+        }
+    }
     std::erase_if(c.proposed_removals, [&s](const server_id& id) { return !s.servers.contains(id); });
     std::erase_if(c.proposed_groups, [&s](const group_id& id) { return s.groups.contains(id); });
     for (const auto& [id, group] : s.groups) {
@@ -659,6 +686,7 @@
     for (const auto& [id, seen] : c.announced) {
         remove_if_gone(c, s, seen.last, actions);
     }
+    forget_lost_servers(c, s, now, actions);
 }
 
 void on_server_answer(control_state& c, const cluster_state& s, const server_answer& a, time_point now,
--- a/src/core/control.hpp
+++ b/src/core/control.hpp
@@ -136,6 +136,10 @@
     duration observation_age = std::chrono::milliseconds{1000}; // older ones count no more
     duration announcement_age = std::chrono::milliseconds{3000};
     duration switchover_pause = std::chrono::milliseconds{1000}; // between two tries to leave one primary
+    // A daemon whose lease has ended keeps its connections for this long, for reads by known positions: most
+    // of the least staleness that routes state (1.5 s).
+    duration share_grace = std::chrono::milliseconds{1200};
+    duration forget_after = std::chrono::seconds{12}; // servers that neither answer nor announce themselves
     unsigned kept_connections = 0; // of a service's limit to one server, kept back for probes
     // Where promotions go through an authority that fences by token, a call whose answer was lost may be
     // carried out later. Each failover then ends with a call of its own, also for the present primary.
@@ -204,6 +208,7 @@
     std::map<server_id, server_record> proposed_servers;
     std::set<group_id> proposed_groups;
     std::set<server_id> proposed_removals;
+    std::set<server_id> said_goodbye;                      // their ids are never used again
     std::map<std::uint64_t, server_announcement> founding; // by operation: asked for its timeline
     std::map<group_id, time_point> switched_at;            // last try to leave a leaving primary
     std::vector<std::string> control_addresses;            // told to daemons; set by the control core
--- a/src/core/raft.cpp
+++ b/src/core/raft.cpp
@@ -242,6 +242,7 @@
 
 void start_election(state& s, time_point now) {
     s.current_role = role::candidate;
+    s.election_deadline = now + s.config.election_timeout * 2; // votes wait for disks
     s.hard = hard_state{.term = s.hard.term + 1, .voted_for = s.self};
     store_hard(s);
     s.votes = {{s.self, true}};
@@ -253,7 +254,9 @@
 }
 
 void start_pre_vote(state& s, time_point now, std::mt19937_64& random) {
-    reset_election_timer(s, now, random);
+    // A pre-vote harms nobody, so one that is not granted is tried again soon.
+    std::uniform_int_distribution<std::int64_t> extra(0, s.config.election_timeout.count() / 2);
+    s.election_deadline = now + s.config.election_timeout / 4 + duration{extra(random)};
     if (!is_voter(s.members, s.self)) {
         return;
     }
--- a/src/core/routing.cpp
+++ b/src/core/routing.cpp
@@ -6,6 +6,8 @@
 namespace {
 
 constexpr double ns_per_ms = 1e6;
+// A renewal takes a round trip, and another one after a change of leader.
+constexpr duration lease_wait = std::chrono::milliseconds{30};
 
 double expected_delay(const server_view& s, const routing_settings& settings) {
     // One that has not been tried yet counts as fast, or it would never be tried.
@@ -74,6 +76,19 @@
     return std::find(wish.avoid.begin(), wish.avoid.end(), id) != wish.avoid.end();
 }
 
+bool is_primary_far_better(const group_view& g, const server_view& replica, const read_wish& wish,
+                           const routing_settings& settings) {
+    const auto primary = std::find_if(g.servers.begin(), g.servers.end(),
+                                      [&g](const server_view& s) { return s.id == g.record.primary; });
+    if (primary == g.servers.end() || is_avoided(wish, primary->id) ||
+        !may_take_reads(g, *primary, true, wish.now) ||
+        route_write(g, wish.lease_live).kind != target_kind::server) {
+        return false;
+    }
+    return expected_delay(replica, settings) >
+           settings.primary_reluctance * expected_delay(*primary, settings);
+}
+
 // Servers that refuse what they do not hold make the choice simple: the floor goes with the request.
 routing_decision route_with_floor(const group_view& g, const session_state& s, const read_wish& wish,
                                   const routing_settings& settings, std::mt19937_64& random) {
@@ -96,7 +111,11 @@
     if (fit.empty()) {
         return route_write(g, wish.lease_live);
     }
-    routing_decision decision = to_server(choose(fit, settings, random).id, false);
+    const server_view& chosen = choose(fit, settings, random);
+    if (is_primary_far_better(g, chosen, wish, settings)) {
+        return route_write(g, wish.lease_live);
+    }
+    routing_decision decision = to_server(chosen.id, false);
     decision.floor = floor;
     return decision;
 }
@@ -136,6 +155,10 @@
     return to_server(g.record.primary, true);
 }
 
+duration longest_wait(result_code refusal, duration patience) {
+    return refusal == result_code::no_lease ? std::min(patience, lease_wait) : patience;
+}
+
 std::optional<log_position> demanded_position(const group_view& g, const session_state& s,
                                               const read_wish& wish) {
     const auto shared =
--- a/src/core/routing.hpp
+++ b/src/core/routing.hpp
@@ -72,6 +72,8 @@
     // A lag heard so long ago says nothing any more, and the server is asked again: a refusal costs a round
     // trip.
     duration position_trust = std::chrono::milliseconds{500};
+    // Times that a replica's expected delay must exceed the primary's before the primary takes a read over.
+    double primary_reluctance = 3.0;
     double far_penalty = 2.0; // factor on the delay of another failure domain
 };
 
@@ -89,6 +91,10 @@
 std::optional<log_position> demanded_position(const group_view& g, const session_state& s,
                                               const read_wish& wish);
 
+// How long a request waits at most for what it was refused for to pass. Another instance may well have a
+// lease, so that is hardly waited for; a missing primary is missing everywhere.
+duration longest_wait(result_code refusal, duration patience);
+
 // True where this server provably gives the session what it is owed.
 bool qualifies(const group_view& g, const server_view& server, const session_state& s, duration staleness,
                time_point now);
--- a/src/daemon/agent.cpp
+++ b/src/daemon/agent.cpp
@@ -22,6 +22,8 @@
 namespace {
 
 constexpr duration tick_interval = std::chrono::milliseconds{5};
+// Below control's share_grace by more than the drift of two clocks.
+constexpr duration share_grace = std::chrono::milliseconds{1150};
 constexpr int renewals_per_lease = 5;
 constexpr duration renew_timeout = std::chrono::milliseconds{250};
 constexpr duration watch_timeout = std::chrono::seconds{7};
@@ -80,6 +82,7 @@
         watch();
     }
     follow_lease();
+    give_shares_back();
     probe_all();
     pull_positions();
     timer_.expires_after(tick_interval);
@@ -112,20 +115,28 @@
     had_lease_ = has;
     log_event(has ? severity::info : severity::warning, has ? "lease_held" : "lease_lost",
               {{"revision", cluster_.revision}});
-    if (!has) {
-        for (const auto& [key, share] : pools_.shares()) {
-            const auto server = cluster_.servers.find(key.server);
-            const auto holders = server == cluster_.servers.end() ? std::vector<instance_id>{}
-                                                                  : reserve_holders(cluster_, server->second);
-            const bool reserved = std::find(holders.begin(), holders.end(), config_.id) != holders.end();
-            pools_.revoke_share(key, reserved && !stopping_ ? std::min(share, 1U) : 0);
-        }
-    }
+    shares_end_ = has ? time_point{} : now() + (stopping_ ? duration{0} : share_grace);
+    give_shares_back();
     if (on_change) {
         on_change();
     }
 }
 
+// Connections stay for a while after the lease, for reads by known positions; then the others count on them.
+void agent::give_shares_back() {
+    if (shares_end_ == time_point{} || now() < shares_end_) {
+        return;
+    }
+    shares_end_ = {};
+    for (const auto& [key, share] : pools_.shares()) {
+        const auto server = cluster_.servers.find(key.server);
+        const auto holders = server == cluster_.servers.end() ? std::vector<instance_id>{}
+                                                              : reserve_holders(cluster_, server->second);
+        const bool reserved = std::find(holders.begin(), holders.end(), config_.id) != holders.end();
+        pools_.revoke_share(key, reserved && !stopping_ ? std::min(share, 1U) : 0);
+    }
+}
+
 //-----------------------------------------------------------------------------
 // [renewing]
 //-----------------------------------------------------------------------------
--- a/src/daemon/agent.hpp
+++ b/src/daemon/agent.hpp
@@ -102,6 +102,7 @@
     void rotate_control();
     void apply_shares(const renewal_reply& reply);
     void follow_lease();
+    void give_shares_back();
     void follow_assignment(const std::vector<server_id>& observe);
     void probe_all();
     void probe(const server_id& id);
@@ -124,6 +125,7 @@
     cluster_state cluster_;
     lease_state lease_;
     bool had_lease_ = false;
+    time_point shares_end_{}; // when the shares of an ended lease are given back; 0: no such
     bool confirmed_once_ = false;
     bool stopping_ = false;
     // renewals
--- a/src/daemon/pools.cpp
+++ b/src/daemon/pools.cpp
@@ -84,7 +84,7 @@
     for (auto& [key, p] : pools_) {
         const unsigned in_effect = std::max(p.state.share, open_count(p.state));
         const bool in_use = now() - p.used_at < idle_pool_time;
-        const unsigned wanted = in_use ? take_peak_demand(p.state, now()) + 1 : 0;
+        const unsigned wanted = in_use ? std::max(1U, take_peak_demand(p.state, now())) : 0;
         if (in_effect > 0 || wanted > 0) {
             all.push_back({.key = key, .in_effect = in_effect, .wanted = wanted});
         }
--- a/src/daemon/request_path.cpp
+++ b/src/daemon/request_path.cpp
@@ -156,7 +156,9 @@
 // A request that cannot be sent soon is better refused while its caller has time to try again.
 time_point request_path::give_up_at() const {
     const caller_request& what = active_->what;
-    const duration patience = what.patience > duration{0} ? what.patience : failover_wait;
+    const bool stated = what.patience > duration{0};
+    const duration patience =
+        stated ? longest_wait(active_->last_refusal, what.patience) : duration{failover_wait};
     return std::min(active_->started_at + patience, active_->deadline);
 }
 
@@ -228,8 +230,9 @@
         return;
     }
     r.step = request_step::queued;
-    const time_point queue_until =
-        r.what.patience > duration{0} ? std::max(give_up_at(), now() + least_queue_time) : r.deadline;
+    const time_point queue_until = r.what.patience > duration{0}
+                                       ? std::max(r.started_at + r.what.patience, now() + least_queue_time)
+                                       : r.deadline;
     arm_timer(r.deadline);
     owner_.cluster.note_request_started(r.server);
     const share_key key{.service = state.service, .server = r.server};
--- a/tests/control_test.cpp
+++ b/tests/control_test.cpp
@@ -58,7 +58,7 @@
         r.observations = seen;
         r.claims = claims;
         control_actions actions;
-        const renewal_reply reply = on_renewal(control, cluster, r, now, actions);
+        renewal_reply reply = on_renewal(control, cluster, r, now, actions);
         seqs[r.instance.id] = reply.seq;
         take(actions);
         return reply;
@@ -241,6 +241,31 @@
     EXPECT_TRUE(s.cluster.servers.contains({"s1"}));
 }
 
+TEST(leaving, a_server_that_is_lost_for_good_is_forgotten_and_comes_back_by_announcing_itself) {
+    control_site s = make_site();
+    const std::vector<server_observation> seen{{.server = {"s1"}, .alive = true},
+                                               {.server = {"s2"}, .alive = false}};
+    for (std::uint64_t i = 2; i < 40; ++i) {
+        s.now += milliseconds{500};
+        s.renew("x", {announce("s1", true, i), announce("s3", false, i)}, seen);
+        s.tick();
+    }
+    EXPECT_FALSE(s.cluster.servers.contains({"s2"}));
+    EXPECT_TRUE(s.cluster.servers.contains({"s3"}));
+    s.renew("x", {announce("s2", false, 50)});
+    EXPECT_TRUE(s.cluster.servers.contains({"s2"}));
+}
+
+TEST(leaving, nobody_is_forgotten_while_no_announcement_comes_from_anyone) {
+    control_site s = make_site();
+    for (int i = 0; i < 40; ++i) {
+        s.now += milliseconds{500};
+        s.renew("x");
+        s.tick();
+    }
+    EXPECT_EQ(s.cluster.servers.size(), 3U);
+}
+
 //-----------------------------------------------------------------------------
 // [promotion]
 //-----------------------------------------------------------------------------
@@ -309,6 +334,22 @@
 // [shares]
 //-----------------------------------------------------------------------------
 
+// A daemon that is cut off goes on reading over its connections for a moment, and the server has to bear
+// them.
+TEST(shares_of_connections, of_a_lost_daemon_are_given_to_others_only_after_a_while) {
+    control_site s = make_site();
+    apply(s.cluster, s.cluster.revision + 1, make_versioned(1, 10));
+    const share_claim few{.key = {.service = {"g"}, .server = {"s1"}}, .in_effect = 8, .wanted = 8};
+    const share_claim many{.key = few.key, .in_effect = 0, .wanted = 10};
+    s.renew("x");
+    s.renew("y");
+    s.renew("x", {}, {}, {few});
+    s.now += s.control.config.lease * 11 / 10; // x is not heard of any more
+    EXPECT_LE(s.renew("y", {}, {}, {many}).shares.at(0).connections, 2U);
+    s.now += s.control.config.share_grace;
+    EXPECT_EQ(s.renew("y", {}, {}, {many}).shares.at(0).connections, 9U) << "x keeps its reserve for good";
+}
+
 TEST(shares_of_connections, leave_room_for_probes) {
     control_site s = make_site();
     s.control.config.kept_connections = 4;
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -394,6 +394,11 @@
     line_caller idle = s.connect("shop");
     EXPECT_EQ(idle.ask("r", "FETCH k").rows.size(), 1U);
     s.freeze_control();
+    EXPECT_TRUE(s.run_until([&] { return !entry.core->has_lease(); }));
+    s.run_for(milliseconds{200});
+    line_caller strict(s, entry.entry_port);
+    strict.open("STARTUP strict somebody");
+    EXPECT_TRUE(strict.ask("w", "STORE k v").error.starts_with("BUSY"));
     EXPECT_TRUE(s.run_until([&] { return idle.has_ended(); }));
     EXPECT_EQ(s.get(entry.ready_port, "/larchpin/readiness").status, 503);
     line_caller late(s, entry.entry_port);
--- /dev/null
+++ b/tests/routing_test.cpp
@@ -0,0 +1,142 @@
+// Which server a read goes to where servers enforce a floor.
+//
+// Index
+//   [a group]  [floors]  [choice]
+#include "core/routing.hpp"
+
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+
+namespace larchpin {
+namespace {
+
+using std::chrono::milliseconds;
+
+//-----------------------------------------------------------------------------
+// [a group]
+//-----------------------------------------------------------------------------
+
+constexpr time_point start = std::chrono::seconds{100};
+
+// A primary "p" that has gained one position every 10 ms since `start`, and replicas "a" and "b".
+struct routed_group {
+    group_positions positions;
+    group_view view;
+    session_state session;
+    read_wish wish;
+    std::mt19937_64 random{1};
+
+    routed_group() {
+        view.record = {.id = {"g"}, .term = 1, .primary = {"p"}, .timeline = 1, .starts = {{.term = 1}}};
+        view.positions = &positions;
+        view.servers_enforce_floor = true;
+        for (const char* id : {"p", "a", "b"}) {
+            view.servers.push_back({.id = {id}, .latency = milliseconds{10}});
+        }
+        for (int i = 0; i < 300; ++i) {
+            add_primary_sample(positions, 1,
+                               {.not_before = start + milliseconds{10 * i},
+                                .timeline = 1,
+                                .position = static_cast<log_position>(i)});
+        }
+        wish.now = start + milliseconds{3000};
+        wish.asked_at = wish.now;
+        wish.staleness = milliseconds{1500};
+        wish.lease_live = true;
+        session.group = {"g"};
+    }
+
+    void hear(const std::string& id, log_position position) {
+        add_server_sample(positions, {id}, {.not_before = wish.now, .timeline = 1, .position = position}, wish.now);
+    }
+
+    routing_decision decide() { return route_read(view, session, wish, {}, random); }
+};
+
+//-----------------------------------------------------------------------------
+// [floors]
+//-----------------------------------------------------------------------------
+
+TEST(floor, is_the_lowest_position_that_gives_the_stated_age) {
+    routed_group g;
+    EXPECT_EQ(demanded_position(g.view, g.session, g.wish), 150U);
+    g.session.wrote = session_token{.group = {"g"}, .term = 1, .position = 290};
+    EXPECT_EQ(demanded_position(g.view, g.session, g.wish), 290U) << "and the session's own writes";
+}
+
+TEST(floor, without_a_position_that_is_new_enough_the_primary_is_asked) {
+    routed_group g;
+    g.wish.now += std::chrono::seconds{2};
+    g.wish.asked_at = g.wish.now;
+    EXPECT_EQ(g.decide().kind, target_kind::ask_primary);
+    g.wish.lease_live = false;
+    EXPECT_EQ(g.decide().kind, target_kind::refuse) << "nobody knows whether it still is the primary";
+}
+
+TEST(floor, covers_every_write_that_is_older_than_the_stated_age) {
+    EXPECT_TRUE(rc::check([](std::uint16_t staleness, std::uint16_t later) {
+        routed_group g;
+        g.wish.staleness = milliseconds{staleness % 3000 + 1};
+        g.wish.now += milliseconds{later % 500};
+        g.wish.asked_at = g.wish.now;
+        const auto floor = demanded_position(g.view, g.session, g.wish);
+        // Position i was reached at 10 * i ms; it is owed once it is older than the age.
+        const auto owed = (g.wish.now - g.wish.staleness - start) / milliseconds{10};
+        RC_ASSERT(!floor || static_cast<std::int64_t>(*floor) >= std::min<std::int64_t>(owed, 299));
+    }));
+}
+
+//-----------------------------------------------------------------------------
+// [choice]
+//-----------------------------------------------------------------------------
+
+TEST(choice, a_replica_that_lags_too_far_is_not_asked) {
+    routed_group g;
+    g.hear("a", 20);
+    g.hear("b", 200);
+    for (int i = 0; i < 20; ++i) {
+        const routing_decision d = g.decide();
+        EXPECT_EQ(d.server, server_id{"b"});
+        EXPECT_EQ(d.floor, 150U);
+    }
+}
+
+TEST(choice, where_no_replica_is_likely_to_do_the_primary_reads) {
+    routed_group g;
+    g.hear("a", 20);
+    g.hear("b", 20);
+    EXPECT_EQ(g.decide().server, server_id{"p"});
+    EXPECT_TRUE(g.decide().is_primary);
+}
+
+TEST(choice, a_replica_is_asked_again_once_what_was_heard_of_it_is_old) {
+    routed_group g;
+    g.hear("a", 20);
+    g.hear("b", 20);
+    g.wish.now += routing_settings{}.position_trust + milliseconds{1};
+    g.wish.asked_at = g.wish.now;
+    EXPECT_FALSE(g.decide().is_primary);
+}
+
+TEST(choice, an_idle_primary_takes_reads_over_from_replicas_that_are_crowded) {
+    routed_group g;
+    EXPECT_FALSE(g.decide().is_primary);
+    g.view.servers[1].outstanding = 12;
+    g.view.servers[2].outstanding = 12;
+    EXPECT_TRUE(g.decide().is_primary);
+    g.view.servers[0].outstanding = 6;
+    EXPECT_FALSE(g.decide().is_primary) << "it has its own work";
+    g.view.servers[0].outstanding = 0;
+    g.wish.lease_live = false;
+    EXPECT_FALSE(g.decide().is_primary);
+}
+
+TEST(choice, what_another_instance_may_know_better_is_not_waited_for_long) {
+    const duration patience = milliseconds{250};
+    EXPECT_EQ(longest_wait(result_code::no_primary, patience), patience) << "all instances wait for the same";
+    EXPECT_LT(longest_wait(result_code::no_lease, patience), patience / 4);
+    EXPECT_LE(longest_wait(result_code::no_lease, milliseconds{10}), milliseconds{10});
+}
+
+} // namespace
+} // namespace larchpin
