A read that a replica leaves unanswered is tried elsewhere

Ruled out: the pool (the read had been sent). Change: a single read with a patience is abandoned after half of it, 200 ms at least, if the retry budget and the attempts allow, and routed again without that server. Test failing first: outcomes.a_read_that_one_replica_leaves_unanswered_is_served_by_another.

--- a/src/daemon/request_path.cpp
+++ b/src/daemon/request_path.cpp
@@ -187,15 +187,28 @@
     }
 }
 
+// The answer may be lost, or its server cut off. Only as often as the retry budget allows: a server that is
+// merely crowded must not get its work twice.
+bool request_path::is_overdue() const {
+    const active_request& r = *active_;
+    const bool late = r.answer_by != time_point{} && now() >= r.answer_by;
+    return late && r.attempts + 1 < r.what.max_attempts && owner_.cluster.budget(state.group).tokens >= 1;
+}
+
 // A read on a replica that nobody hears of any more is tried elsewhere, if the caller has got nothing of it.
 void request_path::abandon_if_silent() {
     const auto& servers = owner_.cluster.cluster().servers;
     const auto server = servers.find(active_->server);
     const bool silent = server != servers.end() && owner_.cluster.is_silent(server->second);
-    if (!silent || active_->forwarded || pinned_->in_transaction()) {
+    if (!(silent || is_overdue()) || active_->forwarded || pinned_->in_transaction()) {
         owner_.note_waiting(number_);
+        if (active_->answer_by != time_point{} && now() >= active_->answer_by) {
+            active_->answer_by = {};
+            arm_timer(active_->deadline);
+        }
         return;
     }
+    active_->answer_by = {};
     active_->serial = next_serial_++; // a late answer reaches nobody
     on_connection_lost();
 }
--- a/src/daemon/request_path.hpp
+++ b/src/daemon/request_path.hpp
@@ -131,6 +131,7 @@
         time_point deadline{};
         time_point used_from{}; // has held its connection since
         time_point sent_at{};   // its newest statement was sent
+        time_point answer_by{}; // a read that is not answered then is tried elsewhere; 0: waits to the end
         request_step step = request_step::routed;
         server_id server;
         bool on_primary = false;
@@ -168,6 +169,7 @@
     [[nodiscard]] time_point give_up_at() const;
     void abandon_if_replaced();
     void abandon_if_silent();
+    [[nodiscard]] bool is_overdue() const;
     // [connection]
     void queue();
     void leave_queue();
@@ -177,6 +179,7 @@
     void run_begin();
     void run_claim();
     void run_statement();
+    void watch_answer();
     void take_bytes(std::string_view bytes, bool holds_acknowledgement);
     void on_statement_done(const backend_outcome& outcome);
     bool try_elsewhere(const backend_outcome& outcome);
--- a/src/daemon/request_run.cpp
+++ b/src/daemon/request_run.cpp
@@ -15,6 +15,8 @@
 namespace {
 
 constexpr duration safety_look_interval = std::chrono::milliseconds{20};
+// Ten times a usual read (18 to 30 ms): a crowded server answers within that.
+constexpr duration least_answer_time = std::chrono::milliseconds{200};
 constexpr duration come_back_after = std::chrono::milliseconds{500};
 
 std::string_view to_string(server_refusal refusal) {
@@ -175,10 +177,21 @@
     backend_request request = r.what.request;
     if (!pinned_->in_transaction()) {
         request.floor = r.floor;
+        watch_answer();
     }
     run_on_server(std::move(request), std::move(sink));
 }
 
+// A read that has a patience is not left to a server that keeps silent for half of it.
+void request_path::watch_answer() {
+    active_request& r = *active_;
+    if (!r.what.may_use_replica || r.on_primary || r.what.patience <= duration{0}) {
+        return;
+    }
+    r.answer_by = now() + std::max(r.what.patience / 2, least_answer_time);
+    arm_timer(std::min(r.answer_by, r.deadline));
+}
+
 void request_path::take_bytes(std::string_view bytes, bool holds_acknowledgement) {
     active_request& r = *active_;
     std::string text(bytes);
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -348,6 +348,16 @@
     }
 }
 
+TEST(outcomes, a_read_that_one_replica_leaves_unanswered_is_served_by_another) {
+    platform_site s;
+    s.start();
+    s.server("s2").silent = true;
+    line_caller c = s.connect("poll");
+    for (int i = 0; i < 6; ++i) {
+        EXPECT_EQ(c.ask("r" + std::to_string(i), "FETCH k").rows.size(), 1U);
+    }
+}
+
 //-----------------------------------------------------------------------------
 // [failover]
 //-----------------------------------------------------------------------------
