A control instance goes on writing after its disk was full

A refused write made the store give up for good; a full disk on one instance and the replacement of another left one voter of three. Ruled out: the election, the replacement (the learner got its vote in 0.1 s). Change: what a write left in part is cut off before the next one; the same records are written again every 100 ms; nothing is said to anyone before. Test failing first: log.goes_on_after_a_disk_was_full.

--- a/src/daemon/control_node.cpp
+++ b/src/daemon/control_node.cpp
@@ -29,6 +29,7 @@
 constexpr duration message_timeout = std::chrono::milliseconds{1000};
 constexpr duration watch_time = std::chrono::seconds{5};
 constexpr duration join_interval = std::chrono::milliseconds{300};
+constexpr duration write_again_after = std::chrono::milliseconds{100};
 constexpr duration probe_again_after = std::chrono::milliseconds{10};
 constexpr duration edit_patience = std::chrono::seconds{10};
 constexpr std::size_t max_watch_entries = 2048;
@@ -161,37 +162,53 @@
 }
 
 void control_node::write_next() {
-    if (writing_ || to_write_.empty() || store_failed_) {
+    if (writing_ || to_write_.empty()) {
         return;
     }
     writing_ = true;
     // Everything that has queued up meanwhile shares one sync.
-    auto batch = std::make_shared<std::vector<raft::output>>(std::make_move_iterator(to_write_.begin()),
-                                                             std::make_move_iterator(to_write_.end()));
+    const auto batch = std::make_shared<std::vector<raft::output>>(std::make_move_iterator(to_write_.begin()),
+                                                                   std::make_move_iterator(to_write_.end()));
     to_write_.clear();
+    write_batch(batch);
+}
+
+void control_node::write_batch(const std::shared_ptr<std::vector<raft::output>>& batch) {
     run_on_worker([this, batch] {
         std::vector<raft::record> records;
         for (const raft::output& out : *batch) {
             records.insert(records.end(), out.records.begin(), out.records.end());
         }
         const result_code code = store_.append(records);
-        asio::post(io_, [this, batch, code] {
-            writing_ = false;
-            if (code != result_code::ok) {
-                store_failed_ = true; // says nothing more to anyone: it cannot keep its word
-                log_failure("log_write_failed", code);
-                return;
-            }
-            for (const raft::output& out : *batch) {
-                persisted(core_, out.persist_index, out.persist_term, now());
-                send_messages(out.messages);
-            }
-            pump();
-            write_next();
-        });
+        asio::post(io_, [this, batch, code] { on_written(batch, code); });
     });
 }
 
+// Nothing is said to anyone before it is on the disk. One that refuses is asked again: it may be full, and
+// have room in a moment. Meanwhile the others elect a leader without this instance.
+void control_node::on_written(const std::shared_ptr<std::vector<raft::output>>& batch, result_code code) {
+    if (code != result_code::ok) {
+        if (!store_failed_) {
+            log_failure("log_write_failed", code);
+        }
+        store_failed_ = true;
+        auto timer = std::make_shared<asio::steady_timer>(io_, write_again_after);
+        timer->async_wait([this, batch, timer](const boost::system::error_code&) { write_batch(batch); });
+        return;
+    }
+    if (store_failed_) {
+        log_event(severity::info, "log_write_works");
+    }
+    store_failed_ = false;
+    writing_ = false;
+    for (const raft::output& out : *batch) {
+        persisted(core_, out.persist_index, out.persist_term, now());
+        send_messages(out.messages);
+    }
+    pump();
+    write_next();
+}
+
 void control_node::send_messages(const std::vector<raft::message>& messages) {
     for (const raft::message& m : messages) {
         const raft::member* to = raft::find_member(core_.consensus.members, m.to);
--- a/src/daemon/control_node.hpp
+++ b/src/daemon/control_node.hpp
@@ -89,6 +89,8 @@
     void on_tick();
     void pump();
     void write_next();
+    void write_batch(const std::shared_ptr<std::vector<raft::output>>& batch);
+    void on_written(const std::shared_ptr<std::vector<raft::output>>& batch, result_code code);
     void send_messages(const std::vector<raft::message>& messages);
     void carry_out(const control_actions& actions);
     void note_decided(const decided_edit& edit);
--- a/src/io/auth.hpp
+++ b/src/io/auth.hpp
@@ -3,7 +3,7 @@
 // A request is signed over its path, a fresh nonce and its body; the reply over the request's signature and
 // its own body, so that a reply cannot be given to another request. The key file holds at least 32 bytes
 // and is readable by its owner only. Rotation: `key_file` may be followed by `old_key_file`, whose
-// signatures are still taken; see docs/OPERATING.md.
+// signatures are still taken; see docs/OPERATIONS.md.
 //
 // Caveat: signatures do not hide anything. Where the network can be listened to, put it into a tunnel.
 #pragma once
--- a/src/io/raft_store.cpp
+++ b/src/io/raft_store.cpp
@@ -191,6 +191,7 @@
     found.node = node_;
     found.state = replay_records(log.records);
     found.file_bytes = log.good_bytes;
+    good_bytes_ = static_cast<off_t>(log.good_bytes);
     hard_ = found.state.hard;
     if (found.is_new && write_and_sync(encode_record({}, node_)) != result_code::ok) {
         return leaf::new_error(result_code::data_folder_unusable);
@@ -201,8 +202,11 @@
     return found;
 }
 
-result_code raft_store::write_and_sync(const std::string& bytes) const {
-    const bool done = write_all(file_, bytes) && ::fdatasync(file_) == 0;
+result_code raft_store::write_and_sync(const std::string& bytes) {
+    // Also after an earlier failure: a part of what was refused then may be in the file.
+    const bool done =
+        ::ftruncate(file_, good_bytes_) == 0 && write_all(file_, bytes) && ::fdatasync(file_) == 0;
+    good_bytes_ += done ? static_cast<off_t>(bytes.size()) : 0;
     return done ? result_code::ok : result_code::data_folder_unusable;
 }
 
@@ -251,6 +255,7 @@
     }
     ::close(file_);
     file_ = file;
+    good_bytes_ = static_cast<off_t>(bytes.size());
     return append(rest);
 }
 
--- a/src/io/raft_store.hpp
+++ b/src/io/raft_store.hpp
@@ -13,6 +13,8 @@
 
 #include <boost/leaf/result.hpp>
 
+#include <sys/types.h>
+
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -39,16 +41,19 @@
     // Errors: data_folder_unusable, log_damaged (as result_code).
     boost::leaf::result<recovered_store> open(const std::string& folder, raft::node_id identity = 0);
 
-    // Appends and syncs; returns ok or data_folder_unusable. After an error nothing more may be appended.
+    // Appends and syncs; returns ok or data_folder_unusable. After an error nothing of it counts as kept, and
+    // the same records may be appended again, in front of all later ones: a full disk may have room in a
+    // moment.
     result_code append(const std::vector<raft::record>& records);
 
 private:
     boost::leaf::result<recovered_store> read_back(raft::node_id identity);
-    result_code write_and_sync(const std::string& bytes) const;
+    result_code write_and_sync(const std::string& bytes);
     result_code rewrite(const raft::record& first, const std::vector<raft::record>& rest);
 
     std::string folder_;
     int file_ = -1;
+    off_t good_bytes_ = 0; // of the file; what follows was refused in part, and is cut off
     raft::node_id node_ = 0;
     raft::hard_state hard_; // newest, repeated when the file is rewritten
 };
--- a/src/io/settings.hpp
+++ b/src/io/settings.hpp
@@ -1,4 +1,4 @@
-// A daemon's settings, read from one TOML file. Every key is checked; docs/OPERATING.md lists them.
+// A daemon's settings, read from one TOML file. Every key is checked; docs/OPERATIONS.md lists them.
 //
 // Usage
 //   leaf::result<settings> s = load_settings("larchpin.toml");
--- a/tests/io_test.cpp
+++ b/tests/io_test.cpp
@@ -16,6 +16,9 @@
 #include <gtest/gtest.h>
 #include <rapidcheck.h>
 
+#include <sys/resource.h>
+
+#include <csignal>
 #include <filesystem>
 #include <fstream>
 #include <sstream>
@@ -157,6 +160,35 @@
     EXPECT_EQ(opened.value().state.log.size(), 2U);
 }
 
+// A disk that is full for a while: what it refused is not in the file, not even in part, and may be sent
+// again.
+TEST(log, goes_on_after_a_disk_was_full) {
+    const log_folder folder;
+    const raft::record first{
+        .hard = raft::hard_state{.term = 1, .voted_for = 1}, .log_entry = {}, .snap = {}};
+    const raft::record second{
+        .hard = raft::hard_state{.term = 2, .voted_for = 1}, .log_entry = {}, .snap = {}};
+    {
+        raft_store store;
+        ASSERT_TRUE(store.open(folder.path).has_value());
+        ASSERT_EQ(store.append({first}), result_code::ok);
+        rlimit before{};
+        ::getrlimit(RLIMIT_FSIZE, &before);
+        std::signal(SIGXFSZ, SIG_IGN); // the write fails in place of the process
+        rlimit full = before;
+        full.rlim_cur = std::filesystem::file_size(folder.file()) + 5;
+        ::setrlimit(RLIMIT_FSIZE, &full);
+        const result_code refused = store.append({second});
+        ::setrlimit(RLIMIT_FSIZE, &before);
+        EXPECT_EQ(refused, result_code::data_folder_unusable);
+        EXPECT_EQ(store.append({second}), result_code::ok);
+    }
+    raft_store again;
+    const auto found = again.open(folder.path);
+    ASSERT_TRUE(found.has_value());
+    EXPECT_EQ(found.value().state.hard, (raft::hard_state{.term = 2, .voted_for = 1}));
+}
+
 TEST(log, any_bytes_are_decoded_without_harm) {
     EXPECT_TRUE(rc::check([](const std::string& bytes) { decode_log(bytes); }));
     const std::string good = encode_record(entry_record(1, 1, "x"), 5);
