--- a/src/daemon/request_path.hpp
+++ b/src/daemon/request_path.hpp
@@ -91,11 +91,11 @@
 public:
     request_path(entry& owner, session_number number, path_front front);
 
-    void begin(caller_request r); // one at a time
-    void poke();                  // news that a waiting request may go on with
-    void cancel();                // the caller's cancel request
-    void close();                 // the session ends now; nothing is reported any more
-    void pause();                 // the caller takes no more bytes for now
+    void begin(caller_request what); // one at a time
+    void poke();                     // news that a waiting request may go on with
+    void cancel();                   // the caller's cancel request
+    void close();                    // the session ends now; nothing is reported any more
+    void pause();                    // the caller takes no more bytes for now
     void resume();
     void drop_transaction(); // rolls back an open one that nobody works in
 
