A test for settings that are read again

Cause: SIGHUP used to end the daemon, and the platform changes settings without a signal; neither had a test. Change: whole_path.reads_its_settings_again_on_a_signal_and_on_a_silent_change, real processes, also with a broken file.

--- a/tests/process_test.cpp
+++ b/tests/process_test.cpp
@@ -4,6 +4,8 @@
 #include <gtest/gtest.h>
 #include <libpq-fe.h>
 
+#include <csignal>
+#include <fstream>
 #include <thread>
 
 namespace larchpin::testing {
@@ -179,5 +181,19 @@
     EXPECT_TRUE(other.run("select 1").ok);
 }
 
+TEST_F(whole_path, reads_its_settings_again_on_a_signal_and_on_a_silent_change) {
+    const std::string file = shared->folder() + "/daemon-1.toml";
+    const auto logged = [](const std::string& text) {
+        return wait_until([&] { return shared->log_of_daemon(1).find(text) != std::string::npos; });
+    };
+    std::ofstream(file, std::ios::app) << "# changed without a signal\n";
+    EXPECT_TRUE(logged(R"("event":"settings_reloaded")"));
+    shared->signal_daemon(1, SIGHUP);
+    EXPECT_TRUE(logged(R"("by_signal":true)"));
+    std::ofstream(file, std::ios::app) << "no settings\n";
+    EXPECT_TRUE(logged(R"("event":"settings_not_reloaded")"));
+    EXPECT_TRUE(shared->connect(1, "shop", "g0").run("select 1").ok) << "it goes on with what it had";
+}
+
 } // namespace
 } // namespace larchpin::testing
