--- a/src/core/raft.cpp
+++ b/src/core/raft.cpp
@@ -240,9 +240,9 @@
     }
 }
 
-void start_election(state& s, time_point now) {
+void start_election(state& s, time_point now, std::mt19937_64& random) {
     s.current_role = role::candidate;
-    s.election_deadline = now + s.config.election_timeout * 2; // votes wait for disks
+    reset_election_timer(s, now, random); // by chance, or two candidates go on splitting the votes
     s.hard = hard_state{.term = s.hard.term + 1, .voted_for = s.self};
     store_hard(s);
     s.votes = {{s.self, true}};
@@ -264,7 +264,7 @@
     s.leader = 0;
     s.votes = {{s.self, true}};
     if (won(s)) {
-        start_election(s, now);
+        start_election(s, now, random);
         return;
     }
     ask_for_votes(s, message_kind::pre_vote_request, s.hard.term + 1);
@@ -321,7 +321,7 @@
         return;
     }
     if (pre) {
-        start_election(s, now);
+        start_election(s, now, random);
     } else {
         become_leader(s, now);
     }
