The vote of a replaced control instance is taken away

A control instance was replaced by one of another name and address; the old identity kept its vote beside the new one's; when the next one was replaced, two of four voters were left. Change: setting control.voters (3 on the platform): of more voters, one silent for three election times is removed. Test failing first: a_new_leader.takes_the_vote_of_a_replaced_instance_that_is_one_too_many (not in the code before).

--- a/src/core/control_core.cpp
+++ b/src/core/control_core.cpp
@@ -164,6 +164,25 @@
     });
 }
 
+// An instance was replaced by one of another name and address: one voter more than wanted, and one that is
+// silent for several election times. It would count against every majority from now on.
+const raft::member* find_surplus_voter(const control_core& c, time_point now) {
+    constexpr int election_times = 3;
+    const raft::state& s = c.consensus;
+    const auto& members = s.members.members;
+    const auto voters = static_cast<std::size_t>(
+        std::count_if(members.begin(), members.end(), [](const raft::member& m) { return m.voter; }));
+    if (c.wanted_voters == 0 || voters <= c.wanted_voters) {
+        return nullptr;
+    }
+    const auto found = std::find_if(members.begin(), members.end(), [&](const raft::member& m) {
+        const auto p = s.peers.find(m.id);
+        return m.voter && p != s.peers.end() &&
+               now - p->second.acked_sent_at > s.config.election_timeout * election_times;
+    });
+    return found == members.end() ? nullptr : &*found;
+}
+
 // One step at a time. The lost identity goes first: it counts against the majority without being able to
 // help it, so nothing is risked by that, while adding before removing would need one more living voter.
 void maintain_members(control_core& c, time_point now) {
@@ -179,6 +198,13 @@
         }
         return;
     }
+    if (const raft::member* surplus = find_surplus_voter(c, now)) {
+        std::erase_if(next.members, [id = surplus->id](const raft::member& m) { return m.id == id; });
+        if (raft::propose_members(c.consensus, next, now) != 0) {
+            note_event_now(c, "control_member_removed");
+        }
+        return;
+    }
     const auto ready = std::find_if(next.members.begin(), next.members.end(), [&](const raft::member& m) {
         const bool name_votes =
             std::any_of(next.members.begin(), next.members.end(), [&m](const raft::member& other) {
--- a/src/core/control_core.hpp
+++ b/src/core/control_core.hpp
@@ -48,6 +48,7 @@
     std::deque<raft::entry> recent;      // applied entries that daemons may still ask for
     std::size_t recent_bytes = 0;        // of their commands
     std::size_t snapshot_entries = 4096; // log entries before they are replaced by a snapshot
+    std::size_t wanted_voters = 0;       // of more, silent ones lose their vote; 0: votes are kept
     raft::member self;
     control_output out;
 };
--- a/src/daemon/control_node.cpp
+++ b/src/daemon/control_node.cpp
@@ -89,6 +89,7 @@
         .id = found.node, .name = config_.id.value, .address = config_.peer_address, .voter = false};
     core_ = make_control_core(codec, self, timing, decisions, found.state, now(), random_);
     core_.snapshot_entries = config_.snapshot_entries;
+    core_.wanted_voters = config_.wanted_voters;
     log_event(severity::info, "control_started",
               {{"node", found.node},
                {"new_identity", found.is_new},
--- a/tests/control_test.cpp
+++ b/tests/control_test.cpp
@@ -360,6 +360,39 @@
     EXPECT_TRUE(is_in_force(s.control, s.cluster, fence, s.now));
 }
 
+// A leader of four voters; the last one has been silent for ten seconds, the others answer.
+TEST(a_new_leader, takes_the_vote_of_a_replaced_instance_that_is_one_too_many) {
+    std::mt19937_64 random(1);
+    const time_point now{std::chrono::seconds{100}};
+    control_core c =
+        make_control_core({.encode = encode_command,
+                           .decode = decode_command,
+                           .encode_state = encode_state,
+                           .decode_state = decode_state},
+                          {.id = 1, .name = "a", .address = "127.0.0.1:1"}, {}, {}, {}, now, random);
+    c.consensus.current_role = raft::role::leader;
+    c.control.leading = true;
+    c.consensus.last_heartbeat = now;
+    for (raft::node_id id = 1; id <= 4; ++id) {
+        c.consensus.members.members.push_back({.id = id,
+                                               .name = std::to_string(id),
+                                               .address = "127.0.0.1:" + std::to_string(id),
+                                               .voter = true});
+        if (id > 1) {
+            raft::progress& p = c.consensus.peers[id];
+            p.acked = true;
+            p.acked_sent_at = id == 4 ? now - std::chrono::seconds{10} : now;
+        }
+    }
+    tick(c, now, random);
+    EXPECT_EQ(c.consensus.members.members.size(), 4U)
+        << "unless a number of voters is wanted, votes are kept";
+    c.wanted_voters = 3;
+    tick(c, now, random);
+    EXPECT_EQ(c.consensus.members.members.size(), 3U);
+    EXPECT_EQ(raft::find_member(c.consensus.members, 4), nullptr);
+}
+
 //-----------------------------------------------------------------------------
 // [shares]
 //-----------------------------------------------------------------------------
