Control instances beyond the wanted votes stand by, and one that was only silent comes back

Where two disks may be lost at once, three votes are too few. Change: control.tolerated_losses replaces control.voters (2n + 1 votes). A learner, in the failure domain with the fewest living voters, takes over for a silent voter and the silent one is removed after that. Whoever hears no leader for ten election times asks to join again, with its identity. Learners that are gone for 12 s are forgotten. No edit is acknowledged by fewer voters than that.

--- a/src/core/control_core.cpp
+++ b/src/core/control_core.cpp
@@ -164,59 +164,133 @@
     });
 }
 
-// An instance was replaced by one of another name and address: one voter more than wanted, and one that is
-// silent for several election times. It would count against every majority from now on.
-const raft::member* find_surplus_voter(const control_core& c, time_point now) {
-    constexpr int election_times = 3;
+// Longer than a pause of a sound instance: elections, a slow sync.
+constexpr int silent_election_times = 3;
+// A learner that does not answer for so long is gone; should it come back, it asks to join again.
+constexpr duration learner_patience = std::chrono::seconds{12};
+// Without a word of any leader for so long an instance may have been removed, and asks to join.
+constexpr int rejoin_election_times = 10;
+
+bool is_silent_for(const raft::state& s, raft::node_id id, duration time, time_point now) {
+    const auto p = s.peers.find(id);
+    return p != s.peers.end() && now - p->second.acked_sent_at > time;
+}
+
+bool is_silent_voter(const raft::state& s, const raft::member& m, time_point now) {
+    return m.voter && is_silent_for(s, m.id, s.config.election_timeout * silent_election_times, now);
+}
+
+std::size_t count_voters(const raft::configuration& c) {
+    return static_cast<std::size_t>(
+        std::count_if(c.members.begin(), c.members.end(), [](const raft::member& m) { return m.voter; }));
+}
+
+std::size_t count_living_voters(const raft::state& s, time_point now) {
+    const auto& members = s.members.members;
+    return static_cast<std::size_t>(std::count_if(members.begin(), members.end(), [&](const raft::member& m) {
+        return m.voter && !is_silent_voter(s, m, now);
+    }));
+}
+
+// Founders are called by their address in the log, so the address tells which instance it is.
+failure_domain domain_of(const control_core& c, const raft::member& m) {
+    const auto found = std::find_if(c.cluster.instances.begin(), c.cluster.instances.end(),
+                                    [&m](const auto& i) { return i.second.address == m.address; });
+    return found == c.cluster.instances.end() ? failure_domain{} : found->second.domain;
+}
+
+std::size_t count_living_voters_in(const control_core& c, const failure_domain& domain, time_point now) {
     const raft::state& s = c.consensus;
     const auto& members = s.members.members;
-    const auto voters = static_cast<std::size_t>(
-        std::count_if(members.begin(), members.end(), [](const raft::member& m) { return m.voter; }));
-    if (c.wanted_voters == 0 || voters <= c.wanted_voters) {
+    return static_cast<std::size_t>(std::count_if(members.begin(), members.end(), [&](const raft::member& m) {
+        return m.voter && !is_silent_voter(s, m, now) && domain_of(c, m) == domain;
+    }));
+}
+
+// One voter more than wanted, and one that is silent: it would count against every majority from now on.
+const raft::member* find_surplus_voter(const control_core& c, time_point now) {
+    const auto& members = c.consensus.members.members;
+    if (c.wanted_voters == 0 || count_voters(c.consensus.members) <= c.wanted_voters) {
         return nullptr;
     }
     const auto found = std::find_if(members.begin(), members.end(), [&](const raft::member& m) {
-        const auto p = s.peers.find(m.id);
-        return m.voter && p != s.peers.end() &&
-               now - p->second.acked_sent_at > s.config.election_timeout * election_times;
+        return is_silent_voter(c.consensus, m, now);
     });
     return found == members.end() ? nullptr : &*found;
 }
 
-// One step at a time. The lost identity goes first: it counts against the majority without being able to
-// help it, so nothing is risked by that, while adding before removing would need one more living voter.
-void maintain_members(control_core& c, time_point now) {
-    const raft::state& s = c.consensus;
-    raft::configuration next = s.members;
-    const auto replaced = std::find_if(next.members.begin(), next.members.end(), [&](const raft::member& m) {
-        return m.id != s.self && is_silent(s, m.id, now) && is_replaced(s, m, now);
+const raft::member* find_gone_learner(const control_core& c, time_point now) {
+    const auto& members = c.consensus.members.members;
+    const auto found = std::find_if(members.begin(), members.end(), [&](const raft::member& m) {
+        return !m.voter && is_silent_for(c.consensus, m.id, learner_patience, now);
     });
-    if (replaced != next.members.end()) {
-        next.members.erase(replaced);
-        if (raft::propose_members(c.consensus, next, now) != 0) {
-            note_event_now(c, "control_member_removed");
-        }
-        return;
+    return found == members.end() ? nullptr : &*found;
+}
+
+bool may_get_vote(const raft::state& s, const raft::member& m, time_point now) {
+    const auto& members = s.members.members;
+    const bool name_votes = std::any_of(members.begin(), members.end(), [&m](const raft::member& other) {
+        return other.voter && is_same_instance(other, m);
+    });
+    return !m.voter && !name_votes && has_caught_up(s, m.id) && is_heard(s, m.id, now);
+}
+
+// A learner takes the place of a voter that is silent, or one that is missing, in the failure domain with the
+// fewest voters. It comes first and the silent one goes after: at no moment is a change held by fewer disks.
+const raft::member* find_next_voter(const control_core& c, time_point now) {
+    const raft::state& s = c.consensus;
+    if (c.wanted_voters != 0 && count_living_voters(s, now) >= c.wanted_voters) {
+        return nullptr;
     }
-    if (const raft::member* surplus = find_surplus_voter(c, now)) {
-        std::erase_if(next.members, [id = surplus->id](const raft::member& m) { return m.id == id; });
-        if (raft::propose_members(c.consensus, next, now) != 0) {
-            note_event_now(c, "control_member_removed");
+    const raft::member* best = nullptr;
+    std::size_t fewest = 0;
+    for (const raft::member& m : s.members.members) {
+        if (!may_get_vote(s, m, now)) {
+            continue;
+        }
+        const std::size_t voters = count_living_voters_in(c, domain_of(c, m), now);
+        if (best == nullptr || voters < fewest) {
+            best = &m;
+            fewest = voters;
         }
-        return;
     }
-    const auto ready = std::find_if(next.members.begin(), next.members.end(), [&](const raft::member& m) {
-        const bool name_votes =
-            std::any_of(next.members.begin(), next.members.end(), [&m](const raft::member& other) {
-                return other.voter && is_same_instance(other, m);
-            });
-        return !m.voter && !name_votes && has_caught_up(s, m.id) && is_heard(s, m.id, now);
+    return best;
+}
+
+void remove_member(control_core& c, raft::node_id id, const std::string& event, time_point now) {
+    raft::configuration next = c.consensus.members;
+    std::erase_if(next.members, [id](const raft::member& m) { return m.id == id; });
+    if (raft::propose_members(c.consensus, next, now) != 0) {
+        note_event_now(c, event);
+    }
+}
+
+void give_vote(control_core& c, raft::node_id id, time_point now) {
+    raft::configuration next = c.consensus.members;
+    for (raft::member& m : next.members) {
+        m.voter = m.voter || m.id == id;
+    }
+    if (raft::propose_members(c.consensus, next, now) != 0) {
+        note_event_now(c, "control_voter_added");
+    }
+}
+
+// One step at a time. A lost identity goes first: it counts against the majority without being able to
+// help it, so nothing is risked by that, while adding before removing would need one more living voter.
+void maintain_members(control_core& c, time_point now) {
+    const raft::state& s = c.consensus;
+    const auto& members = s.members.members;
+    const auto replaced = std::find_if(members.begin(), members.end(), [&](const raft::member& m) {
+        return m.id != s.self && is_silent(s, m.id, now) && is_replaced(s, m, now);
     });
-    if (ready != next.members.end()) {
-        ready->voter = true;
-        if (raft::propose_members(c.consensus, next, now) != 0) {
-            note_event_now(c, "control_voter_added");
-        }
+    if (replaced != members.end()) {
+        remove_member(c, replaced->id, "control_member_removed", now);
+    } else if (const raft::member* surplus = find_surplus_voter(c, now)) {
+        remove_member(c, surplus->id, "control_silent_voter_removed", now);
+    } else if (const raft::member* ready = find_next_voter(c, now)) {
+        give_vote(c, ready->id, now);
+    } else if (const raft::member* gone = find_gone_learner(c, now)) {
+        remove_member(c, gone->id, "control_silent_learner_removed", now);
     }
 }
 
@@ -349,8 +423,20 @@
     return started;
 }
 
-bool is_member(const control_core& c) {
-    return raft::find_member(c.consensus.members, c.consensus.self) != nullptr;
+bool wants_to_join(const control_core& c, time_point now) {
+    const raft::state& s = c.consensus;
+    const bool is_member = raft::find_member(s.members, s.self) != nullptr;
+    const bool may_be_removed = s.current_role != raft::role::leader &&
+                                now - s.leader_heard_at > s.config.election_timeout * rejoin_election_times;
+    return !is_member || may_be_removed;
+}
+
+std::size_t voters_for_losses(unsigned losses) {
+    return losses == 0 ? 0 : 2 * std::size_t{losses} + 1;
+}
+
+bool keeps_changes(const control_core& c) {
+    return count_voters(c.consensus.members) >= c.wanted_voters;
 }
 
 } // namespace larchpin
--- a/src/core/control_core.hpp
+++ b/src/core/control_core.hpp
@@ -48,7 +48,7 @@
     std::deque<raft::entry> recent;      // applied entries that daemons may still ask for
     std::size_t recent_bytes = 0;        // of their commands
     std::size_t snapshot_entries = 4096; // log entries before they are replaced by a snapshot
-    std::size_t wanted_voters = 0;       // of more, silent ones lose their vote; 0: votes are kept
+    std::size_t wanted_voters = 0; // others stay learners, and replace silent ones; 0: all vote for good
     raft::member self;
     control_output out;
 };
@@ -79,12 +79,20 @@
 result_code switch_over(control_core& c, const group_id& group, const server_id& target, time_point now);
 void server_answered(control_core& c, const server_answer& a, time_point now);
 
-// A node that is in no configuration wants in, as a learner.
+// A node that is in no configuration, or was removed from it, wants in as a learner.
 result_code join(control_core& c, const raft::member& joining, time_point now);
 bool bootstrap(control_core& c, time_point now, std::mt19937_64& random); // alone
 bool bootstrap(control_core& c, const raft::configuration& founders, time_point now, std::mt19937_64& random);
 
-// Whether this node belongs to a cluster already.
-bool is_member(const control_core& c);
+// This node is in no configuration that it knows, or has not heard a leader for so long that it may have been
+// removed: one that was silent while another took over its vote. It keeps its identity then, and joins again.
+bool wants_to_join(const control_core& c, time_point now);
+
+// How many voters it takes to bear so many lost disks at once; 0: not stated, everyone votes.
+std::size_t voters_for_losses(unsigned losses);
+
+// Enough voters hold what is committed that the losses to be borne cannot take it away. Before that, and
+// while one of them is being replaced, no change is acknowledged.
+bool keeps_changes(const control_core& c);
 
 } // namespace larchpin
--- a/src/daemon/control_node.cpp
+++ b/src/daemon/control_node.cpp
@@ -89,7 +89,7 @@
         .id = found.node, .name = config_.id.value, .address = config_.peer_address, .voter = false};
     core_ = make_control_core(codec, self, timing, decisions, found.state, now(), random_);
     core_.snapshot_entries = config_.snapshot_entries;
-    core_.wanted_voters = config_.wanted_voters;
+    core_.wanted_voters = voters_for_losses(config_.tolerated_losses);
     log_event(severity::info, "control_started",
               {{"node", found.node},
                {"new_identity", found.is_new},
@@ -405,11 +405,15 @@
 // A node that is in no configuration asks the others to take it in. It never starts a cluster by itself:
 // that is an operator's word, since an empty folder cannot tell a first start from a lost disk.
 void control_node::ask_to_join() {
-    if (is_member(core_) || now() < next_join_at_) {
+    if (!wants_to_join(core_, now()) || now() < next_join_at_) {
         return;
     }
     next_join_at_ = now() + join_interval;
-    const std::string& address = config_.control_addresses[join_index_++ % config_.control_addresses.size()];
+    std::vector<std::string> addresses = config_.control_addresses;
+    for (const raft::member& m : core_.consensus.members.members) {
+        addresses.push_back(m.address);
+    }
+    const std::string& address = addresses[join_index_++ % addresses.size()];
     if (address == config_.peer_address) {
         return;
     }
@@ -538,6 +542,10 @@
         reply(result_code::not_leader, leader_address());
         return;
     }
+    if (!keeps_changes(core_)) {
+        reply(result_code::no_quorum, "fewer voters than the losses to be borne ask for");
+        return;
+    }
     const edit_table edit = from_wire(request.edit());
     const std::string broken_rule = check_table(edit.next);
     if (!broken_rule.empty()) {
--- a/src/io/settings.cpp
+++ b/src/io/settings.cpp
@@ -187,7 +187,7 @@
         {"control.lease_ms", milliseconds(&settings::lease, {200, 60'000})},
         {"control.heartbeat_ms", milliseconds(&settings::heartbeat, {10, 5'000})},
         {"control.election_ms", milliseconds(&settings::election, {50, 30'000})},
-        {"control.voters", count(&settings::wanted_voters, {0, 9})},
+        {"control.tolerated_losses", count(&settings::tolerated_losses, {0, 4})},
         {"control.snapshot_entries", count(&settings::snapshot_entries, {16, 1'000'000})},
         {"backend.user", text(&settings::backend_user)},
         {"backend.password_file", text(&settings::backend_password_file)},
--- a/src/io/settings.hpp
+++ b/src/io/settings.hpp
@@ -46,7 +46,7 @@
     duration lease = std::chrono::milliseconds{1000};
     duration heartbeat = std::chrono::milliseconds{75};
     duration election = std::chrono::milliseconds{450};
-    unsigned wanted_voters = 0;       // silent ones beyond lose their vote; 0: votes are kept
+    unsigned tolerated_losses = 0;    // disks lost at once without losing a change; 0: every instance votes
     unsigned snapshot_entries = 4096; // log entries before it is cut by a snapshot
     // [backend]
     std::string backend_user;          // empty: the caller's user
--- a/tests/cluster_fuzz_test.cpp
+++ b/tests/cluster_fuzz_test.cpp
@@ -93,6 +93,26 @@
     expect_no_violation(rates, "cut control");
 }
 
+// More instances than votes: silent voters are replaced, and come back as learners.
+TEST(cluster_fuzz, holds_when_instances_stand_by_for_voters) {
+    fault_rates rates = all_faults();
+    rates.controls = 6;
+    rates.tolerated_losses = 2;
+    rates.control_freeze = 0.002;
+    rates.cut = 0.002;
+    rates.peer_cut = 0.002;
+    rates.lost_disk = 0.001;
+    expect_no_violation(rates, "standing by");
+}
+
+TEST(cluster_fuzz, holds_when_one_instance_stands_by) {
+    fault_rates rates = all_faults();
+    rates.controls = 4;
+    rates.tolerated_losses = 1;
+    rates.cut = 0.003;
+    expect_no_violation(rates, "one standing by");
+}
+
 // The rules, broken one by one: each must be noticed, or the checks above prove nothing.
 
 TEST(cluster_fuzz, notices_acknowledgements_without_a_lease) {
--- a/tests/ports.cpp
+++ b/tests/ports.cpp
@@ -12,7 +12,7 @@
 namespace larchpin::testing {
 namespace {
 
-constexpr unsigned lowest_port = 10000;       // below it stand well-known services
+constexpr unsigned lowest_port = 10000;          // below it stand well-known services
 constexpr unsigned linux_ephemeral_port = 32768; // Linux's default, where the file cannot be read
 
 bool is_free(unsigned port) {
@@ -37,7 +37,8 @@
 }
 
 unsigned free_port() {
-    // Random, so that two test programs at the same time rarely meet; the tests' verdicts do not depend on it.
+    // Random, so that two test programs at the same time rarely meet; the tests' verdicts do not depend on
+    // it.
     static std::mt19937 random{std::random_device{}()};
     static std::set<unsigned> given;
     std::uniform_int_distribution<unsigned> ports(lowest_port, first_ephemeral_port() - 1);
