The leader answers renewals from a ledger of small numbers, and is not asked in vain for connections

Cause: on the grown deployment (76 daemons, 24 shares each, 53 connections a server) each renewal walked maps of 70 names per share, 739 us of the leader, and daemons short of connections renewed every 50 ms. The leader's 0.3 of a core was used up: renewals took 100 ms in the median, the leader lost its own lease for want of acknowledgements, daemons lost theirs, and readiness flapped (864 of 2,051 machine-seconds not ready in steady state). Ruled out: the entries' links (renewals are 0.7 KB, 8 a second) and their processors (0.018 of 0.12 cores). Change: core/share_ledger keeps holders and wishes by number; one part of a division is computed without dividing all; servers that leave are listed as they say so; lost servers are looked for twice a second; a renewal for want of connections is not repeated early where the last one brought none. Tests: shares_of_connections.count_until_..., are_divided_by_..., shares.a_part_is_... (failed first for wishes above the limit).

--- a/bench/control_bench.cpp
+++ b/bench/control_bench.cpp
@@ -179,6 +179,38 @@
     return (cpu_microseconds() - before) / requests;
 }
 
+// Every daemon uses every server, and there are fewer connections than daemons: the grown deployments.
+void print_scarce_shares() {
+    constexpr size_point size{.daemons = 76, .groups = 8};
+    constexpr unsigned connections = 53;
+    constexpr int rounds = 20;
+    std::mt19937_64 random(1);
+    cluster_state s = make_state(size);
+    for (service_entry& service : s.current.services) {
+        service.max_connections = connections;
+    }
+    control_core c = make_leader(s, random);
+    std::vector<renewal> renewals;
+    for (int d = 0; d < size.daemons; ++d) {
+        renewal r = make_renewal(s, d, 1, 0);
+        for (const auto& [id, server] : s.servers) {
+            r.claims.push_back(
+                {.key = {.service = {"service-10000"}, .server = id}, .in_effect = 0, .wanted = 1});
+        }
+        renewals.push_back(std::move(r));
+    }
+    const double cost = cost_of(rounds, [&] {
+        for (renewal& r : renewals) {
+            if (const auto reply = renew(c, r, now())) {
+                r.last_reply_seq = reply->seq;
+            }
+            take_output(c);
+        }
+    });
+    std::cout << "\nrenewals with " << s.servers.size() << " shares each, " << size.daemons << " daemons, "
+              << connections << " connections a server: " << cost / size.daemons << " us of the leader\n";
+}
+
 void print_renewals(double http) {
     std::cout << "renewals (lease 1 s, renewed 5 times a second; observed servers = servers x 4 domains / "
                  "daemons)\n"
@@ -347,6 +379,7 @@
     std::cout << "one signed HTTP/2 request of 600 B and its answer, both sides: " << http
               << " us of CPU\n\n";
     larchpin::print_renewals(http);
+    larchpin::print_scarce_shares();
     larchpin::print_ticks();
     larchpin::print_state();
     larchpin::print_log();
--- a/src/core/control.cpp
+++ b/src/core/control.cpp
@@ -14,6 +14,9 @@
 
 constexpr std::size_t max_unconfirmed_replies = 32;
 constexpr unsigned leader_term_shift = 40; // leaves a leader 2^40 of them
+// A look at every server and every daemon; servers are forgotten after 12 s, so half a second more is
+// nothing.
+constexpr duration lost_look_interval = std::chrono::milliseconds{500};
 
 //-----------------------------------------------------------------------------
 // [leases]
@@ -140,6 +143,9 @@
         return;
     }
     c.announced[a.record.id] = seen_server{.last = a, .at = now};
+    if (a.leaving || a.gone) {
+        c.said_leaving.insert(a.record.id);
+    }
     if (a.gone) {
         c.said_goodbye.insert(a.record.id);
         return; // on_tick() lets go of its record
@@ -154,38 +160,15 @@
 
 // The daemons that keep one connection even without a lease. Ranking all instances is too much for every
 // renewal, so it is remembered until an instance's record changes.
-const std::vector<instance_id>& find_reserve(control_state& c, const cluster_state& s,
-                                             const server_record& server) {
-    if (c.reserves_revision != s.instances_revision) {
-        c.reserves.clear();
-        c.reserves_revision = s.instances_revision;
-    }
-    const auto known = c.reserves.find(server.id);
-    return known != c.reserves.end()
-               ? known->second
-               : c.reserves.emplace(server.id, reserve_holders(s, server)).first->second;
-}
-
-// What one daemon holds and wants of a share, as far as the leader knows.
-struct share_position {
-    unsigned held = 0;
-    unsigned wanted = 0;
-};
-
-share_position position_of(const control_state& c, const instance_id& daemon, const share_key& key,
-                           unsigned reserve, time_point now) {
-    const auto found = c.daemons.find(daemon);
-    if (found == c.daemons.end() ||
-        !has_live_lease(found->second, now - grantor_length(c.config.share_grace))) {
-        return {.held = reserve, .wanted = reserve};
-    }
-    const auto claim = found->second.claims.find(key);
-    const unsigned wanted = claim == found->second.claims.end() ? 0 : claim->second.wanted;
-    return {.held = std::max(reserve, held_share(found->second, key)), .wanted = std::max(reserve, wanted)};
-}
-
-unsigned decide_share(control_state& c, const cluster_state& s, const instance_id& daemon,
-                      const share_claim& claim, time_point now) {
+void follow_reserves(control_state& c, const cluster_state& s, const share_key& key,
+                     const server_record& server) {
+    if (c.shares.accounts[key].reserves_revision != s.instances_revision) {
+        set_reserves(c.shares, key, reserve_holders(s, server), s.instances_revision);
+    }
+}
+
+unsigned grant_share(control_state& c, const cluster_state& s, const instance_id& daemon,
+                     const share_claim& claim, time_point now) {
     const auto server = s.servers.find(claim.key.server);
     const service_entry* service = find_service(s.current, claim.key.service);
     if (server == s.servers.end() || service == nullptr) {
@@ -194,42 +177,33 @@
     if (!s.instances.contains(daemon)) {
         return 0; // its record is not committed yet, so the others' shares do not count it
     }
-    const auto& reserve = find_reserve(c, s, server->second);
-    const auto reserve_of = [&reserve](const instance_id& id) {
-        return std::find(reserve.begin(), reserve.end(), id) == reserve.end() ? 0U : 1U;
-    };
-    std::set<instance_id> involved = c.claimants[claim.key];
-    involved.insert(reserve.begin(), reserve.end());
-    involved.erase(daemon);
-    std::vector<unsigned> wishes{std::max(claim.wanted, reserve_of(daemon))};
-    unsigned held_by_others = 0;
-    for (const instance_id& id : involved) {
-        const share_position other = position_of(c, id, claim.key, reserve_of(id), now);
-        held_by_others += other.held;
-        wishes.push_back(other.wanted);
-    }
+    follow_reserves(c, s, claim.key, server->second);
     const unsigned kept = std::min(c.config.kept_connections, service->max_connections - 1);
     const unsigned limit = service->max_connections - kept;
-    const unsigned target = divide_fairly(limit, wishes).front();
+    const share_decision decision =
+        decide_share(c.shares, claim.key, c.daemons[daemon].number, claim.wanted, limit, now);
     // Until it is known what everyone holds, nobody gets more than it has.
-    const unsigned cap = settled(c, s, now) ? target : std::min(target, claim.in_effect);
-    return next_share(limit, cap, held_by_others);
+    const unsigned cap = settled(c, s, now) ? decision.target : std::min(decision.target, claim.in_effect);
+    return next_share(limit, cap, decision.held_by_others);
 }
 
-// Whoever may hold a part of a key stays a claimant of it until it is known to hold nothing.
-void follow_claims(control_state& c, const instance_id& daemon, const std::vector<share_claim>& claims) {
-    daemon_state& d = c.daemons[daemon];
-    const auto before = std::move(d.claims);
+// Whoever may hold a part of a share stays a holder of it until it is known to hold nothing.
+void follow_claims(control_state& c, daemon_state& d, const std::vector<share_claim>& claims) {
     d.claims.clear();
     for (const share_claim& claim : claims) {
         d.claims[claim.key] = claim;
-        c.claimants[claim.key].insert(daemon);
-    }
-    for (const auto& [key, old] : before) {
-        if (held_share(d, key) == 0 && !d.claims.contains(key)) {
-            c.claimants[key].erase(daemon);
+        d.accounts.insert(claim.key);
+    }
+    std::erase_if(d.accounts, [&](const share_key& key) {
+        const auto claim = d.claims.find(key);
+        const unsigned held = held_share(d, key);
+        if (claim == d.claims.end() && held == 0) {
+            forget_holder(c.shares, key, d.number);
+            return true;
         }
-    }
+        note_holder(c.shares, key, d.number, held, claim == d.claims.end() ? 0 : claim->second.wanted);
+        return false;
+    });
 }
 
 void answer_claims(control_state& c, const cluster_state& s, const renewal& r, time_point now,
@@ -237,9 +211,10 @@
     daemon_state& d = c.daemons[r.instance.id];
     sent_shares sent{.seq = reply.seq, .shares = {}};
     for (const share_claim& claim : r.claims) {
-        const unsigned share = decide_share(c, s, r.instance.id, claim, now);
+        const unsigned share = grant_share(c, s, r.instance.id, claim, now);
         reply.shares.push_back({.key = claim.key, .connections = share});
         sent.shares[claim.key] = share;
+        note_holder(c.shares, claim.key, d.number, std::max(share, held_share(d, claim.key)), claim.wanted);
     }
     d.unconfirmed.push_back(std::move(sent));
 }
@@ -483,6 +458,10 @@
 // Others announce themselves, but it neither does nor answers: it is gone without a word. Should it come
 // back, it announces itself.
 void forget_lost_servers(control_state& c, const cluster_state& s, time_point now, control_actions& actions) {
+    if (now - c.looked_for_lost_at < lost_look_interval) {
+        return;
+    }
+    c.looked_for_lost_at = now;
     const bool hears = std::any_of(c.announced.begin(), c.announced.end(), [&](const auto& a) {
         return now - a.second.at <= c.config.announcement_age;
     });
@@ -601,7 +580,9 @@
         d = daemon_state{};
         d.leases = leases;
         d.incarnation = r.incarnation;
+        forget_holder(c.shares, number_holder(c.shares, r.instance.id));
     }
+    d.number = number_holder(c.shares, r.instance.id);
     d.domain = r.instance.domain;
     d.confirmed = std::max(d.confirmed, r.applied);
     d.seen_at = now;
@@ -610,7 +591,7 @@
         d.observations[o.server] = o;
     }
     std::erase_if(d.unconfirmed, [&r](const sent_shares& sent) { return sent.seq <= r.last_reply_seq; });
-    follow_claims(c, r.instance.id, r.claims);
+    follow_claims(c, d, r.claims);
     for (const server_announcement& a : r.announcements) {
         take_announcement(c, s, a, now, actions);
     }
@@ -620,6 +601,7 @@
         d.leases.clear();
         d.claims.clear();
         d.unconfirmed.clear();
+        forget_holder(c.shares, d.number);
         return reply;
     }
     reply.seq = number_across_leaders(c, ++d.replies);
@@ -630,11 +612,13 @@
     reply.lease = c.config.lease;
     forget_old_leases(d, now);
     note_granted(d, s.revision, now + grantor_length(c.config.lease));
+    c.shares.counts_until[d.number] =
+        now + grantor_length(c.config.lease) + grantor_length(c.config.share_grace);
     const auto observed = c.observed_by.find(r.instance.id);
     if (observed != c.observed_by.end()) {
         reply.observe = observed->second;
     }
-    for (const auto& [id, seen] : c.announced) {
+    for (const server_id& id : c.said_leaving) {
         if (is_leaving(c, s, id, now)) {
             reply.leaving.push_back(id);
         }
@@ -655,6 +639,7 @@
     for (const server_id& id : c.proposed_removals) {
         if (!s.servers.contains(id)) {
             c.announced.erase(id); // whoever comes back starts anew
+            c.said_leaving.erase(id);
         }
     }
     std::erase_if(c.proposed_removals, [&s](const server_id& id) { return !s.servers.contains(id); });
--- a/src/core/control.hpp
+++ b/src/core/control.hpp
@@ -17,7 +17,7 @@
 
 #include "core/cluster_state.hpp"
 #include "core/rendezvous.hpp"
-#include "core/shares.hpp"
+#include "core/share_ledger.hpp"
 
 #include <deque>
 #include <map>
@@ -159,6 +159,7 @@
 
 struct daemon_state {
     std::uint64_t incarnation = 0;
+    holder_number number = 0; // in the ledger of shares
     failure_domain domain;
     revision_number confirmed = 0;
     std::deque<granted_lease> leases; // one per revision, the longest
@@ -167,6 +168,7 @@
     std::uint64_t replies = 0;           // sent to it by this leader
     std::deque<sent_shares> unconfirmed; // replies that it may yet act upon
     std::map<share_key, share_claim> claims;
+    std::set<share_key> accounts; // shares that it holds a part of, or wants one
 };
 
 enum class failover_step : std::uint8_t { fencing, revoking, probing, promoting, publishing };
@@ -201,13 +203,13 @@
     std::vector<observer_candidate> observer_candidates; // that `observers` was made from
     std::map<server_id, std::vector<instance_id>> observers;
     std::map<instance_id, std::vector<server_id>> observed_by; // the same, the other way round
-    std::map<server_id, std::vector<instance_id>> reserves;    // reserve_holders(), remembered
-    revision_number reserves_revision = 0;                     // instances_revision that they were made from
-    std::map<share_key, std::set<instance_id>> claimants;      // who may hold a part of it, or wants one
-    std::set<instance_id> proposed_instances;                  // in the log, not applied yet
+    share_ledger shares;
+    std::set<instance_id> proposed_instances; // in the log, not applied yet
     std::map<server_id, server_record> proposed_servers;
     std::set<group_id> proposed_groups;
     std::set<server_id> proposed_removals;
+    std::set<server_id> said_leaving;                      // leaving or gone, as far as announced
+    time_point looked_for_lost_at{};                       // forget_lost_servers()
     std::set<server_id> said_goodbye;                      // their ids are never used again
     std::map<std::uint64_t, server_announcement> founding; // by operation: asked for its timeline
     std::map<group_id, time_point> switched_at;            // last try to leave a leaving primary
--- a/src/core/shares.cpp
+++ b/src/core/shares.cpp
@@ -22,6 +22,24 @@
     return shares;
 }
 
+unsigned fair_part(unsigned limit, unsigned own, const std::vector<unsigned>& others) {
+    std::vector<unsigned> smaller(own, 0); // by wish: how many others have it
+    for (const unsigned other : others) {
+        if (other < own) {
+            ++smaller[other];
+        }
+    }
+    unsigned left = limit;
+    auto sharers = static_cast<unsigned>(others.size() + 1);
+    for (unsigned w = 0; w < own; ++w) {
+        for (unsigned n = 0; n < smaller[w]; ++n) {
+            left -= std::min({w, (left + sharers - 1) / sharers, left});
+            --sharers;
+        }
+    }
+    return std::min({own, (left + sharers - 1) / sharers, left});
+}
+
 unsigned next_share(unsigned limit, unsigned target, unsigned held_by_others) {
     const unsigned available = limit > held_by_others ? limit - held_by_others : 0;
     return std::min(target, available);
--- a/src/core/shares.hpp
+++ b/src/core/shares.hpp
@@ -37,6 +37,9 @@
 // want goes to the others. The result has the order of `wanted` and sums up to at most `limit`.
 std::vector<unsigned> divide_fairly(unsigned limit, const std::vector<unsigned>& wanted);
 
+// What divide_fairly() gives to `own` of a limit that it shares with `others`, without dividing it all.
+unsigned fair_part(unsigned limit, unsigned own, const std::vector<unsigned>& others);
+
 // The most that one daemon may get now: its fair target, cut to what the others do not hold.
 unsigned next_share(unsigned limit, unsigned target, unsigned held_by_others);
 
--- a/src/daemon/agent.cpp
+++ b/src/daemon/agent.cpp
@@ -64,8 +64,8 @@
 
 void agent::start() {
     pools_.on_short_of_share = [this] {
-        if (now() - last_share_request_ >= share_request_interval) {
-            last_share_request_ = now();
+        if (now() >= next_share_request_) {
+            next_share_request_ = now() + share_request_interval;
             renew_soon();
         }
     };
@@ -290,10 +290,18 @@
 // [shares]
 //-----------------------------------------------------------------------------
 
+// Where asking brought nothing there is nothing to be had for now: the next usual renewal asks again.
 void agent::apply_shares(const renewal_reply& reply) {
+    bool grew = false;
+    const auto before = pools_.shares();
     for (const share_grant& g : reply.shares) {
+        const auto held = before.find(g.key);
+        grew = grew || g.connections > (held == before.end() ? 0 : held->second);
         pools_.set_share(g.key, g.connections);
     }
+    if (!grew) {
+        next_share_request_ = now() + config_.lease / renewals_per_lease;
+    }
 }
 
 //-----------------------------------------------------------------------------
--- a/src/daemon/agent.hpp
+++ b/src/daemon/agent.hpp
@@ -135,7 +135,7 @@
     bool renewing_ = false;
     bool renew_again_ = false;
     time_point next_renewal_{};
-    time_point last_share_request_{};
+    time_point next_share_request_{}; // no renewal before it for want of a connection
     std::uint64_t last_reply_seq_ = 0;
     // watching
     bool watching_ = false;
--- a/tests/control_test.cpp
+++ b/tests/control_test.cpp
@@ -516,5 +516,48 @@
     EXPECT_EQ(reply.shares[0].connections, 19U);
 }
 
+// What a daemon was granted and has not confirmed yet counts, also where it does not claim the share any
+// more.
+TEST(shares_of_connections, count_until_their_holder_is_known_to_hold_nothing) {
+    control_site s = make_site();
+    apply(s.cluster, s.cluster.revision + 1, make_versioned(1, 10));
+    const share_claim all{.key = {.service = {"g"}, .server = {"s1"}}, .in_effect = 0, .wanted = 10};
+    s.renew("x");
+    s.renew("y");
+    const std::uint64_t confirmed = s.seqs[{"x"}];
+    const renewal_reply granted = s.renew("x", {}, {}, {all});
+    ASSERT_EQ(granted.shares.size(), 1U);
+    ASSERT_GT(granted.shares[0].connections, 5U);
+    const auto left = [&] { return s.renew("y", {}, {}, {all}).shares.at(0).connections; };
+    EXPECT_LE(left(), 10 - granted.shares[0].connections);
+    s.seqs[{"x"}] = confirmed; // the grant is still on its way to it
+    const std::uint64_t sent = granted.seq;
+    s.renew("x");
+    EXPECT_LE(left(), 10 - granted.shares[0].connections) << "it claims nothing, but may act on the grant";
+    s.seqs[{"x"}] = sent;
+    s.renew("x");
+    EXPECT_GE(left(), 8U);
+}
+
+TEST(shares_of_connections, are_divided_by_wishes_and_counted_by_holdings) {
+    share_ledger l;
+    const share_key key{.service = {"g"}, .server = {"s1"}};
+    const time_point now{std::chrono::seconds{100}};
+    const holder_number a = number_holder(l, {"a"});
+    const holder_number b = number_holder(l, {"b"});
+    const holder_number gone = number_holder(l, {"gone"});
+    l.counts_until[a] = now + milliseconds{1};
+    l.counts_until[b] = now + milliseconds{1};
+    note_holder(l, key, a, 3, 6);
+    note_holder(l, key, b, 4, 2);
+    note_holder(l, key, gone, 5, 5);
+    const share_decision expected{.target = 6, .held_by_others = 4};
+    EXPECT_EQ(decide_share(l, key, a, 6, 8, now), expected) << "the one whose time is over does not count";
+    set_reserves(l, key, {{"gone"}}, 1);
+    EXPECT_EQ(decide_share(l, key, a, 6, 8, now).held_by_others, 5U) << "but for its reserve";
+    forget_holder(l, b);
+    EXPECT_EQ(decide_share(l, key, a, 6, 8, now).held_by_others, 1U);
+}
+
 } // namespace
 } // namespace larchpin
--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -97,6 +97,17 @@
     }));
 }
 
+TEST(shares, a_part_is_what_the_whole_division_gives) {
+    EXPECT_TRUE(rc::check("fair part", [] {
+        const unsigned limit = *rc::gen::inRange(0U, 60U);
+        const unsigned own = *rc::gen::inRange(0U, 70U);
+        const auto others = *rc::gen::container<std::vector<unsigned>>(rc::gen::inRange(0U, 20U));
+        std::vector<unsigned> all{own};
+        all.insert(all.end(), others.begin(), others.end());
+        RC_ASSERT(fair_part(limit, own, others) == divide_fairly(limit, all).front());
+    }));
+}
+
 TEST(rendezvous, an_instance_that_leaves_moves_only_its_own_servers) {
     std::vector<observer_candidate> live;
     for (int i = 0; i < 12; ++i) {
