Statements run over home instances' connections where a server takes fewer than there are daemons

Weighed: passing shares round faster (150 to 250 ms for each use by whoever has none, above the objectives); more slots of readiness (nobody tells callers which daemon). Taken: a few home instances a server, chosen by rendezvous in each failure domain, hold its connections; others borrow one for a statement or a transaction (daemon/loans). The borrower keeps all decisions; the lender queues, plans the session's values, and checks the term once more.

--- a/src/core/cluster_state.hpp
+++ b/src/core/cluster_state.hpp
@@ -88,7 +88,8 @@
 struct instance_record {
     instance_id id;
     failure_domain domain;
-    std::string address; // "ip:port" of the peer listener
+    std::string address;        // "ip:port" of the peer listener
+    bool takes_callers = false; // has sessions, and so uses connections
     auto operator<=>(const instance_record&) const = default;
 };
 
--- a/src/core/control.cpp
+++ b/src/core/control.cpp
@@ -178,8 +178,7 @@
         return 0; // its record is not committed yet, so the others' shares do not count it
     }
     follow_reserves(c, s, claim.key, server->second);
-    const unsigned kept = std::min(c.config.kept_connections, service->max_connections - 1);
-    const unsigned limit = service->max_connections - kept;
+    const unsigned limit = connections_for_requests(service->max_connections, c.config.kept_connections);
     const share_decision decision =
         decide_share(c.shares, claim.key, c.daemons[daemon].number, claim.wanted, limit, now);
     // Until it is known what everyone holds, nobody gets more than it has.
--- a/src/core/rendezvous.cpp
+++ b/src/core/rendezvous.cpp
@@ -68,6 +68,35 @@
     return ids;
 }
 
+std::vector<instance_id> home_instances(const cluster_state& s, const server_id& server,
+                                        unsigned connections) {
+    // Below this many connections an instance each of two statements at once meets a closed door.
+    constexpr std::size_t plenty_per_instance = 2;
+    // A home's connections: one waits for another less often where several are in one place.
+    constexpr std::size_t connections_per_home = 4;
+    std::map<failure_domain, std::vector<ranked>> by_domain;
+    std::size_t users = 0;
+    for (const auto& [id, record] : s.instances) {
+        if (record.takes_callers) {
+            by_domain[record.domain].push_back({.rank = stable_hash(id.value, server.value), .id = id});
+            ++users;
+        }
+    }
+    std::vector<instance_id> homes;
+    if (connections >= users * plenty_per_instance) {
+        return homes;
+    }
+    const std::size_t wanted = std::max<std::size_t>(1, connections / connections_per_home);
+    const std::size_t per_domain = std::max<std::size_t>(1, wanted / by_domain.size());
+    for (auto& [domain, order] : by_domain) {
+        std::sort(order.begin(), order.end());
+        for (std::size_t i = 0; i < order.size() && i < per_domain; ++i) {
+            homes.push_back(order[i].id);
+        }
+    }
+    return homes;
+}
+
 std::vector<instance_id> reserve_holders(const cluster_state& s, const server_record& server) {
     auto holders = ranked_instances(s, server.domain, server.id);
     if (holders.size() > reserves_per_server) {
--- a/src/core/rendezvous.hpp
+++ b/src/core/rendezvous.hpp
@@ -30,6 +30,12 @@
 std::vector<instance_id> ranked_instances(const cluster_state& s, const failure_domain& domain,
                                           const server_id& server);
 
+// The instances that hold a server's connections for all, where those are fewer than twice the instances that
+// take callers: in each failure domain the best-ranked ones, each with room for some connections. Empty where
+// everyone holds its own.
+std::vector<instance_id> home_instances(const cluster_state& s, const server_id& server,
+                                        unsigned connections);
+
 // The instances in the server's own failure domain that keep a connection to it while cut off.
 std::vector<instance_id> reserve_holders(const cluster_state& s, const server_record& server);
 
--- a/src/core/share_ledger.cpp
+++ b/src/core/share_ledger.cpp
@@ -8,7 +8,8 @@
 share_holder& find_or_add(share_account& account, holder_number daemon) {
     const auto found = std::find_if(account.holders.begin(), account.holders.end(),
                                     [daemon](const share_holder& h) { return h.daemon == daemon; });
-    return found != account.holders.end() ? *found : account.holders.emplace_back(share_holder{.daemon = daemon});
+    return found != account.holders.end() ? *found
+                                          : account.holders.emplace_back(share_holder{.daemon = daemon});
 }
 
 void clear(share_account& account, holder_number daemon) {
@@ -18,7 +19,8 @@
             h.wanted = 0;
         }
     }
-    std::erase_if(account.holders, [](const share_holder& h) { return h.held == 0 && h.wanted == 0 && !h.reserve; });
+    std::erase_if(account.holders,
+                  [](const share_holder& h) { return h.held == 0 && h.wanted == 0 && !h.reserve; });
 }
 
 } // namespace
@@ -32,7 +34,8 @@
     return at->second;
 }
 
-void note_holder(share_ledger& l, const share_key& key, holder_number daemon, unsigned held, unsigned wanted) {
+void note_holder(share_ledger& l, const share_key& key, holder_number daemon, unsigned held,
+                 unsigned wanted) {
     share_holder& h = find_or_add(l.accounts[key], daemon);
     h.held = held;
     h.wanted = wanted;
--- a/src/core/share_ledger.hpp
+++ b/src/core/share_ledger.hpp
@@ -1,6 +1,6 @@
-// What the leading control instance knows of each share: who holds how many connections of it, and who wants how
-// many. Kept up to date by renewals, so that the answer to one costs a walk over small numbers: 76 daemons with 24
-// shares each renew some 600 times a second on a third of a core.
+// What the leading control instance knows of each share: who holds how many connections of it, and who wants
+// how many. Kept up to date by renewals, so that the answer to one costs a walk over small numbers: 76
+// daemons with 24 shares each renew some 600 times a second on a third of a core.
 //
 // Index
 //   [data]  [functions]
@@ -62,8 +62,8 @@
 void set_reserves(share_ledger& l, const share_key& key, const std::vector<instance_id>& reserves,
                   revision_number of_revision);
 
-// What `daemon`, which wants `wanted`, may have of `limit`. Daemons whose time has run out count with their reserve
-// only.
+// What `daemon`, which wants `wanted`, may have of `limit`. Daemons whose time has run out count with their
+// reserve only.
 share_decision decide_share(const share_ledger& l, const share_key& key, holder_number daemon,
                             unsigned wanted, unsigned limit, time_point now);
 
--- a/src/core/shares.cpp
+++ b/src/core/shares.cpp
@@ -40,6 +40,10 @@
     return std::min({own, (left + sharers - 1) / sharers, left});
 }
 
+unsigned connections_for_requests(unsigned limit, unsigned kept_for_probes) {
+    return limit - std::min(kept_for_probes, limit - 1);
+}
+
 unsigned next_share(unsigned limit, unsigned target, unsigned held_by_others) {
     const unsigned available = limit > held_by_others ? limit - held_by_others : 0;
     return std::min(target, available);
--- a/src/daemon/agent.cpp
+++ b/src/daemon/agent.cpp
@@ -5,6 +5,7 @@
 #include "daemon/agent.hpp"
 
 #include "core/rendezvous.hpp"
+#include "daemon/loans.hpp"
 #include "generated/larchpin.pb.h"
 #include "io/addresses.hpp"
 #include "io/clock.hpp"
@@ -66,6 +67,7 @@
     pools_.on_short_of_share = [this] {
         if (now() >= next_share_request_) {
             next_share_request_ = now() + share_request_interval;
+            asked_for_share_ = true;
             renew_soon();
         }
     };
@@ -143,7 +145,10 @@
 
 renewal agent::make_renewal() {
     renewal r;
-    r.instance = {.id = config_.id, .domain = config_.domain, .address = config_.peer_address};
+    r.instance = {.id = config_.id,
+                  .domain = config_.domain,
+                  .address = config_.peer_address,
+                  .takes_callers = takes_callers};
     r.incarnation = incarnation_;
     r.applied = cluster_.revision;
     r.last_reply_seq = last_reply_seq_;
@@ -299,9 +304,10 @@
         grew = grew || g.connections > (held == before.end() ? 0 : held->second);
         pools_.set_share(g.key, g.connections);
     }
-    if (!grew) {
+    if (asked_for_share_ && !grew) {
         next_share_request_ = now() + config_.lease / renewals_per_lease;
     }
+    asked_for_share_ = false;
 }
 
 //-----------------------------------------------------------------------------
@@ -578,26 +584,40 @@
 void agent::ask_primary(const group_id& group, const service_id& service, const server_record& primary) {
     const share_key key{.service = service, .server = primary.id};
     asking_primary_[group] = true;
-    pools_.request(key, primary, all_connections, request_class::critical, now() + position_patience,
-                   [this, key, group](const pool_answer& answer) {
-                       if (!answer.connection) {
+    const auto ask = [this, key, group](const std::shared_ptr<backend_connection>& connection,
+                                        connection_number number) {
+        const time_point asked_at = now();
+        backend_sink sink;
+        sink.on_done = [this, key, group, asked_at, number, connection](const backend_outcome& outcome) {
+            asking_primary_[group] = false;
+            if (outcome.position) {
+                note_position(key.server, asked_at, *outcome.position);
+            }
+            if (!connection->is_lent) {
+                connection->held = {}; // the probe resets the connection
+                pools_.release(key, number, outcome.answered, now() - asked_at);
+            }
+        };
+        connection->run(driver_.position_probe, sink);
+    };
+    const time_point until = now() + position_patience;
+    const loan_terms terms{.key = key,
+                           .klass = request_class::critical,
+                           .queue_until = until,
+                           .deadline = until,
+                           .on_primary = true,
+                           .term = cluster_.groups.at(group).term};
+    if (const auto lent = borrow ? borrow(terms) : nullptr) {
+        ask(lent, 0);
+        return;
+    }
+    pools_.request(key, primary, all_connections, request_class::critical, until,
+                   [this, group, ask](const pool_answer& answer) {
+                       if (answer.connection) {
+                           ask(answer.connection, answer.number);
+                       } else {
                            asking_primary_[group] = false;
-                           return;
                        }
-                       const time_point asked_at = now();
-                       const auto connection = answer.connection;
-                       const connection_number number = answer.number;
-                       backend_sink sink;
-                       sink.on_done = [this, key, group, asked_at, number,
-                                       connection](const backend_outcome& outcome) {
-                           asking_primary_[group] = false;
-                           connection->held = {}; // the probe resets the connection
-                           if (outcome.position) {
-                               note_position(key.server, asked_at, *outcome.position);
-                           }
-                           pools_.release(key, number, outcome.answered, now() - asked_at);
-                       };
-                       connection->run(driver_.position_probe, sink);
                    });
 }
 
--- a/src/daemon/agent.hpp
+++ b/src/daemon/agent.hpp
@@ -23,6 +23,8 @@
 
 namespace larchpin {
 
+struct loan_terms;
+
 namespace wire {
 class watch_reply;
 }
@@ -67,6 +69,10 @@
     std::string answer_announcement(const std::string& body);
     void answer_positions(const std::string& body, const http_respond& respond);
 
+    bool takes_callers = false; // told to control: whoever has sessions may hold connections for others
+    // A connection of another instance, where this one uses none of its own (see loans.hpp).
+    std::function<std::shared_ptr<backend_connection>(const loan_terms&)> borrow;
+
     // Called after every change of the copy or the lease: waiting requests may go on.
     std::function<void()> on_change;
 
@@ -135,6 +141,7 @@
     bool renewing_ = false;
     bool renew_again_ = false;
     time_point next_renewal_{};
+    bool asked_for_share_ = false;    // with the last renewal, before its time
     time_point next_share_request_{}; // no renewal before it for want of a connection
     std::uint64_t last_reply_seq_ = 0;
     // watching
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -52,8 +52,8 @@
                session_maker make_session)
     : io_(io), config_(config), keys_(keys), driver_(std::move(driver)),
       make_session_(std::move(make_session)), pools_(io, driver_),
-      agent_(io, config_, keys_, pools_, driver_), signals_(io, SIGTERM, SIGINT), reload_signal_(io, SIGHUP),
-      settings_timer_(io) {}
+      agent_(io, config_, keys_, pools_, driver_), loans_(io, config_, keys_, agent_, pools_, driver_),
+      signals_(io, SIGTERM, SIGINT), reload_signal_(io, SIGHUP), settings_timer_(io) {}
 
 http2_client& daemon::client_to(const std::string& address) {
     auto& client = clients_[address];
@@ -74,7 +74,8 @@
             io_, parse_endpoint(config_.peer_listen).value_or(asio::ip::tcp::endpoint{}), keys_,
             [this](const http_request& request, const http_respond& respond) { serve(request, respond); });
         if (make_session_) {
-            entry_ = std::make_unique<entry>(io_, config_, agent_, pools_, counts_, driver_, make_session_);
+            entry_ = std::make_unique<entry>(io_, config_, agent_, pools_, counts_, driver_, loans_,
+                                             make_session_);
         }
     } catch (const boost::system::system_error&) {
         return leaf::new_error(result_code::address_in_use);
@@ -91,6 +92,8 @@
             }
         };
     }
+    agent_.takes_callers = entry_ != nullptr;
+    agent_.borrow = [this](const loan_terms& terms) { return loans_.borrow(terms); };
     agent_.start();
     signals_.async_wait([this](const boost::system::error_code& error, int /*signal*/) {
         if (!error) {
@@ -168,6 +171,7 @@
         return;
     }
     stopping_ = true;
+    loans_.stop();
     log_event(severity::info, "daemon_stopping");
     const auto leave = [this](std::size_t) {
         agent_.stop([this] {
@@ -252,6 +256,8 @@
     counts_.set_gauge("revision", static_cast<double>(agent_.cluster().revision));
     counts_.set_gauge("connections_opened", static_cast<double>(pools_.counters().opened));
     counts_.set_gauge("connections_open_failed", static_cast<double>(pools_.counters().open_failed));
+    counts_.set_gauge("connections_borrowed", static_cast<double>(loans_.borrowed_count()));
+    counts_.set_gauge("connections_lent", static_cast<double>(loans_.lent_count()));
     counts_.set_gauge("queue_refusals", static_cast<double>(pools_.counters().refused));
 }
 
@@ -261,6 +267,8 @@
         reply(agent_.answer_announcement(request.body));
     } else if (request.path == "/v1/positions") {
         agent_.answer_positions(request.body, respond);
+    } else if (request.path == "/v1/loan") {
+        loans_.answer(request.body, respond);
     } else if (request.path == "/v1/cancel") {
         const auto space = request.body.find(' ');
         std::uint32_t process = 0;
--- a/src/daemon/daemon.hpp
+++ b/src/daemon/daemon.hpp
@@ -8,6 +8,7 @@
 #include "daemon/agent.hpp"
 #include "daemon/control_node.hpp"
 #include "daemon/entry.hpp"
+#include "daemon/loans.hpp"
 #include "daemon/pools.hpp"
 #include "io/http2.hpp"
 #include "io/metrics.hpp"
@@ -74,6 +75,7 @@
     metrics counts_;
     backend_pools pools_;
     agent agent_;
+    connection_loans loans_;
     std::unique_ptr<control_node> control_;
     std::unique_ptr<entry> entry_;
     std::unique_ptr<http2_server> server_;
--- a/src/daemon/entry.cpp
+++ b/src/daemon/entry.cpp
@@ -20,9 +20,9 @@
 } // namespace
 
 entry::entry(asio::io_context& context, const settings& s, agent& a, backend_pools& p, metrics& m,
-             const backend_driver& d, session_maker make_session)
-    : io(context), config(s), cluster(a), pools(p), counts(m), driver(d), random(std::random_device{}()),
-      make_session_(std::move(make_session)),
+             const backend_driver& d, connection_loans& l, session_maker make_session)
+    : io(context), config(s), cluster(a), pools(p), counts(m), driver(d), loans(l),
+      random(std::random_device{}()), make_session_(std::move(make_session)),
       acceptor_(context, parse_endpoint(s.entry_listen).value_or(tcp::endpoint{})), drain_timer_(context),
       lease_timer_(context) {
     if (!config.tls_certificate.empty()) {
--- a/src/daemon/entry.hpp
+++ b/src/daemon/entry.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "daemon/agent.hpp"
+#include "daemon/loans.hpp"
 #include "daemon/pools.hpp"
 #include "daemon/request_path.hpp"
 #include "io/metrics.hpp"
@@ -34,7 +35,7 @@
 public:
     // Throws boost::system::system_error where the address cannot be listened to or TLS cannot be set up.
     entry(boost::asio::io_context& context, const settings& s, agent& a, backend_pools& p, metrics& m,
-          const backend_driver& d, session_maker make_session);
+          const backend_driver& d, connection_loans& l, session_maker make_session);
 
     // Goes on as before for drain_notice, while the balancer learns of it; then refuses new sessions, lets
     // requests and transactions in flight finish (at most drain_time), then calls `done` with the number of
@@ -54,6 +55,7 @@
     backend_pools& pools;
     metrics& counts;
     const backend_driver& driver;
+    connection_loans& loans;
     std::unique_ptr<boost::asio::ssl::context> tls;
     std::mt19937_64 random;
     // Control has been out of reach for too long: callers are better served by another instance.
--- /dev/null
+++ b/src/daemon/loans.cpp
@@ -0,0 +1,511 @@
+// See loans.hpp.
+//
+// Index
+//   [messages]  [the borrower's connection]  [borrowing]  [lending]
+#include "daemon/loans.hpp"
+
+#include "core/rendezvous.hpp"
+#include "generated/larchpin.pb.h"
+#include "io/addresses.hpp"
+#include "io/clock.hpp"
+#include "io/log.hpp"
+
+#include <boost/asio/post.hpp>
+
+#include <algorithm>
+
+namespace larchpin {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr unsigned homes_tried = 3;
+// A home that did not answer is left alone for so long: a restart takes 0.3 s (measured on the platform).
+constexpr duration home_pause = std::chrono::milliseconds{500};
+// Beyond the request's own deadline, for the lender's answer to come back.
+constexpr duration answer_slack = std::chrono::milliseconds{100};
+// A loan that nobody uses; longer than the idle limit of a usual table (3 s), which the borrower watches.
+constexpr duration idle_loan_time = std::chrono::seconds{10};
+constexpr duration tick_interval = std::chrono::seconds{1};
+constexpr duration drop_timeout = std::chrono::seconds{1};
+constexpr duration lost_pause = std::chrono::milliseconds{20};
+
+std::uint64_t to_us(duration d) {
+    return static_cast<std::uint64_t>(
+        std::max<std::int64_t>(0, std::chrono::duration_cast<std::chrono::microseconds>(d).count()));
+}
+
+duration from_us(std::uint64_t us) {
+    return std::chrono::microseconds{static_cast<std::int64_t>(us)};
+}
+
+//-----------------------------------------------------------------------------
+// [messages]
+//-----------------------------------------------------------------------------
+
+wire::loan_request make_request(const loan_terms& terms, std::uint64_t number, bool is_new,
+                                const backend_request& request) {
+    wire::loan_request m;
+    m.set_loan(number);
+    m.set_is_new(is_new);
+    m.set_service(terms.key.service.value);
+    m.set_server(terms.key.server.value);
+    m.set_klass(static_cast<std::uint32_t>(terms.klass));
+    m.set_wait_us(to_us(terms.queue_until - now()));
+    m.set_on_primary(terms.on_primary);
+    m.set_term(terms.term);
+    m.set_id(request.id);
+    m.set_text(request.text);
+    if (request.floor) {
+        m.set_has_floor(true);
+        m.set_floor_timeline(request.floor->timeline);
+        m.set_floor_position(request.floor->position);
+    }
+    for (const auto& [name, value] : request.session_values) {
+        auto* v = m.add_values();
+        v->set_name(name);
+        v->set_value(value);
+    }
+    if (request.session_statement) {
+        m.mutable_prepared()->set_writes(request.session_statement->writes);
+        m.mutable_prepared()->set_shape(request.session_statement->shape);
+    }
+    return m;
+}
+
+backend_request read_request(const wire::loan_request& m) {
+    backend_request request;
+    request.id = m.id();
+    request.text = m.text();
+    if (m.has_floor()) {
+        request.floor = log_mark{.timeline = m.floor_timeline(), .position = m.floor_position()};
+    }
+    for (const auto& v : m.values()) {
+        request.session_values[v.name()] = v.value();
+    }
+    if (m.has_prepared()) {
+        request.session_statement =
+            prepared_statement{.writes = m.prepared().writes(), .shape = m.prepared().shape()};
+    }
+    return request;
+}
+
+std::string make_reply(const backend_outcome& outcome, const std::string& bytes) {
+    wire::loan_reply m;
+    m.set_answered(outcome.answered);
+    m.set_failed(outcome.failed);
+    m.set_refusal(static_cast<std::uint32_t>(outcome.refusal));
+    m.set_steps_failed(outcome.steps_failed);
+    if (outcome.position) {
+        m.set_has_position(true);
+        m.set_timeline(outcome.position->timeline);
+        m.set_position(outcome.position->position);
+    }
+    m.set_error_code(outcome.error_code);
+    m.set_transaction(static_cast<std::uint32_t>(outcome.transaction));
+    m.set_first_value(outcome.first_value);
+    m.set_error_message(outcome.error_message);
+    m.set_bytes(bytes);
+    return m.SerializeAsString();
+}
+
+std::string make_refusal(result_code code, duration retry_after) {
+    wire::loan_reply m;
+    m.set_code(static_cast<std::uint32_t>(code));
+    m.set_retry_after_us(to_us(retry_after));
+    return m.SerializeAsString();
+}
+
+backend_outcome read_outcome(const wire::loan_reply& m) {
+    backend_outcome outcome;
+    outcome.refused = static_cast<result_code>(m.code());
+    outcome.retry_after = from_us(m.retry_after_us());
+    outcome.answered = m.answered();
+    outcome.failed = m.failed();
+    outcome.refusal = static_cast<server_refusal>(m.refusal());
+    outcome.steps_failed = m.steps_failed();
+    if (m.has_position()) {
+        outcome.position = log_mark{.timeline = m.timeline(), .position = m.position()};
+    }
+    outcome.error_code = m.error_code();
+    outcome.transaction = static_cast<char>(m.transaction());
+    outcome.first_value = m.first_value();
+    outcome.error_message = m.error_message();
+    return outcome;
+}
+
+} // namespace
+
+//-----------------------------------------------------------------------------
+// [the borrower's connection]
+//-----------------------------------------------------------------------------
+
+// Stands for the home's connection; its loan lasts from the first request to the end of the transaction.
+class lent_connection : public std::enable_shared_from_this<lent_connection> {
+public:
+    lent_connection(connection_loans& owner, loan_terms terms) : owner_(owner), terms_(std::move(terms)) {}
+
+    void run(const backend_request& request, backend_sink sink) {
+        sink_ = std::move(sink);
+        running_ = true;
+        if (!is_lent_) {
+            homes_ = owner_.rank_homes(terms_.key);
+            tried_ = 0;
+            number_ = owner_.random_();
+        }
+        request_ = request;
+        send();
+    }
+
+    // Ends the loan; the home closes the server's connection, which rolls back.
+    void close() {
+        running_ = false;
+        sink_ = {};
+        if (home_.empty()) {
+            return;
+        }
+        wire::loan_request m;
+        m.set_loan(number_);
+        m.set_drop(true);
+        owner_.client_to(home_).post("/v1/loan", m.SerializeAsString(), drop_timeout,
+                                     [](const http_outcome&) {});
+        home_.clear();
+    }
+
+    [[nodiscard]] bool is_running() const { return running_; }
+
+private:
+    void send() {
+        if (!is_lent_) {
+            if (homes_.empty()) {
+                refuse(result_code::no_replica, lost_pause);
+                return;
+            }
+            home_ = homes_[tried_ % homes_.size()];
+        }
+        const wire::loan_request m = make_request(terms_, number_, !is_lent_, request_);
+        const duration time = std::max(terms_.deadline - now(), duration{0}) + answer_slack;
+        owner_.client_to(home_).post("/v1/loan", m.SerializeAsString(), time,
+                                     [self = shared_from_this(), number = number_](const http_outcome& o) {
+                                         if (self->running_ && number == self->number_) {
+                                             self->on_reply(o);
+                                         }
+                                     });
+    }
+
+    void on_reply(const http_outcome& o) {
+        wire::loan_reply m;
+        const bool answered = o.answered && o.status == 200 && m.ParseFromString(o.body);
+        owner_.note_home(home_, answered);
+        if (!answered) {
+            finish({}, {});
+            return;
+        }
+        const backend_outcome outcome = read_outcome(m);
+        const bool another = outcome.refused == result_code::stopping ||
+                             outcome.refused == result_code::no_lease ||
+                             outcome.refused == result_code::connection_lost;
+        if (another && !is_lent_ && ++tried_ < std::min<std::size_t>(homes_tried, homes_.size())) {
+            number_ = owner_.random_();
+            send();
+            return;
+        }
+        finish(outcome, m.bytes());
+    }
+
+    void refuse(result_code code, duration retry_after) {
+        backend_outcome outcome;
+        outcome.refused = code;
+        outcome.retry_after = retry_after;
+        asio::post(owner_.io_, [self = shared_from_this(), outcome] { self->finish(outcome, {}); });
+    }
+
+    void finish(const backend_outcome& outcome, const std::string& bytes) {
+        if (!running_) {
+            return;
+        }
+        running_ = false;
+        is_lent_ = outcome.answered && outcome.transaction != 'I';
+        if (!is_lent_) {
+            home_.clear();
+        }
+        const backend_sink sink = std::move(sink_);
+        sink_ = {};
+        if (outcome.answered && !outcome.failed && sink.on_bytes) {
+            sink.on_bytes(bytes);
+        }
+        if (sink.on_done) {
+            sink.on_done(outcome);
+        }
+    }
+
+    connection_loans& owner_;
+    loan_terms terms_;
+    std::vector<std::string> homes_; // addresses, best first
+    std::size_t tried_ = 0;
+    std::string home_; // where the loan is, or is asked for; empty: none
+    std::uint64_t number_ = 0;
+    backend_request request_;
+    backend_sink sink_;
+    bool is_lent_ = false; // a transaction is open there
+    bool running_ = false;
+};
+
+//-----------------------------------------------------------------------------
+// [borrowing]
+//-----------------------------------------------------------------------------
+
+connection_loans::connection_loans(asio::io_context& io, const settings& config, const shared_keys& keys,
+                                   agent& cluster, backend_pools& pools, const backend_driver& driver)
+    : io_(io), config_(config), keys_(keys), cluster_(cluster), pools_(pools), driver_(driver), timer_(io),
+      random_(std::random_device{}()) {
+    on_tick();
+}
+
+std::shared_ptr<backend_connection> connection_loans::borrow(const loan_terms& terms) {
+    const auto& homes = homes_of(terms.key);
+    const bool is_home = std::find(homes.begin(), homes.end(), config_.id) != homes.end();
+    if (homes.empty() || is_home || !driver_.servers_enforce_floor) {
+        return nullptr;
+    }
+    ++borrowed_;
+    const auto behind = std::make_shared<lent_connection>(*this, terms);
+    auto handle = std::make_shared<backend_connection>();
+    handle->is_lent = true;
+    handle->connect = [](const connect_callback& done) { done(connect_result::connected); };
+    handle->run = [behind](const backend_request& request, backend_sink sink) {
+        behind->run(request, std::move(sink));
+    };
+    handle->cancel_running = [] {}; // closing ends the statement
+    handle->pause = [] {};
+    handle->resume = [] {};
+    handle->close = [behind] { behind->close(); };
+    handle->is_open = [] { return true; };
+    handle->is_running = [behind] { return behind->is_running(); };
+    return handle;
+}
+
+const std::vector<instance_id>& connection_loans::homes_of(const share_key& key) {
+    const cluster_state& s = cluster_.cluster();
+    if (homes_instances_revision_ != s.instances_revision || homes_table_revision_ != s.table_revision) {
+        homes_.clear();
+        homes_instances_revision_ = s.instances_revision;
+        homes_table_revision_ = s.table_revision;
+    }
+    const auto known = homes_.find(key);
+    if (known != homes_.end()) {
+        return known->second;
+    }
+    const service_entry* service = find_service(s.current, key.service);
+    std::vector<instance_id> homes;
+    if (service != nullptr) {
+        homes = home_instances(s, key.server,
+                               connections_for_requests(service->max_connections, config_.kept_connections));
+    }
+    return homes_.emplace(key, std::move(homes)).first->second;
+}
+
+// Those that answer come first, among them the ones of this failure domain, each group in a random order.
+std::vector<std::string> connection_loans::rank_homes(const share_key& key) {
+    const cluster_state& s = cluster_.cluster();
+    std::vector<std::pair<int, std::string>> order;
+    for (const instance_id& id : homes_of(key)) {
+        const auto record = s.instances.find(id);
+        if (record == s.instances.end()) {
+            continue;
+        }
+        const auto avoided = avoided_until_.find(record->second.address);
+        const bool silent = avoided != avoided_until_.end() && now() < avoided->second;
+        const bool far = record->second.domain != config_.domain;
+        order.emplace_back((silent ? 2 : 0) + (far ? 1 : 0), record->second.address);
+    }
+    std::shuffle(order.begin(), order.end(), random_);
+    std::stable_sort(order.begin(), order.end(),
+                     [](const auto& a, const auto& b) { return a.first < b.first; });
+    std::vector<std::string> addresses;
+    addresses.reserve(order.size());
+    for (auto& [rank, address] : order) {
+        addresses.push_back(std::move(address));
+    }
+    return addresses;
+}
+
+void connection_loans::note_home(const std::string& address, bool answers) {
+    const bool was_avoided = avoided_until_.erase(address) > 0;
+    if (!answers) {
+        avoided_until_[address] = now() + home_pause;
+    }
+    if (was_avoided == answers) {
+        log_event(answers ? severity::info : severity::warning, answers ? "home_answers" : "home_silent",
+                  {{"home", address}});
+    }
+}
+
+http2_client& connection_loans::client_to(const std::string& address) {
+    auto& client = clients_[address];
+    if (!client) {
+        client = std::make_unique<http2_client>(
+            io_, parse_endpoint(address).value_or(asio::ip::tcp::endpoint{}), keys_);
+    }
+    return *client;
+}
+
+//-----------------------------------------------------------------------------
+// [lending]
+//-----------------------------------------------------------------------------
+
+void connection_loans::answer(const std::string& body, const http_respond& respond) {
+    wire::loan_request m;
+    const auto reply = [&respond](const std::string& bytes) { respond({.status = 200, .body = bytes}); };
+    if (!m.ParseFromString(body)) {
+        reply(make_refusal(result_code::bad_message, {}));
+        return;
+    }
+    if (m.drop()) {
+        end_loan(m.loan(), false);
+        reply("");
+    } else if (m.is_new()) {
+        begin_loan(m, respond);
+    } else if (loans_.contains(m.loan()) && !loans_[m.loan()].running) {
+        run(m.loan(), m, respond);
+    } else {
+        reply(make_reply({}, {})); // its transaction is gone
+    }
+}
+
+// The same look that the borrower takes; here it is newer by the way and the wait.
+bool connection_loans::may_send(const loan& l) const {
+    if (!l.on_primary) {
+        return true;
+    }
+    const auto server = cluster_.cluster().servers.find(l.key.server);
+    if (server == cluster_.cluster().servers.end() || !cluster_.has_lease()) {
+        return false;
+    }
+    const auto group = cluster_.cluster().groups.find(server->second.group);
+    return group != cluster_.cluster().groups.end() && group->second.phase == group_phase::serving &&
+           group->second.term == l.term && group->second.primary == l.key.server;
+}
+
+void connection_loans::begin_loan(const wire::loan_request& request, const http_respond& respond) {
+    const share_key key{.service = {request.service()}, .server = {request.server()}};
+    const auto server = cluster_.cluster().servers.find(key.server);
+    const service_entry* service = find_service(cluster_.cluster().current, key.service);
+    const bool known = server != cluster_.cluster().servers.end() && service != nullptr;
+    if (stopping_ || !known || request.klass() >= request_class_count) {
+        const result_code code = stopping_ ? result_code::stopping : result_code::no_replica;
+        respond({.status = 200, .body = make_refusal(code, lost_pause)});
+        return;
+    }
+    ++lent_;
+    const std::uint64_t number = request.loan();
+    loan& begun = loans_[number];
+    begun.key = key;
+    begun.on_primary = request.on_primary();
+    begun.term = request.term();
+    begun.since = now();
+    begun.used_at = begun.since;
+    const request_number waiting = pools_.request(
+        key, server->second, service->background_share, static_cast<request_class>(request.klass()),
+        now() + from_us(request.wait_us()), [this, number, request, respond](const pool_answer& answer) {
+            on_connection(number, request, respond, answer);
+        });
+    const auto still = loans_.find(number); // it may have been answered, or refused, at once
+    if (still != loans_.end() && !still->second.connection) {
+        still->second.waiting = waiting;
+    }
+}
+
+void connection_loans::on_connection(std::uint64_t number, const wire::loan_request& request,
+                                     const http_respond& respond, const pool_answer& answer) {
+    const auto found = loans_.find(number);
+    if (!answer.connection || found == loans_.end()) {
+        if (answer.connection) {
+            pools_.release({.service = {request.service()}, .server = {request.server()}}, answer.number,
+                           true, duration{0});
+        }
+        loans_.erase(number);
+        const result_code code = answer.connection ? result_code::stopping : answer.code;
+        respond({.status = 200, .body = make_refusal(code, answer.retry_after)});
+        return;
+    }
+    loan& l = found->second;
+    l.waiting = 0;
+    l.number = answer.number;
+    l.connection = answer.connection;
+    l.since = now();
+    if (!may_send(l)) {
+        end_loan(number, true);
+        respond({.status = 200, .body = make_refusal(result_code::term_changed, lost_pause)});
+        return;
+    }
+    run(number, request, respond);
+}
+
+void connection_loans::run(std::uint64_t number, const wire::loan_request& m, const http_respond& respond) {
+    loan& l = loans_[number];
+    l.running = true;
+    l.used_at = now();
+    backend_request request = read_request(m);
+    const auto connection = l.connection;
+    prepare_context(*connection, request);
+    if (request.text == driver_.position_probe.text) {
+        connection->held = {}; // the probe resets the connection
+    }
+    const auto bytes = std::make_shared<std::string>();
+    backend_sink sink;
+    sink.hold_errors = true;
+    sink.keep_first_row = true;
+    sink.on_bytes = [bytes](std::string_view more) { bytes->append(more); };
+    sink.on_done = [this, number, connection, bytes, respond](const backend_outcome& outcome) {
+        note_context(*connection, outcome);
+        const auto still = loans_.find(number);
+        if (still != loans_.end()) {
+            still->second.running = false;
+            still->second.used_at = now();
+            if (!outcome.answered || outcome.transaction == 'I') {
+                end_loan(number, outcome.answered);
+            }
+        }
+        respond({.status = 200, .body = make_reply(outcome, *bytes)});
+    };
+    connection->run(request, std::move(sink));
+}
+
+// A connection that is in the middle of an answer or of a transaction cannot be used again.
+void connection_loans::end_loan(std::uint64_t number, bool reusable) {
+    const auto found = loans_.find(number);
+    if (found == loans_.end()) {
+        return;
+    }
+    const loan ended = found->second;
+    loans_.erase(found);
+    if (ended.connection) {
+        pools_.release(ended.key, ended.number, reusable && !ended.running, now() - ended.since);
+    } else {
+        pools_.cancel(ended.key, ended.waiting);
+    }
+}
+
+void connection_loans::on_tick() {
+    std::vector<std::uint64_t> unused;
+    for (const auto& [number, l] : loans_) {
+        if (l.connection && !l.running && now() - l.used_at >= idle_loan_time) {
+            unused.push_back(number);
+        }
+    }
+    for (const std::uint64_t number : unused) {
+        log_event(severity::warning, "loan_forgotten",
+                  {{"loan", number}, {"server", loans_[number].key.server.value}});
+        end_loan(number, false);
+    }
+    timer_.expires_after(tick_interval);
+    timer_.async_wait([this](const boost::system::error_code& error) {
+        if (!error) {
+            on_tick();
+        }
+    });
+}
+
+} // namespace larchpin
--- /dev/null
+++ b/src/daemon/loans.hpp
@@ -0,0 +1,111 @@
+// Connections lent between daemons, where a backend server takes fewer of them than there are daemons.
+//
+// A few home instances a server (core/rendezvous, home_instances) hold its connections; all others run their
+// statements over a home's, one at a time or a transaction long. The borrower decides everything about its
+// request: lease, term, outcome. The lender queues it in its own pool, brings the session's values into
+// effect, and checks the term once more before it sends anything to a primary.
+//
+// A loan begins with a borrower's request, under a number that the borrower chose, and ends when the server
+// is outside a transaction after an answer, when the borrower drops it, or when nobody has used it for long.
+// A request whose answer does not come may have run; a refusal says that it did not.
+//
+// Index
+//   [terms]  [loans]
+#pragma once
+
+#include "daemon/agent.hpp"
+#include "daemon/pools.hpp"
+#include "io/http2.hpp"
+
+#include <memory>
+#include <random>
+
+namespace larchpin::wire {
+class loan_request;
+class loan_reply;
+} // namespace larchpin::wire
+
+namespace larchpin {
+
+//-----------------------------------------------------------------------------
+// [terms]
+//-----------------------------------------------------------------------------
+
+struct loan_terms {
+    share_key key;
+    request_class klass = request_class::normal;
+    time_point queue_until{}; // waits so long for a connection at most
+    time_point deadline{};    // of the request
+    bool on_primary = false;  // the server must be the primary of `term` when the request is sent
+    term_number term = 0;
+};
+
+//-----------------------------------------------------------------------------
+// [loans]
+//-----------------------------------------------------------------------------
+
+class connection_loans {
+public:
+    connection_loans(boost::asio::io_context& io, const settings& config, const shared_keys& keys,
+                     agent& cluster, backend_pools& pools, const backend_driver& driver);
+
+    // A connection of a home instance; nothing where this instance uses its own for the server. It is
+    // borrowed with the first request, whose outcome says `refused` where no home could lend one.
+    std::shared_ptr<backend_connection> borrow(const loan_terms& terms);
+
+    // Body of /v1/loan: another instance's request on one of our connections.
+    void answer(const std::string& body, const http_respond& respond);
+
+    void stop() { stopping_ = true; } // lends no more; what is lent goes on to its end
+    [[nodiscard]] std::uint64_t borrowed_count() const { return borrowed_; }
+    [[nodiscard]] std::uint64_t lent_count() const { return lent_; }
+
+private:
+    friend class lent_connection;
+
+    struct loan {
+        share_key key;
+        bool on_primary = false;
+        term_number term = 0;
+        request_number waiting = 0; // in the pool's queue
+        connection_number number = 0;
+        std::shared_ptr<backend_connection> connection;
+        bool running = false;
+        time_point since{};
+        time_point used_at{};
+    };
+
+    // [borrowing]
+    std::vector<std::string> rank_homes(const share_key& key);
+    const std::vector<instance_id>& homes_of(const share_key& key);
+    void note_home(const std::string& address, bool answers);
+    http2_client& client_to(const std::string& address);
+    // [lending]
+    void begin_loan(const wire::loan_request& request, const http_respond& respond);
+    void on_connection(std::uint64_t number, const wire::loan_request& request, const http_respond& respond,
+                       const pool_answer& answer);
+    void run(std::uint64_t number, const wire::loan_request& request, const http_respond& respond);
+    void end_loan(std::uint64_t number, bool reusable);
+    [[nodiscard]] bool may_send(const loan& l) const;
+    void on_tick();
+
+    boost::asio::io_context& io_;
+    const settings& config_;
+    shared_keys keys_;
+    agent& cluster_;
+    backend_pools& pools_;
+    const backend_driver& driver_;
+    boost::asio::steady_timer timer_;
+    std::mt19937_64 random_;
+    std::map<std::uint64_t, loan> loans_; // lent, by the borrowers' numbers
+    std::map<share_key, std::vector<instance_id>> homes_;
+    revision_number homes_instances_revision_ = 0; // that `homes_` was made from
+    revision_number homes_table_revision_ = 0;
+    std::map<std::string, time_point> avoided_until_; // homes that did not answer, by address
+    std::map<std::string, std::unique_ptr<http2_client>> clients_;
+    std::uint64_t borrowed_ = 0;
+    std::uint64_t lent_ = 0;
+    bool stopping_ = false;
+};
+
+} // namespace larchpin
--- a/src/daemon/request_path.cpp
+++ b/src/daemon/request_path.cpp
@@ -249,6 +249,15 @@
     arm_timer(r.deadline);
     owner_.cluster.note_request_started(r.server);
     const share_key key{.service = state.service, .server = r.server};
+    if (const auto lent = owner_.loans.borrow({.key = key,
+                                               .klass = state.settings.klass,
+                                               .queue_until = queue_until,
+                                               .deadline = r.deadline,
+                                               .on_primary = r.on_primary,
+                                               .term = r.term})) {
+        use_connection(lent, 0);
+        return;
+    }
     const std::uint64_t serial = r.serial;
     const auto self = shared_from_this();
     const request_number number =
@@ -301,10 +310,16 @@
         finish_with_error(answer.code, run_state::not_run, std::max(answer.retry_after, lost_server_pause));
         return;
     }
+    use_connection(answer.connection, answer.number);
+}
+
+void request_path::use_connection(const std::shared_ptr<backend_connection>& connection,
+                                  connection_number number) {
+    active_request& r = *active_;
     r.used_from = now();
     pinned_ = pinned_connection{.key = {.service = state.service, .server = r.server},
-                                .number = answer.number,
-                                .connection = answer.connection,
+                                .number = number,
+                                .connection = connection,
                                 .server = r.server,
                                 .on_primary = r.on_primary,
                                 .term = r.term,
@@ -320,6 +335,25 @@
     run_settings();
 }
 
+// The other instance had no connection to lend, and nothing was sent.
+void request_path::on_loan_refused(const backend_outcome& outcome) {
+    active_request& r = *active_;
+    if (pinned_->in_transaction()) {
+        on_connection_lost(); // with the loan the transaction is gone
+        return;
+    }
+    owner_.cluster.note_request_ended(r.server, true, duration{0});
+    give_back(false);
+    r.serial = next_serial_++;
+    if (!r.on_primary && ++r.attempts < r.what.max_attempts) {
+        r.avoid.push_back(r.server);
+        route();
+        return;
+    }
+    lost_transaction_ = !r.what.begin.empty(); // it never began
+    finish_with_error(outcome.refused, run_state::not_run, std::max(outcome.retry_after, lost_server_pause));
+}
+
 void request_path::run_settings() {
     if (pinned_->connection->applied_settings == settings_text) {
         run_begin();
@@ -429,19 +463,24 @@
     if (!pinned_ || pinned_->in_transaction()) {
         return;
     }
-    const pinned_connection held = *pinned_;
-    pinned_.reset();
-    held.connection->resume();
-    owner_.pools.release(held.key, held.number, true, now() - held.since);
+    give_back(true);
 }
 
 void request_path::drop_connection() {
-    if (!pinned_) {
-        return;
+    if (pinned_) {
+        give_back(false);
     }
+}
+
+void request_path::give_back(bool reusable) {
     const pinned_connection held = *pinned_;
     pinned_.reset();
-    owner_.pools.release(held.key, held.number, false, now() - held.since);
+    if (!held.connection->is_lent) {
+        held.connection->resume();
+        owner_.pools.release(held.key, held.number, reusable, now() - held.since);
+    } else if (!reusable) {
+        held.connection->close();
+    }
 }
 
 void request_path::drop_transaction() {
--- a/src/daemon/request_path.hpp
+++ b/src/daemon/request_path.hpp
@@ -174,6 +174,9 @@
     void queue();
     void leave_queue();
     void on_connection(const pool_answer& answer);
+    void use_connection(const std::shared_ptr<backend_connection>& connection, connection_number number);
+    void on_loan_refused(const backend_outcome& outcome);
+    void give_back(bool reusable);
     void run_settings();
     // [running]
     void run_begin();
--- a/src/daemon/request_run.cpp
+++ b/src/daemon/request_run.cpp
@@ -40,9 +40,10 @@
 void request_path::run_on_server(backend_request request, backend_sink sink) {
     const auto connection = pinned_->connection;
     if (owner_.driver.servers_enforce_floor) {
-        request.steps = plan_context(connection->held, values, active_->what.prepared);
-        for (const context_step& step : request.steps) {
-            apply_step(connection->held, step);
+        request.session_values = values;
+        request.session_statement = active_->what.prepared;
+        if (!connection->is_lent) {
+            prepare_context(*connection, request);
         }
     }
     active_->sent_at = now();
@@ -54,10 +55,7 @@
     if (outcome.position) {
         owner_.cluster.note_position(active_->server, active_->sent_at, *outcome.position);
     }
-    if (outcome.steps_failed || outcome.refusal == server_refusal::no_statement) {
-        pinned_->connection->held = {};
-        pinned_->connection->held.values["?"] = ""; // a reset comes first
-    }
+    note_context(*pinned_->connection, outcome);
 }
 
 // Runs a statement of larchpin's own; `next` is called where it was answered.
@@ -77,6 +75,10 @@
         if (!self->active_ || self->active_->serial != serial || self->closed_) {
             return;
         }
+        if (outcome.refused != result_code::ok) {
+            self->on_loan_refused(outcome);
+            return;
+        }
         if (!outcome.answered) {
             self->on_connection_lost();
             return;
@@ -244,6 +246,10 @@
 
 void request_path::on_statement_done(const backend_outcome& outcome) {
     active_request& r = *active_;
+    if (outcome.refused != result_code::ok) {
+        on_loan_refused(outcome);
+        return;
+    }
     if (!outcome.answered) {
         on_connection_lost();
         return;
--- a/src/io/backend_connection.hpp
+++ b/src/io/backend_connection.hpp
@@ -11,6 +11,7 @@
 // A connection whose answer is unfinished cannot be used again: close it.
 #pragma once
 
+#include "core/result_codes.hpp"
 #include "core/session_context.hpp"
 #include "core/types.hpp"
 
@@ -44,8 +45,10 @@
     std::vector<int> formats;
     int result_format = 0;
     // Only for servers that take them (see backend_driver)
-    std::vector<context_step> steps; // to be carried out before it, in the same write
-    std::optional<log_mark> floor;   // the server refuses the request if its log has not come so far
+    std::vector<context_step> steps;                     // to be carried out before it, in the same write
+    std::map<std::string, std::string> session_values;   // what the steps bring into effect
+    std::optional<prepared_statement> session_statement; // and what they prepare
+    std::optional<log_mark> floor; // the server refuses the request if its log has not come so far
 };
 
 // A server's own word that it has not run a request, and why.
@@ -68,6 +71,9 @@
     char transaction = 'I';           // I idle, T in a transaction, E in a failed one
     std::string first_value;          // first row's columns, tab between; only where keep_first_row was set
     std::string error_message;        // bytes of the first error, for the caller
+    // A connection of another instance could not be had: the request did not run. ok: it could.
+    result_code refused = result_code::ok;
+    duration retry_after{0};
 };
 
 struct backend_sink {
@@ -98,6 +104,14 @@
 
     std::string applied_settings; // of the pool's last user, as text (PostgreSQL sessions)
     connection_context held;      // of the pool's last users, where steps are taken
+    bool is_lent = false; // by another instance, which knows what the connection holds and plans the steps
 };
 
+// Plans the steps that bring a request's session values into effect on this connection, and notes them as
+// held.
+void prepare_context(backend_connection& connection, backend_request& request);
+
+// Takes up what an answer says of the context: after a failed step nobody knows what the connection holds.
+void note_context(backend_connection& connection, const backend_outcome& outcome);
+
 } // namespace larchpin
--- a/src/io/codec.cpp
+++ b/src/io/codec.cpp
@@ -153,13 +153,15 @@
 }
 
 instance_record from_wire(const wire::instance_record& m) {
-    return {.id = {m.id()}, .domain = {m.domain()}, .address = m.address()};
+    return {
+        .id = {m.id()}, .domain = {m.domain()}, .address = m.address(), .takes_callers = m.takes_callers()};
 }
 
 void to_wire(const instance_record& v, wire::instance_record& m) {
     m.set_id(v.id.value);
     m.set_domain(v.domain.value);
     m.set_address(v.address);
+    m.set_takes_callers(v.takes_callers);
 }
 
 //-----------------------------------------------------------------------------
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -1,7 +1,8 @@
 // The users' platform: its messages, and the product behind them on a small site without the bench.
 //
 // Index
-//   [messages]  [bodies]  [table]  [sessions]  [freshness]  [transactions]  [outcomes]  [failover]  [lease]
+//   [messages]  [bodies]  [table]  [sessions]  [freshness]  [transactions]  [outcomes]  [failover]  [loans]
+//   [lease]
 #include "operator_messages.hpp"
 #include "platform_site.hpp"
 
@@ -396,6 +397,108 @@
 //-----------------------------------------------------------------------------
 // [lease]
 //-----------------------------------------------------------------------------
+// [loans]
+//-----------------------------------------------------------------------------
+
+// Two daemons that take callers, and fewer connections than they need: one of them holds them all.
+struct scarce_site {
+    platform_site site;
+    site_daemon* borrower = nullptr; // of the primary's connections
+
+    scarce_site() {
+        constexpr unsigned few = 2;
+        site.start();
+        site.add_entry();
+        std::string body = platform_site::table_body(9); // above the one that the site starts with
+        const std::string plenty = "\"max_connections\":20";
+        body.replace(body.find(plenty), plenty.size(), "\"max_connections\":" + std::to_string(few));
+        EXPECT_EQ(site.post(site.daemons.front().control_port, "/larchpin/config/replace", body).status, 200);
+        EXPECT_TRUE(site.run_until([&] {
+            return std::all_of(site.daemons.begin(), site.daemons.end(), [&](const site_daemon& d) {
+                return d.core->cluster().current.services.at(0).max_connections == few;
+            });
+        }));
+        for (site_daemon& d : site.daemons) {
+            line_caller c = open(d, "strict");
+            EXPECT_EQ(c.ask("warm" + std::to_string(d.entry_port), "FETCH k").state, "I");
+            borrower = has_borrowed(d) ? &d : borrower;
+        }
+    }
+    line_caller open(const site_daemon& d, const std::string& database) {
+        line_caller c(site, d.entry_port);
+        c.open("STARTUP " + database + " somebody");
+        return c;
+    }
+    static bool has_borrowed(const site_daemon& d) {
+        return d.core->metrics_text().find("connections_borrowed 0") == std::string::npos;
+    }
+};
+
+TEST(loans, an_instance_without_connections_serves_over_anothers) {
+    scarce_site s;
+    ASSERT_NE(s.borrower, nullptr);
+    line_caller c = s.open(*s.borrower, "shop");
+    EXPECT_EQ(c.ask("w", "STORE k v").state, "I");
+    EXPECT_EQ(c.ask("r", "FETCH k").rows.size(), 1U);
+    EXPECT_EQ(s.site.statements_with("r").at(0).text, "WAITLSN 1.1 FETCH k") << "the floor goes along";
+    c.ask("v", "SET x 1");
+    c.ask("p", "PREPARE n FETCH shape");
+    EXPECT_EQ(c.ask("e", "EXECUTE n k").rows.size(), 1U);
+    EXPECT_EQ(s.site.statements_with("e").at(0).values, (std::map<std::string, std::string>{{"x", "1"}}));
+}
+
+TEST(loans, a_transaction_keeps_its_connection_to_the_end) {
+    scarce_site s;
+    ASSERT_NE(s.borrower, nullptr);
+    line_caller c = s.open(*s.borrower, "strict");
+    c.ask("b", "BEGIN");
+    EXPECT_EQ(c.ask("1", "STORE k v").state, "T");
+    EXPECT_EQ(c.ask("2", "STORE l v").state, "T");
+    EXPECT_EQ(c.ask("c", "COMMIT").state, "I");
+    EXPECT_EQ(s.site.statements_with("1").at(0).connection, s.site.statements_with("c").at(0).connection);
+    EXPECT_EQ(s.site.server("s1").applied, 1U);
+}
+
+TEST(loans, a_transaction_whose_caller_leaves_is_rolled_back) {
+    scarce_site s;
+    ASSERT_NE(s.borrower, nullptr);
+    for (int i = 0; i < 4; ++i) { // more often than there are connections
+        line_caller c = s.open(*s.borrower, "strict");
+        c.ask("b", "BEGIN");
+        EXPECT_EQ(c.ask("1", "STORE k v").state, "T") << "the connections before were given back";
+        c.close();
+        s.site.run_for(milliseconds{50});
+    }
+    EXPECT_EQ(s.site.server("s1").applied, 0U);
+}
+
+TEST(loans, a_write_whose_answer_is_lost_is_in_doubt) {
+    scarce_site s;
+    ASSERT_NE(s.borrower, nullptr);
+    line_caller c = s.open(*s.borrower, "strict");
+    s.site.server("s1").cuts_writes = true;
+    const answer a = c.ask("w", "STORE k v");
+    EXPECT_TRUE(a.error.starts_with("INDOUBT")) << a.error;
+    EXPECT_EQ(s.site.statements_with("w").size(), 1U) << "never sent twice";
+}
+
+TEST(loans, are_refused_for_certain_by_an_instance_that_stops) {
+    scarce_site s;
+    ASSERT_NE(s.borrower, nullptr);
+    line_caller c = s.open(*s.borrower, "strict");
+    for (site_daemon& d : s.site.daemons) {
+        if (&d != s.borrower) {
+            d.core->stop();
+        }
+    }
+    const answer a = c.ask("w", "STORE k v");
+    EXPECT_TRUE(a.error.starts_with("BUSY")) << a.error;
+    EXPECT_TRUE(s.site.statements_with("w").empty());
+}
+
+//-----------------------------------------------------------------------------
+// [lease lost]
+//-----------------------------------------------------------------------------
 
 TEST(lease_lost, idle_sessions_are_ended_and_new_ones_refused_without_a_claim) {
     platform_site s;
