A server that this daemon cannot reach is reached over another daemon's connections

Ruled out: control (leases held), the lenders' share (19 connections for 9 daemons). Change: core/reachability notes questions without an answer; after 250 ms the daemon borrows from whoever lent last or any other, and looks every 500 ms whether the server answers again. Replicas that are unreachable get no reads. A lender that does not reach it either says so, and the request waits for a new primary as before. Test: loans.a_primary_that_one_instance_cannot_reach_is_reached_over_another; without the look at reachability it fails.

--- a/src/daemon/agent.cpp
+++ b/src/daemon/agent.cpp
@@ -71,6 +71,8 @@
             renew_soon();
         }
     };
+    pools_.on_opening = [this](const server_id& id) { note_asked(id); };
+    pools_.on_opened = [this](const server_id& id) { note_answered(id); };
     pools_.on_open_failed = [this](const server_id& id) { note_failed(health_[id], now()); };
     on_tick();
 }
@@ -86,6 +88,7 @@
     follow_lease();
     give_shares_back();
     probe_all();
+    probe_unreachable();
     pull_positions();
     timer_.expires_after(tick_interval);
     timer_.async_wait([this](const boost::system::error_code& error) {
@@ -762,9 +765,48 @@
     return v;
 }
 
+void agent::note_asked(const server_id& server) {
+    larchpin::note_asked(reach_[server], now());
+}
+
+void agent::note_answered(const server_id& server) {
+    reachability& r = reach_[server];
+    if (larchpin::is_unreachable(r, now())) {
+        log_event(severity::info, "server_reachable", {{"server", server.value}});
+    }
+    larchpin::note_answered(r);
+}
+
+bool agent::is_unreachable(const server_id& server) const {
+    const auto known = reach_.find(server);
+    return known != reach_.end() && larchpin::is_unreachable(known->second, now());
+}
+
+// Requests go elsewhere meanwhile, so nothing else would tell when it answers again.
+void agent::probe_unreachable() {
+    std::erase_if(reach_, [this](const auto& r) { return !cluster_.servers.contains(r.first); });
+    for (auto& [id, r] : reach_) {
+        if (!take_probe(r, now())) {
+            continue;
+        }
+        log_event(severity::warning, "server_unreachable", {{"server", id.value}});
+        const auto connection = driver_.make_probe_connection(cluster_.servers.at(id));
+        connection->connect([this, id = id, connection](connect_result result) {
+            const auto known = reach_.find(id);
+            if (known != reach_.end()) {
+                known->second.probing = false;
+                if (result != connect_result::failed) {
+                    note_answered(id);
+                }
+            }
+            connection->close();
+        });
+    }
+}
+
 bool agent::is_silent(const server_record& server) const {
     if (driver_.servers_enforce_floor) {
-        return false; // positions come with answers only; failed requests tell
+        return is_unreachable(server.id); // positions come with answers only
     }
     const auto group = positions_.find(server.group);
     if (group == positions_.end()) {
--- a/src/daemon/agent.hpp
+++ b/src/daemon/agent.hpp
@@ -13,6 +13,7 @@
 #include "core/health.hpp"
 #include "core/lease.hpp"
 #include "core/positions.hpp"
+#include "core/reachability.hpp"
 #include "core/routing.hpp"
 #include "daemon/pools.hpp"
 #include "io/backend_driver.hpp"
@@ -50,6 +51,11 @@
 
     // What routing needs for one group; also notes that the group is in use here.
     [[nodiscard]] group_view view(const group_id& group, const service_id& service);
+    // Requests went out to the server, and answers came back.
+    void note_asked(const server_id& server);
+    void note_answered(const server_id& server);
+    // It has answered nothing here for a while, whatever others hear of it.
+    [[nodiscard]] bool is_unreachable(const server_id& server) const;
     // Nobody here has heard of the server for the detection time.
     [[nodiscard]] bool is_silent(const server_record& server) const;
     // Asks for the primary's position anew, for sessions that have no floor yet.
@@ -117,6 +123,7 @@
     void set_alive(probed_server& p, bool alive);
     void take_sample(const server_id& id, bool is_primary, const position_sample& sample);
     void pull_positions();
+    void probe_unreachable();
     void ask_primaries();
     void ask_primary(const group_id& group, const service_id& service, const server_record& primary);
     http2_client& client_to(const std::string& address);
@@ -154,6 +161,7 @@
     std::map<server_id, heard_announcement> announced_;
     std::vector<server_id> leaving_;
     std::map<server_id, server_health> health_;
+    std::map<server_id, reachability> reach_;
     std::map<group_id, group_positions> positions_;
     std::map<group_id, time_point> used_at_;
     struct position_wish {
--- a/src/daemon/loans.cpp
+++ b/src/daemon/loans.cpp
@@ -203,6 +203,7 @@
             return;
         }
         const backend_outcome outcome = read_outcome(m);
+        owner_.note_lender(terms_.key.server, home_, outcome);
         const bool another = outcome.refused == result_code::stopping ||
                              outcome.refused == result_code::no_lease ||
                              outcome.refused == result_code::connection_lost;
@@ -265,8 +266,9 @@
 
 std::shared_ptr<backend_connection> connection_loans::borrow(const loan_terms& terms) {
     const auto& homes = homes_of(terms.key);
-    const bool is_home = std::find(homes.begin(), homes.end(), config_.id) != homes.end();
-    if (homes.empty() || is_home || !driver_.servers_enforce_floor) {
+    const bool has_own = homes.empty() || std::find(homes.begin(), homes.end(), config_.id) != homes.end();
+    const bool reaches_it = !cluster_.is_unreachable(terms.key.server);
+    if (!driver_.servers_enforce_floor || (has_own && reaches_it)) {
         return nullptr;
     }
     ++borrowed_;
@@ -306,15 +308,35 @@
     return homes_.emplace(key, std::move(homes)).first->second;
 }
 
-// Those that answer come first, among them the ones of this failure domain, each group in a random order.
+// Whoever may lend: the homes, or everyone where everyone holds connections of its own.
+std::vector<instance_id> connection_loans::lenders_of(const share_key& key) {
+    std::vector<instance_id> lenders = homes_of(key);
+    if (lenders.empty()) {
+        for (const auto& [id, record] : cluster_.cluster().instances) {
+            if (record.takes_callers) {
+                lenders.push_back(id);
+            }
+        }
+    }
+    std::erase(lenders, config_.id);
+    return lenders;
+}
+
+// The one that lent last comes first, then those that answer, among them the ones of this failure domain,
+// each group in a random order.
 std::vector<std::string> connection_loans::rank_homes(const share_key& key) {
     const cluster_state& s = cluster_.cluster();
+    const auto lent_last = lent_last_.find(key.server);
     std::vector<std::pair<int, std::string>> order;
-    for (const instance_id& id : homes_of(key)) {
+    for (const instance_id& id : lenders_of(key)) {
         const auto record = s.instances.find(id);
         if (record == s.instances.end()) {
             continue;
         }
+        if (lent_last != lent_last_.end() && lent_last->second == record->second.address) {
+            order.emplace_back(-1, record->second.address);
+            continue;
+        }
         const auto avoided = avoided_until_.find(record->second.address);
         const bool silent = avoided != avoided_until_.end() && now() < avoided->second;
         const bool far = record->second.domain != config_.domain;
@@ -342,6 +364,16 @@
     }
 }
 
+// Where a server cannot be reached from here, whoever reaches it is worth remembering.
+void connection_loans::note_lender(const server_id& server, const std::string& address,
+                                   const backend_outcome& outcome) {
+    if (outcome.answered && cluster_.is_unreachable(server)) {
+        lent_last_[server] = address;
+    } else {
+        lent_last_.erase(server);
+    }
+}
+
 http2_client& connection_loans::client_to(const std::string& address) {
     auto& client = clients_[address];
     if (!client) {
@@ -393,8 +425,11 @@
     const auto server = cluster_.cluster().servers.find(key.server);
     const service_entry* service = find_service(cluster_.cluster().current, key.service);
     const bool known = server != cluster_.cluster().servers.end() && service != nullptr;
-    if (stopping_ || !known || request.klass() >= request_class_count) {
-        const result_code code = stopping_ ? result_code::stopping : result_code::no_replica;
+    const bool unreachable = known && cluster_.is_unreachable(key.server);
+    if (stopping_ || unreachable || !known || request.klass() >= request_class_count) {
+        const result_code code = stopping_     ? result_code::stopping
+                                 : unreachable ? result_code::connection_lost
+                                               : result_code::no_replica;
         respond({.status = 200, .body = make_refusal(code, lost_pause)});
         return;
     }
@@ -458,8 +493,12 @@
     sink.hold_errors = true;
     sink.keep_first_row = true;
     sink.on_bytes = [bytes](std::string_view more) { bytes->append(more); };
-    sink.on_done = [this, number, connection, bytes, respond](const backend_outcome& outcome) {
+    sink.on_done = [this, number, server = l.key.server, connection, bytes,
+                    respond](const backend_outcome& outcome) {
         note_context(*connection, outcome);
+        if (outcome.answered) {
+            cluster_.note_answered(server);
+        }
         const auto still = loans_.find(number);
         if (still != loans_.end()) {
             still->second.running = false;
@@ -470,6 +509,7 @@
         }
         respond({.status = 200, .body = make_reply(outcome, *bytes)});
     };
+    cluster_.note_asked(l.key.server);
     connection->run(request, std::move(sink));
 }
 
--- a/src/daemon/pools.cpp
+++ b/src/daemon/pools.cpp
@@ -147,7 +147,13 @@
     const auto connection = driver_.make_connection(p.server, key.service);
     p.connections[number] = connection;
     ++counters_.opened;
+    if (on_opening) {
+        on_opening(key.server);
+    }
     connection->connect([this, key, number](connect_result result) {
+        if (on_opened && result != connect_result::failed) {
+            on_opened(key.server);
+        }
         pool& owner = pools_[key];
         pool_actions actions;
         if (result == connect_result::connected) {
--- a/src/daemon/pools.hpp
+++ b/src/daemon/pools.hpp
@@ -54,6 +54,9 @@
     [[nodiscard]] const pool_counters& counters() const { return counters_; }
     // Requests wait although all of the share is open: a larger one would help.
     std::function<void()> on_short_of_share;
+    // A connection is being opened to the server; it has answered.
+    std::function<void(const server_id&)> on_opening;
+    std::function<void(const server_id&)> on_opened;
     // The server takes no new connections from here (told of by the failure callback).
     std::function<void(const server_id&)> on_open_failed;
 
--- a/src/daemon/request_path.cpp
+++ b/src/daemon/request_path.cpp
@@ -350,6 +350,13 @@
         route();
         return;
     }
+    const bool unreachable = outcome.refused == result_code::connection_lost;
+    if (unreachable && r.on_primary && now() < give_up_at()) {
+        r.step = request_step::routed; // nobody reaches it: there may be a new primary soon
+        r.last_refusal = result_code::no_primary;
+        wait_for_news(now() + look_again_after);
+        return;
+    }
     lost_transaction_ = !r.what.begin.empty(); // it never began
     finish_with_error(outcome.refused, run_state::not_run, std::max(outcome.retry_after, lost_server_pause));
 }
--- a/src/daemon/request_run.cpp
+++ b/src/daemon/request_run.cpp
@@ -47,11 +47,17 @@
         }
     }
     active_->sent_at = now();
+    if (!connection->is_lent) {
+        owner_.cluster.note_asked(active_->server);
+    }
     connection->run(request, std::move(sink));
 }
 
 // Takes up what an answer says beside its result.
 void request_path::note_answer(const backend_outcome& outcome) {
+    if (!pinned_->connection->is_lent) {
+        owner_.cluster.note_answered(active_->server);
+    }
     if (outcome.position) {
         owner_.cluster.note_position(active_->server, active_->sent_at, *outcome.position);
     }
--- a/tests/platform_site.cpp
+++ b/tests/platform_site.cpp
@@ -83,7 +83,10 @@
         const auto word = platform::take_word(rest);
         if (word == "STARTUP") {
             const auto service = platform::take_word(rest);
-            platform::take_word(rest);
+            who = platform::take_word(rest);
+            if (!server.cut_from.empty() && who == server.cut_from) {
+                return;
+            }
             if (server.full) {
                 send("ERROR TOOMANY no\r\n");
                 return;
@@ -92,6 +95,9 @@
             send(right ? ready() : "ERROR WRONGNODE no\r\n");
             return;
         }
+        if (!server.cut_from.empty() && who == server.cut_from) {
+            return;
+        }
         const std::string id(platform::take_word(rest));
         answer_statement(id, std::string(rest));
     }
@@ -212,6 +218,7 @@
     std::array<char, buffer_bytes> buffer{};
     std::map<std::string, std::string> values;
     std::map<std::string, std::string> prepared;
+    std::string who; // the daemon, as it calls itself
     bool in_transaction = false;
     unsigned pending = 0;
 };
--- a/tests/platform_site.hpp
+++ b/tests/platform_site.hpp
@@ -56,6 +56,7 @@
     bool silent = false;       // runs statements and answers nothing
     bool cuts_writes = false;  // closes the connection in place of a write's answer
     bool full = false;         // turns every new connection away
+    std::string cut_from;      // hears nothing of this daemon any more; empty: of nobody
     std::string refuse_with;   // error code for every read, write and commit; empty: none
     std::unique_ptr<boost::asio::ip::tcp::acceptor> acceptor;
     std::vector<std::weak_ptr<boost::asio::ip::tcp::socket>> sockets;
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -496,6 +496,27 @@
     EXPECT_TRUE(s.site.statements_with("w").empty());
 }
 
+TEST(loans, a_primary_that_one_instance_cannot_reach_is_reached_over_another) {
+    platform_site s;
+    s.start();
+    s.add_entry();
+    line_caller c = s.connect("strict");
+    ASSERT_EQ(c.ask("w0", "STORE k v").state, "I");
+    s.server("s1").cut_from = "daemon-2";
+    // What is on its way when the cut begins is lost, and says so.
+    int failed = 0;
+    while (failed < 20 && c.ask("w" + std::to_string(failed + 1), "STORE k v").done.empty()) {
+        ++failed;
+    }
+    EXPECT_LT(failed, 20);
+    for (int i = 0; i < 5; ++i) {
+        EXPECT_FALSE(c.ask("x" + std::to_string(i), "STORE k v").done.empty());
+    }
+    c.ask("b", "BEGIN");
+    EXPECT_EQ(c.ask("t", "STORE k v").state, "T");
+    EXPECT_FALSE(c.ask("c", "COMMIT").done.empty());
+}
+
 //-----------------------------------------------------------------------------
 // [lease lost]
 //-----------------------------------------------------------------------------
