The test for a primary cut from one instance cannot be passed by a promotion

Change: three failure domains, so that the other observers hear the primary, and a check that it stays the primary. Shown failing first: with the look at reachability taken out, 8 checks fail (512 to 518); with it, passes in 1 s.

--- a/tests/platform_site.cpp
+++ b/tests/platform_site.cpp
@@ -363,7 +363,7 @@
 // [daemons]
 //-----------------------------------------------------------------------------
 
-site_daemon& platform_site::start_daemon(bool control) {
+site_daemon& platform_site::start_daemon(bool control, const std::string& domain) {
     site_daemon& d = daemons.emplace_back();
     const unsigned peer = free_port();
     control_peer_ = control ? peer : control_peer_;
@@ -371,7 +371,7 @@
     d.control_port = free_port();
     d.ready_port = free_port();
     d.config.id = {"daemon-" + std::to_string(daemons.size())};
-    d.config.domain = {"z1"};
+    d.config.domain = {domain};
     d.config.entry_listen = address_of(d.entry_port);
     d.config.peer_listen = address_of(peer);
     d.config.peer_address = d.config.peer_listen;
@@ -431,7 +431,7 @@
         s.is_primary = s.id == "s1";
         start_server(s);
     }
-    site_daemon& d = start_daemon(true);
+    site_daemon& d = start_daemon(true, "z1");
     const auto ready = [&] {
         beat();
         post(d.control_port, "/larchpin/config/replace", table_body(5));
@@ -447,8 +447,8 @@
     throw std::runtime_error("the site does not become ready");
 }
 
-site_daemon& platform_site::add_entry() {
-    site_daemon& d = start_daemon(false);
+site_daemon& platform_site::add_entry(const std::string& domain) {
+    site_daemon& d = start_daemon(false, domain);
     if (!run_until([&] { return d.core->is_ready(); })) {
         throw std::runtime_error("the entry does not become ready");
     }
--- a/tests/platform_site.hpp
+++ b/tests/platform_site.hpp
@@ -135,7 +135,7 @@
     // One daemon with control and entry, three servers, the table of table_body().
     void start();
     // A daemon that takes callers but keeps no control log.
-    site_daemon& add_entry();
+    site_daemon& add_entry(const std::string& domain = "z1");
     void freeze_control();
 
     line_caller connect(const std::string& database);
@@ -161,7 +161,7 @@
     void start_server(fake_server& s);
     void accept(fake_server& s);
     void start_authority();
-    site_daemon& start_daemon(bool control);
+    site_daemon& start_daemon(bool control, const std::string& domain);
     void pump();
 
     bool control_frozen_ = false;
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -499,10 +499,11 @@
 TEST(loans, a_primary_that_one_instance_cannot_reach_is_reached_over_another) {
     platform_site s;
     s.start();
-    s.add_entry();
+    s.add_entry("z3");
+    s.add_entry("z2");
     line_caller c = s.connect("strict");
     ASSERT_EQ(c.ask("w0", "STORE k v").state, "I");
-    s.server("s1").cut_from = "daemon-2";
+    s.server("s1").cut_from = "daemon-3";
     // What is on its way when the cut begins is lost, and says so.
     int failed = 0;
     while (failed < 20 && c.ask("w" + std::to_string(failed + 1), "STORE k v").done.empty()) {
@@ -515,6 +516,7 @@
     c.ask("b", "BEGIN");
     EXPECT_EQ(c.ask("t", "STORE k v").state, "T");
     EXPECT_FALSE(c.ask("c", "COMMIT").done.empty());
+    EXPECT_TRUE(s.server("s1").is_primary) << "the observers of the other failure domains hear it";
 }
 
 //-----------------------------------------------------------------------------
