--- a/src/daemon/loans.cpp
+++ b/src/daemon/loans.cpp
@@ -478,14 +478,15 @@
     run(number, request, respond);
 }
 
-void connection_loans::run(std::uint64_t number, const wire::loan_request& m, const http_respond& respond) {
+void connection_loans::run(std::uint64_t number, const wire::loan_request& request,
+                           const http_respond& respond) {
     loan& l = loans_[number];
     l.running = true;
     l.used_at = now();
-    backend_request request = read_request(m);
+    backend_request statement = read_request(request);
     const auto connection = l.connection;
-    prepare_context(*connection, request);
-    if (request.text == driver_.position_probe.text) {
+    prepare_context(*connection, statement);
+    if (statement.text == driver_.position_probe.text) {
         connection->held = {}; // the probe resets the connection
     }
     const auto bytes = std::make_shared<std::string>();
@@ -510,7 +511,7 @@
         respond({.status = 200, .body = make_reply(outcome, *bytes)});
     };
     cluster_.note_asked(l.key.server);
-    connection->run(request, std::move(sink));
+    connection->run(statement, std::move(sink));
 }
 
 // A connection that is in the middle of an answer or of a transaction cannot be used again.
--- a/tests/cluster_model.cpp
+++ b/tests/cluster_model.cpp
@@ -538,6 +538,17 @@
 // [checks]
 //-----------------------------------------------------------------------------
 
+void cluster_model::check_removals() {
+    // Once a disk, give or take changes that a deposed leader proposed in vain.
+    if (members_removed > disks_lost * 3) {
+        violate("members are removed over and over");
+    }
+    // Once a silence; the last one's change may have been proposed in vain, too.
+    if (silent_members_removed > silences * 2) {
+        violate("silent members are removed over and over");
+    }
+}
+
 void cluster_model::check() {
     int leaders = 0;
     for (const model_control& c : controls_) {
@@ -579,14 +590,7 @@
         const raft::entry& e = committed_.at(agreed_.revision + 1);
         apply(agreed_, e.index, decode_command(e.command).value_or(std::monostate{}));
     }
-    // Once a disk, give or take changes that a deposed leader proposed in vain.
-    if (members_removed > disks_lost * 3) {
-        violate("members are removed over and over");
-    }
-    // Once a silence; the last one's change may have been proposed in vain, too.
-    if (silent_members_removed > silences * 2) {
-        violate("silent members are removed over and over");
-    }
+    check_removals();
     if (leaders > 1) {
         violate("two control instances may lead at once");
     }
--- a/tests/cluster_model.hpp
+++ b/tests/cluster_model.hpp
@@ -127,6 +127,7 @@
     void try_write(model_daemon& d);
     void propose_random_edit();
     void check();
+    void check_removals();
     void violate(const std::string& what);
     bool chance(double p);
     int number(int highest);
--- a/tests/ports.cpp
+++ b/tests/ports.cpp
@@ -44,7 +44,7 @@
     std::uniform_int_distribution<unsigned> ports(lowest_port, first_ephemeral_port() - 1);
     for (unsigned tries = 0; tries < first_ephemeral_port(); ++tries) {
         const unsigned port = ports(random);
-        if (given.count(port) == 0 && is_free(port)) {
+        if (!given.contains(port) && is_free(port)) {
             given.insert(port);
             return port;
         }
