A renewal asks once whether everyone has renewed; the log says whose connection a request used

And a request that ran over a loan could not be followed to the lender by its id. Change: the question is asked once a renewal; request_ended names the lender, loan_refused is the lender's line.

--- a/src/core/control.cpp
+++ b/src/core/control.cpp
@@ -168,7 +168,7 @@
 }
 
 unsigned grant_share(control_state& c, const cluster_state& s, const instance_id& daemon,
-                     const share_claim& claim, time_point now) {
+                     const share_claim& claim, bool everyone_known, time_point now) {
     const auto server = s.servers.find(claim.key.server);
     const service_entry* service = find_service(s.current, claim.key.service);
     if (server == s.servers.end() || service == nullptr) {
@@ -182,7 +182,7 @@
     const share_decision decision =
         decide_share(c.shares, claim.key, c.daemons[daemon].number, claim.wanted, limit, now);
     // Until it is known what everyone holds, nobody gets more than it has.
-    const unsigned cap = settled(c, s, now) ? decision.target : std::min(decision.target, claim.in_effect);
+    const unsigned cap = everyone_known ? decision.target : std::min(decision.target, claim.in_effect);
     return next_share(limit, cap, decision.held_by_others);
 }
 
@@ -209,8 +209,9 @@
                    renewal_reply& reply) {
     daemon_state& d = c.daemons[r.instance.id];
     sent_shares sent{.seq = reply.seq, .shares = {}};
+    const bool everyone_known = settled(c, s, now);
     for (const share_claim& claim : r.claims) {
-        const unsigned share = grant_share(c, s, r.instance.id, claim, now);
+        const unsigned share = grant_share(c, s, r.instance.id, claim, everyone_known, now);
         reply.shares.push_back({.key = claim.key, .connections = share});
         sent.shares[claim.key] = share;
         note_holder(c.shares, claim.key, d.number, std::max(share, held_share(d, claim.key)), claim.wanted);
--- a/src/core/reachability.hpp
+++ b/src/core/reachability.hpp
@@ -1,5 +1,5 @@
-// Whether a backend server answers this daemon at all, as far as its own traffic tells. A server may be alive for
-// everyone else, and silent here: then another daemon's connections may do.
+// Whether a backend server answers this daemon at all, as far as its own traffic tells. A server may be alive
+// for everyone else, and silent here: then another daemon's connections may do.
 #pragma once
 
 #include "core/types.hpp"
--- a/src/daemon/loans.cpp
+++ b/src/daemon/loans.cpp
@@ -117,6 +117,16 @@
     return m.SerializeAsString();
 }
 
+void log_refusal(const wire::loan_request& m, result_code code) {
+    log_event(severity::info, "loan_refused",
+              {{"request", m.id()},
+               {"server", m.server()},
+               {"on_primary", m.on_primary()},
+               {"term", m.term()},
+               {"waited_us_at_most", m.wait_us()},
+               {"code", static_cast<std::uint64_t>(code)}});
+}
+
 backend_outcome read_outcome(const wire::loan_reply& m) {
     backend_outcome outcome;
     outcome.refused = static_cast<result_code>(m.code());
@@ -202,7 +212,8 @@
             finish({}, {});
             return;
         }
-        const backend_outcome outcome = read_outcome(m);
+        backend_outcome outcome = read_outcome(m);
+        outcome.lender = home_;
         owner_.note_lender(terms_.key.server, home_, outcome);
         const bool another = outcome.refused == result_code::stopping ||
                              outcome.refused == result_code::no_lease ||
@@ -430,6 +441,7 @@
         const result_code code = stopping_     ? result_code::stopping
                                  : unreachable ? result_code::connection_lost
                                                : result_code::no_replica;
+        log_refusal(request, code);
         respond({.status = 200, .body = make_refusal(code, lost_pause)});
         return;
     }
@@ -462,6 +474,7 @@
         }
         loans_.erase(number);
         const result_code code = answer.connection ? result_code::stopping : answer.code;
+        log_refusal(request, code);
         respond({.status = 200, .body = make_refusal(code, answer.retry_after)});
         return;
     }
@@ -472,6 +485,7 @@
     l.since = now();
     if (!may_send(l)) {
         end_loan(number, true);
+        log_refusal(request, result_code::term_changed);
         respond({.status = 200, .body = make_refusal(result_code::term_changed, lost_pause)});
         return;
     }
--- a/src/daemon/request_path.cpp
+++ b/src/daemon/request_path.cpp
@@ -338,6 +338,7 @@
 // The other instance had no connection to lend, and nothing was sent.
 void request_path::on_loan_refused(const backend_outcome& outcome) {
     active_request& r = *active_;
+    r.lender = outcome.lender;
     if (pinned_->in_transaction()) {
         on_connection_lost(); // with the loan the transaction is gone
         return;
@@ -455,6 +456,7 @@
                {"server", r.server.value},
                {"on_primary", r.on_primary},
                {"term", r.term},
+               {"lender", r.lender},
                {"floor", r.floor ? r.floor->position : 0},
                {"attempts", static_cast<std::uint64_t>(r.attempts)},
                {"end", to_string(result.end)},
--- a/src/daemon/request_path.hpp
+++ b/src/daemon/request_path.hpp
@@ -137,6 +137,7 @@
         bool on_primary = false;
         term_number term = 0;
         std::optional<log_mark> floor; // demanded of the server
+        std::string lender;            // instance whose connection it used last; empty: our own
         std::vector<server_id> avoid;  // refused it, or broke
         request_number waiting = 0;
         unsigned attempts = 0;
--- a/src/daemon/request_run.cpp
+++ b/src/daemon/request_run.cpp
@@ -55,6 +55,7 @@
 
 // Takes up what an answer says beside its result.
 void request_path::note_answer(const backend_outcome& outcome) {
+    active_->lender = outcome.lender;
     if (!pinned_->connection->is_lent) {
         owner_.cluster.note_answered(active_->server);
     }
--- a/src/io/backend_connection.hpp
+++ b/src/io/backend_connection.hpp
@@ -74,6 +74,7 @@
     // A connection of another instance could not be had: the request did not run. ok: it could.
     result_code refused = result_code::ok;
     duration retry_after{0};
+    std::string lender; // address of the instance whose connection it was; empty: our own
 };
 
 struct backend_sink {
