A server without room is used over others' connections; unanswered reads and openings are asked again

Ruled out: ejection of the servers (turned away connections do not count as failures); the lease (held from 42.3 s on). Change: a pool that was turned away and has nothing open says so; its requests borrow from another instance, as they do for a server that cannot be reached, and one attempt at a time is made with pauses of 50 to 200 ms. What is repeatable (a read by itself, the opening of a transaction) is asked again, on the primary too, after half of its patience or three usual answers of that server; before, only reads on replicas. Tests, seen failing first: loans.a_server_without_room_..., outcomes.a_read_that_the_primary_leaves_unanswered_..., outcomes.an_opening_that_is_left_unanswered_...; pool.makes_single_attempts_while_the_server_has_no_room.

--- a/src/core/pool.cpp
+++ b/src/core/pool.cpp
@@ -6,6 +6,8 @@
 namespace {
 
 constexpr duration open_retry_pause = std::chrono::milliseconds{50};
+// Servers count lost connections for seconds (3 s on the users' platform), and each attempt costs them work.
+constexpr unsigned max_turned_away_pauses = 4; // of open_retry_pause
 constexpr duration expected_open_time = std::chrono::milliseconds{15};
 constexpr duration lost_share_pause = std::chrono::milliseconds{500};
 constexpr duration demand_memory = std::chrono::seconds{5}; // half of a usual wave of load
@@ -73,7 +75,7 @@
         return;
     }
     const unsigned spare = p.idle.empty() && !p.busy.empty() ? 1 : 0;
-    const unsigned useful = waiting_count(p) + spare;
+    const unsigned useful = p.turned_away > 0 ? std::min(waiting_count(p), 1U) : waiting_count(p) + spare;
     while (open_count(p) < p.share && p.opening.size() < useful) {
         const connection_number c = next_connection++;
         p.opening.insert(c);
@@ -161,9 +163,29 @@
         return;
     }
     p.idle.push_back(c);
+    p.turned_away = 0;
     settle(p, now, next_connection, actions);
 }
 
+void connection_turned_away(pool_state& p, connection_number c, time_point now,
+                            connection_number& next_connection, pool_actions& actions) {
+    p.turned_away = std::min(p.turned_away + 1, max_turned_away_pauses);
+    connection_failed(p, c, now, next_connection, actions);
+    p.open_retry_at = now + open_retry_pause * p.turned_away;
+}
+
+bool is_turned_away(const pool_state& p) {
+    return p.turned_away > 0 && p.idle.empty() && p.busy.empty();
+}
+
+void look_for_room(pool_state& p, time_point now, connection_number& next_connection, pool_actions& actions) {
+    if (now >= p.open_retry_at && p.opening.empty() && open_count(p) < p.share) {
+        const connection_number c = next_connection++;
+        p.opening.insert(c);
+        actions.emplace_back(open_connection{c});
+    }
+}
+
 void connection_failed(pool_state& p, connection_number c, time_point now, connection_number& next_connection,
                        pool_actions& actions) {
     p.opening.erase(c);
--- a/src/core/pool.hpp
+++ b/src/core/pool.hpp
@@ -48,8 +48,9 @@
     std::array<std::deque<pool_waiter>, request_class_count> waiting; // by class
     duration service_time = std::chrono::milliseconds{2};             // smoothed time a request keeps one
     time_point open_retry_at{};                                       // no attempt to open before
-    unsigned peak_demand = 0;                                         // of the last demand_memory, or above
-    time_point peak_at{};                                             // when it was reached last
+    unsigned turned_away = 0; // attempts in a row for which the server had no room
+    unsigned peak_demand = 0; // of the last demand_memory, or above
+    time_point peak_at{};     // when it was reached last
 };
 
 struct open_connection {
@@ -92,6 +93,17 @@
 void connection_failed(pool_state& p, connection_number c, time_point now, connection_number& next_connection,
                        pool_actions& actions);
 
+// The server answers, but has no room for another connection: it may still count those that died with an
+// earlier life of this daemon. From then on one attempt at a time is made, with growing pauses.
+void connection_turned_away(pool_state& p, connection_number c, time_point now,
+                            connection_number& next_connection, pool_actions& actions);
+
+// The server had no room at the last attempt, and no connection of our own is open.
+bool is_turned_away(const pool_state& p);
+
+// Makes an attempt to open one, if it is time for that, whether or not a request waits for it.
+void look_for_room(pool_state& p, time_point now, connection_number& next_connection, pool_actions& actions);
+
 // A request is done with its connection. One that is not reusable is closed.
 void release_connection(pool_state& p, connection_number c, bool reusable, duration used_for, time_point now,
                         connection_number& next_connection, pool_actions& actions);
--- a/src/daemon/agent.cpp
+++ b/src/daemon/agent.cpp
@@ -827,6 +827,11 @@
     }
 }
 
+duration agent::usual_latency(const server_id& server) const {
+    const auto known = health_.find(server);
+    return known == health_.end() ? duration{0} : known->second.latency;
+}
+
 void agent::note_request_started(const server_id& server) {
     note_started(health_[server]);
 }
--- a/src/daemon/loans.cpp
+++ b/src/daemon/loans.cpp
@@ -20,7 +20,9 @@
 
 namespace {
 
-constexpr unsigned homes_tried = 3;
+// Each costs a round trip (3 ms between failure domains). After a loss of power about half of all instances
+// have a connection to a given server (measured), so five of them nearly always hold one.
+constexpr unsigned homes_tried = 5;
 // A home that did not answer is left alone for so long: a restart takes 0.3 s (measured on the platform).
 constexpr duration home_pause = std::chrono::milliseconds{500};
 // Beyond the request's own deadline, for the lender's answer to come back.
@@ -214,7 +216,7 @@
         }
         backend_outcome outcome = read_outcome(m);
         outcome.lender = home_;
-        owner_.note_lender(terms_.key.server, home_, outcome);
+        owner_.note_lender(terms_.key, home_, outcome);
         const bool another = outcome.refused == result_code::stopping ||
                              outcome.refused == result_code::no_lease ||
                              outcome.refused == result_code::connection_lost;
@@ -279,9 +281,13 @@
     const auto& homes = homes_of(terms.key);
     const bool has_own = homes.empty() || std::find(homes.begin(), homes.end(), config_.id) != homes.end();
     const bool reaches_it = !cluster_.is_unreachable(terms.key.server);
-    if (!driver_.servers_enforce_floor || (has_own && reaches_it)) {
+    const bool turned_away = pools_.is_turned_away(terms.key);
+    if (!driver_.servers_enforce_floor || (has_own && reaches_it && !turned_away)) {
         return nullptr;
     }
+    if (turned_away) {
+        pools_.look_for_room(terms.key);
+    }
     ++borrowed_;
     const auto behind = std::make_shared<lent_connection>(*this, terms);
     auto handle = std::make_shared<backend_connection>();
@@ -375,13 +381,14 @@
     }
 }
 
-// Where a server cannot be reached from here, whoever reaches it is worth remembering.
-void connection_loans::note_lender(const server_id& server, const std::string& address,
+// Where a server cannot be reached from here, or has no room, whoever has a connection is worth remembering.
+void connection_loans::note_lender(const share_key& key, const std::string& address,
                                    const backend_outcome& outcome) {
-    if (outcome.answered && cluster_.is_unreachable(server)) {
-        lent_last_[server] = address;
+    const bool needs_lender = cluster_.is_unreachable(key.server) || pools_.is_turned_away(key);
+    if (outcome.answered && needs_lender) {
+        lent_last_[key.server] = address;
     } else {
-        lent_last_.erase(server);
+        lent_last_.erase(key.server);
     }
 }
 
@@ -436,7 +443,11 @@
     const auto server = cluster_.cluster().servers.find(key.server);
     const service_entry* service = find_service(cluster_.cluster().current, key.service);
     const bool known = server != cluster_.cluster().servers.end() && service != nullptr;
-    const bool unreachable = known && cluster_.is_unreachable(key.server);
+    const bool turned_away = known && pools_.is_turned_away(key);
+    if (turned_away) {
+        pools_.look_for_room(key);
+    }
+    const bool unreachable = known && (turned_away || cluster_.is_unreachable(key.server));
     if (stopping_ || unreachable || !known || request.klass() >= request_class_count) {
         const result_code code = stopping_     ? result_code::stopping
                                  : unreachable ? result_code::connection_lost
--- a/src/daemon/loans.hpp
+++ b/src/daemon/loans.hpp
@@ -1,5 +1,5 @@
 // Connections lent between daemons: where a backend server takes fewer of them than there are daemons, and
-// where this daemon cannot reach a server that others reach.
+// where this daemon cannot reach a server that others reach, or is turned away by one that has no room.
 //
 // A few home instances a server (core/rendezvous, home_instances) hold its connections; all others run their
 // statements over a home's, one at a time or a transaction long. Where there are no homes, everyone may lend.
@@ -81,7 +81,7 @@
     // [borrowing]
     std::vector<instance_id> lenders_of(const share_key& key);
     std::vector<std::string> rank_homes(const share_key& key);
-    void note_lender(const server_id& server, const std::string& address, const backend_outcome& outcome);
+    void note_lender(const share_key& key, const std::string& address, const backend_outcome& outcome);
     const std::vector<instance_id>& homes_of(const share_key& key);
     void note_home(const std::string& address, bool answers);
     http2_client& client_to(const std::string& address);
@@ -106,7 +106,7 @@
     std::map<share_key, std::vector<instance_id>> homes_;
     revision_number homes_instances_revision_ = 0; // that `homes_` was made from
     revision_number homes_table_revision_ = 0;
-    std::map<server_id, std::string> lent_last_;      // by whom, where the server cannot be reached from here
+    std::map<server_id, std::string> lent_last_;      // by whom, where we have no connection to the server
     std::map<std::string, time_point> avoided_until_; // homes that did not answer, by address
     std::map<std::string, std::unique_ptr<http2_client>> clients_;
     std::uint64_t borrowed_ = 0;
--- a/src/daemon/pools.cpp
+++ b/src/daemon/pools.cpp
@@ -105,6 +105,17 @@
     return may_grow || (found != pools_.end() && found->second.state.share > 0);
 }
 
+bool backend_pools::is_turned_away(const share_key& key) const {
+    const auto found = pools_.find(key);
+    return found != pools_.end() && larchpin::is_turned_away(found->second.state);
+}
+
+void backend_pools::look_for_room(const share_key& key) {
+    pool_actions actions;
+    larchpin::look_for_room(find_or_make(key).state, now(), next_connection_, actions);
+    carry_out(key, actions);
+}
+
 void backend_pools::carry_out(const share_key& key, const pool_actions& actions) {
     for (const pool_action& action : actions) {
         pool& p = pools_[key];
@@ -161,7 +172,11 @@
         } else {
             ++counters_.open_failed;
             owner.connections.erase(number);
-            connection_failed(owner.state, number, now(), next_connection_, actions);
+            if (result == connect_result::turned_away) {
+                connection_turned_away(owner.state, number, now(), next_connection_, actions);
+            } else {
+                connection_failed(owner.state, number, now(), next_connection_, actions);
+            }
             if (on_open_failed && result == connect_result::failed) {
                 on_open_failed(key.server);
             }
--- a/src/daemon/pools.hpp
+++ b/src/daemon/pools.hpp
@@ -51,6 +51,9 @@
     [[nodiscard]] std::map<share_key, unsigned> shares() const;
     // Holds a share, or could get one if `may_grow`.
     [[nodiscard]] bool may_serve(const share_key& key, bool may_grow) const;
+    // The server had no room for a connection of ours, and we have none (see core/pool).
+    [[nodiscard]] bool is_turned_away(const share_key& key) const;
+    void look_for_room(const share_key& key);
     [[nodiscard]] const pool_counters& counters() const { return counters_; }
     // Requests wait although all of the share is open: a larger one would help.
     std::function<void()> on_short_of_share;
--- a/src/daemon/request_path.cpp
+++ b/src/daemon/request_path.cpp
@@ -180,8 +180,8 @@
         owner_.note_waiting(number_);
     } else if (active_->step == request_step::safety) {
         wait_for_safety();
-    } else if (active_->on_primary && pinned_) {
-        abandon_if_replaced();
+    } else if (pinned_ && active_->on_primary && !term_still_holds()) {
+        abandon_replaced();
     } else if (pinned_) {
         abandon_if_silent();
     }
@@ -195,12 +195,12 @@
     return late && r.attempts + 1 < r.what.max_attempts && owner_.cluster.budget(state.group).tokens >= 1;
 }
 
-// A read on a replica that nobody hears of any more is tried elsewhere, if the caller has got nothing of it.
+// What can be asked again without harm, and whose server nobody hears of any more, or that is overdue.
 void request_path::abandon_if_silent() {
     const auto& servers = owner_.cluster.cluster().servers;
     const auto server = servers.find(active_->server);
     const bool silent = server != servers.end() && owner_.cluster.is_silent(server->second);
-    if (!(silent || is_overdue()) || active_->forwarded || pinned_->in_transaction()) {
+    if (!(silent || is_overdue()) || !is_repeatable()) {
         owner_.note_waiting(number_);
         if (active_->answer_by != time_point{} && now() >= active_->answer_by) {
             active_->answer_by = {};
@@ -213,13 +213,9 @@
     on_connection_lost();
 }
 
-// Once the primary is fenced or replaced, or the lease is gone, nothing that it still answers can be passed
-// on as a success: the caller learns at once what is known of its request.
-void request_path::abandon_if_replaced() {
-    if (term_still_holds()) {
-        owner_.note_waiting(number_);
-        return;
-    }
+// The primary is fenced or replaced, or the lease is gone: nothing that it still answers can be passed on as
+// a success, so the caller learns at once what is known of its request.
+void request_path::abandon_replaced() {
     active_request& r = *active_;
     const run_state run = outcome_if_lost();
     lost_transaction_ = loses_transaction();
@@ -556,12 +552,19 @@
            active_->what.kind != statement_kind::rollback;
 }
 
+// Nothing is lost by asking once more: the statement was not sent yet, or it only reads, by itself, and the
+// caller has got nothing of its answer.
+bool request_path::is_repeatable() const {
+    const active_request& r = *active_;
+    const bool unsent = r.step == request_step::settings || r.step == request_step::begin;
+    const bool only_reads = r.what.surely_reads || (r.what.may_use_replica && !r.on_primary);
+    const bool alone = !pinned_->in_transaction() && r.what.begin.empty();
+    return unsent || (only_reads && alone && !r.forwarded && r.step == request_step::statement);
+}
+
 bool request_path::may_retry() {
     active_request& r = *active_;
-    const bool harmless = r.what.may_use_replica && !r.on_primary && !r.forwarded &&
-                          !pinned_->in_transaction() && r.what.begin.empty();
-    const bool unsent = r.step == request_step::settings || r.step == request_step::begin;
-    return (harmless || unsent) && ++r.attempts < r.what.max_attempts && now() < r.deadline &&
+    return is_repeatable() && ++r.attempts < r.what.max_attempts && now() < r.deadline &&
            take_retry(owner_.cluster.budget(state.group));
 }
 
--- a/src/daemon/request_path.hpp
+++ b/src/daemon/request_path.hpp
@@ -131,7 +131,7 @@
         time_point deadline{};
         time_point used_from{}; // has held its connection since
         time_point sent_at{};   // its newest statement was sent
-        time_point answer_by{}; // a read that is not answered then is tried elsewhere; 0: waits to the end
+        time_point answer_by{}; // what is repeatable is asked anew then; 0: waits to the end
         request_step step = request_step::routed;
         server_id server;
         bool on_primary = false;
@@ -168,7 +168,7 @@
     void take_decision(const routing_decision& decision, const group_view& view, time_point at);
     void wait_for_news(time_point retry_at);
     [[nodiscard]] time_point give_up_at() const;
-    void abandon_if_replaced();
+    void abandon_replaced();
     void abandon_if_silent();
     [[nodiscard]] bool is_overdue() const;
     // [connection]
@@ -207,6 +207,7 @@
     // [failing]
     [[nodiscard]] run_state outcome_if_lost() const;
     [[nodiscard]] bool loses_transaction() const;
+    [[nodiscard]] bool is_repeatable() const;
     bool may_retry();
     void on_connection_lost();
     void on_deadline();
--- a/src/daemon/request_run.cpp
+++ b/src/daemon/request_run.cpp
@@ -17,6 +17,8 @@
 constexpr duration safety_look_interval = std::chrono::milliseconds{20};
 // Ten times a usual read (18 to 30 ms): a crowded server answers within that.
 constexpr duration least_answer_time = std::chrono::milliseconds{200};
+// A server that takes long over everything is crowded, and asking twice would make that worse.
+constexpr int usual_answers_waited = 3;
 constexpr duration come_back_after = std::chrono::milliseconds{500};
 
 std::string_view to_string(server_refusal refusal) {
@@ -73,6 +75,7 @@
     request.text = text;
     if (step == request_step::begin) {
         request.floor = active_->floor;
+        watch_answer();
     }
     backend_sink sink;
     sink.keep_first_row = true;
@@ -191,13 +194,14 @@
     run_on_server(std::move(request), std::move(sink));
 }
 
-// A read that has a patience is not left to a server that keeps silent for half of it.
+// What has a patience and is repeatable is not left to a server that keeps silent for half of it.
 void request_path::watch_answer() {
     active_request& r = *active_;
-    if (!r.what.may_use_replica || r.on_primary || r.what.patience <= duration{0}) {
+    if (!is_repeatable() || r.what.patience <= duration{0}) {
         return;
     }
-    r.answer_by = now() + std::max(r.what.patience / 2, least_answer_time);
+    const duration usual = owner_.cluster.usual_latency(r.server);
+    r.answer_by = now() + std::max({r.what.patience / 2, least_answer_time, usual * usual_answers_waited});
     arm_timer(std::min(r.answer_by, r.deadline));
 }
 
--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -154,7 +154,11 @@
         } else if (what == 5 && !opening_.empty()) {
             const connection_number c = *opening_.begin();
             opening_.erase(c);
-            connection_failed(p_, c, now_, next_connection_, actions);
+            if (number(1) == 0) {
+                connection_failed(p_, c, now_, next_connection_, actions);
+            } else {
+                connection_turned_away(p_, c, now_, next_connection_, actions);
+            }
         } else if (what == 6 && !busy_.empty()) {
             const connection_number c = busy_.begin()->first;
             busy_.erase(c);
@@ -243,6 +247,30 @@
     EXPECT_EQ(p.busy.size(), 3U) << "the order gets a connection at once";
 }
 
+TEST(pool, makes_single_attempts_while_the_server_has_no_room) {
+    pool_state p;
+    connection_number next = 1;
+    pool_actions actions;
+    time_point now{std::chrono::seconds{1}};
+    set_share(p, 8, now, next, actions);
+    unsigned attempts = 0;
+    for (request_number i = 1; i <= 400; ++i) { // one each 5 ms
+        now += std::chrono::milliseconds{5};
+        request_connection(p, {.request = i, .deadline = now + std::chrono::seconds{5}}, now, next, actions);
+        EXPECT_LE(p.opening.size(), 1U) << "but for the first, which knew nothing";
+        while (!p.opening.empty()) {
+            ++attempts;
+            connection_turned_away(p, *p.opening.begin(), now, next, actions);
+        }
+    }
+    EXPECT_TRUE(is_turned_away(p));
+    EXPECT_LE(attempts, 13U) << "pauses of 200 ms in 2 s, shorter ones at first";
+    look_for_room(p, now + std::chrono::seconds{1}, next, actions);
+    ASSERT_EQ(p.opening.size(), 1U) << "also where no request waits";
+    connection_opened(p, *p.opening.begin(), now, next, actions);
+    EXPECT_FALSE(is_turned_away(p));
+}
+
 TEST(pool, refuses_at_once_what_it_cannot_serve_in_time) {
     pool_state p;
     connection_number next = 1;
--- a/tests/platform_site.cpp
+++ b/tests/platform_site.cpp
@@ -152,6 +152,10 @@
         if (server.silent) {
             return;
         }
+        if (server.answers_to_lose > 0 && text != "ROLLBACK") {
+            --server.answers_to_lose;
+            return;
+        }
         if (text.starts_with("BEGIN")) {
             in_transaction = server.is_primary || text == "BEGIN FETCH";
             send((in_transaction ? "COMPLETE -\r\n" : "ERROR READONLY no\r\n") + ready());
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -359,6 +359,31 @@
     }
 }
 
+TEST(outcomes, a_read_that_the_primary_leaves_unanswered_is_asked_again) {
+    platform_site s;
+    s.start();
+    line_caller c = s.connect("strict");
+    ASSERT_EQ(c.ask("r0", "FETCH k").rows.size(), 1U);
+    s.server("s1").answers_to_lose = 1;
+    EXPECT_EQ(c.ask("r1", "FETCH k").rows.size(), 1U);
+    EXPECT_EQ(s.statements_with("r1").size(), 2U);
+    s.server("s1").answers_to_lose = 1;
+    EXPECT_TRUE(c.ask("w1", "STORE k v").error.starts_with("INDOUBT")) << "a write never is";
+    EXPECT_EQ(s.statements_with("w1").size(), 1U);
+}
+
+TEST(outcomes, an_opening_that_is_left_unanswered_is_asked_again) {
+    platform_site s;
+    s.start();
+    line_caller c = s.connect("strict");
+    ASSERT_EQ(c.ask("r0", "FETCH k").rows.size(), 1U);
+    c.ask("b", "BEGIN");
+    s.server("s1").answers_to_lose = 1;
+    EXPECT_EQ(c.ask("w1", "STORE k v").state, "T");
+    EXPECT_FALSE(c.ask("c", "COMMIT").done.empty());
+    EXPECT_EQ(s.server("s1").applied, 1U);
+}
+
 //-----------------------------------------------------------------------------
 // [failover]
 //-----------------------------------------------------------------------------
@@ -519,6 +544,29 @@
     EXPECT_TRUE(s.server("s1").is_primary) << "the observers of the other failure domains hear it";
 }
 
+// After a loss of power a server counts the lost connections for seconds; who got one of the rest lends it.
+TEST(loans, a_server_without_room_is_used_over_the_connection_of_another_instance) {
+    platform_site s;
+    s.start();
+    line_caller first = s.connect("strict");
+    ASSERT_EQ(first.ask("w0", "STORE k v").state, "I");
+    s.server("s1").full = true;
+    site_daemon& late = s.add_entry("z2");
+    line_caller c(s, late.entry_port);
+    ASSERT_EQ(c.open("STARTUP strict somebody").state, "I");
+    for (int i = 0; i < 5; ++i) {
+        const answer a = c.ask("x" + std::to_string(i), "STORE k v");
+        EXPECT_FALSE(a.done.empty()) << a.error;
+    }
+    s.server("s1").full = false;
+    const auto has_own = [&] {
+        c.ask("y", "FETCH k");
+        const auto seen = s.statements_with("y");
+        return !seen.empty() && seen.back().connection != s.statements_with("w0").at(0).connection;
+    };
+    EXPECT_TRUE(s.run_until(has_own)) << "it goes on asking for a connection of its own";
+}
+
 //-----------------------------------------------------------------------------
 // [lease lost]
 //-----------------------------------------------------------------------------
