A daemon that starts anew gets the state and not its history

A restarted entry has applied nothing, and the control instances, whose log still held all 190 entries, sent it every edit since the first: 1 MB to each of 70 entries, over links of 2 Mbit/s. Ruled out: the election (0.3 s of a lease to be waited out, 0.4 s by chance), the leader's processor. Change: daemon/watch_replies chooses the whole state where it is shorter than the commands, without the outcomes of edits; made once a revision.

--- a/src/daemon/control_node.cpp
+++ b/src/daemon/control_node.cpp
@@ -32,7 +32,6 @@
 constexpr duration write_again_after = std::chrono::milliseconds{100};
 constexpr duration probe_again_after = std::chrono::milliseconds{10};
 constexpr duration edit_patience = std::chrono::seconds{10};
-constexpr std::size_t max_watch_entries = 2048;
 constexpr std::size_t max_watchers = 4096;
 
 constexpr command_codec codec{.encode = encode_command,
@@ -469,28 +468,6 @@
     return reply.SerializeAsString();
 }
 
-std::string control_node::make_watch_reply(revision_number applied) const {
-    wire::watch_reply reply;
-    reply.set_commit(core_.cluster.revision);
-    const bool have_all = !core_.recent.empty() && core_.recent.front().index <= applied + 1;
-    if (applied > core_.cluster.revision) {
-        return reply.SerializeAsString(); // this node is behind the asker: no news
-    }
-    if (!have_all && applied < core_.cluster.revision) {
-        to_wire(core_.cluster, *reply.mutable_full());
-        reply.mutable_full()->clear_document();
-        return reply.SerializeAsString();
-    }
-    int count = 0;
-    for (const raft::entry& e : core_.recent) {
-        if (e.index > applied && count < static_cast<int>(max_watch_entries)) {
-            to_wire(e, *reply.add_entries());
-            ++count;
-        }
-    }
-    return reply.SerializeAsString();
-}
-
 void control_node::answer_watch(const std::string& body, const http_respond& respond) {
     wire::watch_request request;
     if (!request.ParseFromString(body)) {
@@ -498,7 +475,7 @@
         return;
     }
     if (!request.wait() || request.applied() < core_.cluster.revision || watchers_.size() >= max_watchers) {
-        respond({.status = 200, .body = make_watch_reply(request.applied())});
+        respond({.status = 200, .body = make_watch_reply(core_, request.applied(), whole_state_)});
         return;
     }
     watchers_.push_back({.applied = request.applied(), .respond = respond, .deadline = now() + watch_time});
@@ -519,7 +496,7 @@
     for (const watcher& w : ready) {
         auto& reply = bodies[w.applied];
         if (reply.empty()) {
-            reply = make_watch_reply(w.applied);
+            reply = make_watch_reply(core_, w.applied, whole_state_);
         }
         w.respond({.status = 200, .body = reply});
     }
--- a/src/daemon/control_node.hpp
+++ b/src/daemon/control_node.hpp
@@ -9,6 +9,7 @@
 #pragma once
 
 #include "core/control_core.hpp"
+#include "daemon/watch_replies.hpp"
 #include "io/http2.hpp"
 #include "io/raft_store.hpp"
 #include "io/settings.hpp"
@@ -106,7 +107,6 @@
     void ask_to_join();
     void found_cluster();
     [[nodiscard]] raft::node_id new_identity() const;
-    [[nodiscard]] std::string make_watch_reply(revision_number applied) const;
     [[nodiscard]] std::string leader_address() const;
     http2_client& client_to(const std::string& address);
 
@@ -121,6 +121,7 @@
     bool writing_ = false;
     bool store_failed_ = false;
     std::vector<watcher> watchers_;
+    whole_state_reply whole_state_;
     std::vector<waiting_edit> edits_;
     std::map<std::uint64_t, server_operation> operations_;
     std::map<std::string, std::unique_ptr<http2_client>> clients_;
--- /dev/null
+++ b/src/daemon/watch_replies.cpp
@@ -0,0 +1,51 @@
+#include "daemon/watch_replies.hpp"
+
+#include "generated/larchpin.pb.h"
+#include "io/codec.hpp"
+
+namespace larchpin {
+namespace {
+
+constexpr int max_watch_entries = 2048;
+// Below that it is not worth making the whole state to compare: one packet or a few.
+constexpr std::size_t short_reply_bytes = 8192;
+
+const std::string& make_whole(const control_core& core, whole_state_reply& whole) {
+    if (whole.revision != core.cluster.revision) {
+        wire::watch_reply reply;
+        reply.set_commit(core.cluster.revision);
+        to_wire(core.cluster, *reply.mutable_full());
+        reply.mutable_full()->clear_document();
+        reply.mutable_full()->clear_changes();
+        whole = {.revision = core.cluster.revision, .bytes = reply.SerializeAsString()};
+    }
+    return whole.bytes;
+}
+
+} // namespace
+
+std::string make_watch_reply(const control_core& core, revision_number applied, whole_state_reply& whole) {
+    wire::watch_reply reply;
+    reply.set_commit(core.cluster.revision);
+    if (applied >= core.cluster.revision) {
+        return reply.SerializeAsString(); // no news; this node may even be behind the asker
+    }
+    const bool have_all = !core.recent.empty() && core.recent.front().index <= applied + 1;
+    if (!have_all) {
+        return make_whole(core, whole);
+    }
+    std::size_t bytes = 0;
+    for (const raft::entry& e : core.recent) {
+        if (e.index > applied && reply.entries_size() < max_watch_entries) {
+            to_wire(e, *reply.add_entries());
+            bytes += e.command.size();
+        }
+    }
+    const bool may_be_long = reply.entries_size() > 1 && bytes > short_reply_bytes;
+    if (may_be_long && make_whole(core, whole).size() < bytes) {
+        return whole.bytes;
+    }
+    return reply.SerializeAsString();
+}
+
+} // namespace larchpin
--- a/tests/control_test.cpp
+++ b/tests/control_test.cpp
@@ -3,6 +3,8 @@
 // Index
 //   [a site]  [founding]  [edits]  [leaving]  [promotion]  [a new leader]  [members]  [shares]
 #include "core/control_core.hpp"
+#include "daemon/watch_replies.hpp"
+#include "generated/larchpin.pb.h"
 #include "io/codec.hpp"
 
 #include <gtest/gtest.h>
@@ -183,28 +185,71 @@
     EXPECT_TRUE(s.changes.empty()) << "versions need no memory of ids";
 }
 
-// An entry needs the table, not the text that an operator reads back; it may be as large again.
-TEST(versioned_edits, daemons_get_the_table_without_the_document) {
-    std::mt19937_64 random(1);
+// A control instance that founded a cluster alone.
+struct lone_control {
+    std::mt19937_64 random{1};
     time_point now{std::chrono::seconds{1}};
-    control_core c =
+    control_core core =
         make_control_core({.encode = encode_command,
                            .decode = decode_command,
                            .encode_state = encode_state,
                            .decode_state = decode_state},
                           {.id = 7, .name = "a", .address = "127.0.0.1:1"}, {}, {}, {}, now, random);
-    ASSERT_TRUE(bootstrap(c, now, random));
-    const auto settle = [&] {
+
+    lone_control() {
+        EXPECT_TRUE(bootstrap(core, now, random));
+        settle();
+    }
+    void settle() {
         for (int i = 0; i < 20; ++i) {
             now += milliseconds{100};
-            tick(c, now, random);
-            const control_output out = take_output(c);
-            persisted(c, out.log.persist_index, out.log.persist_term, now);
+            tick(core, now, random);
+            const control_output out = take_output(core);
+            persisted(core, out.log.persist_index, out.log.persist_term, now);
         }
-    };
-    settle();
-    propose_edit(c, make_versioned(7, 5), now);
-    settle();
+    }
+    void edit(const edit_table& e) {
+        propose_edit(core, e, now);
+        settle();
+    }
+};
+
+// A daemon that starts anew fetches the state over a small link; its history took 2 s (measured).
+TEST(watching, a_daemon_that_starts_anew_gets_the_state_and_not_its_history) {
+    lone_control c;
+    edit_table large = make_versioned(1, 5);
+    for (int i = 0; i < 200; ++i) {
+        large.next.routes.push_back({.database = "database" + std::to_string(1000 + i),
+                                     .group = {"g"},
+                                     .service = {"g"},
+                                     .statement_timeout = milliseconds{100}});
+    }
+    for (std::uint64_t version = 1; version <= 20; ++version) {
+        large.version = version;
+        large.change_id = "edit " + std::to_string(version);
+        c.edit(large);
+    }
+    ASSERT_EQ(c.core.cluster.table_version, 20U);
+    whole_state_reply whole;
+    const std::string anew = make_watch_reply(c.core, 0, whole);
+    const std::string next = make_watch_reply(c.core, c.core.cluster.revision - 1, whole);
+    EXPECT_LT(anew.size(), next.size() + 1000) << "about one table";
+    wire::watch_reply all;
+    ASSERT_TRUE(all.ParseFromString(anew));
+    EXPECT_EQ(from_wire(all.full()).current, c.core.cluster.current);
+    EXPECT_EQ(from_wire(all.full()).revision, c.core.cluster.revision);
+    wire::watch_reply last;
+    ASSERT_TRUE(last.ParseFromString(next));
+    EXPECT_FALSE(last.has_full());
+    ASSERT_EQ(last.entries_size(), 1);
+    EXPECT_EQ(last.entries(0).index(), c.core.cluster.revision);
+}
+
+// An entry needs the table, not the text that an operator reads back; it may be as large again.
+TEST(versioned_edits, daemons_get_the_table_without_the_document) {
+    lone_control site;
+    const control_core& c = site.core;
+    site.edit(make_versioned(7, 5));
     ASSERT_EQ(c.cluster.document, "document 7");
     for (const raft::entry& e : c.recent) {
         EXPECT_EQ(e.command.find("document 7"), std::string::npos);
