Fewer statements at once at a crowded server; the rest waits here, in the order of class and deadline

Callers get the refusal and come back. Ruled out: replicas that nobody asks any more (they are asked, and are behind). Waiting requests stand by class, then by deadline. A transaction between two statements does not count. A request that would be sent in the last two thirds of its patience is refused at once. A refused statement goes once more from our own queue. Weighed: a limit by the answers' time alone (a slow server is not a crowded one); a rate in place of a number.

--- a/src/core/pool.cpp
+++ b/src/core/pool.cpp
@@ -34,6 +34,10 @@
     }
 }
 
+unsigned running_count(const pool_state& p) {
+    return static_cast<unsigned>(p.busy.size() - p.resting.size());
+}
+
 void hand_out(pool_state& p, const pool_waiter& w, pool_actions& actions) {
     const connection_number c = p.idle.back();
     p.idle.pop_back();
@@ -57,7 +61,7 @@
 }
 
 void serve_waiters(pool_state& p, pool_actions& actions) {
-    while (!p.idle.empty()) {
+    while (!p.idle.empty() && may_send(p.limit, running_count(p))) {
         auto* queue = next_queue(p);
         if (queue == nullptr) {
             return;
@@ -75,7 +79,11 @@
         return;
     }
     const unsigned spare = p.idle.empty() && !p.busy.empty() ? 1 : 0;
-    const unsigned useful = p.turned_away > 0 ? std::min(waiting_count(p), 1U) : waiting_count(p) + spare;
+    unsigned useful = p.turned_away > 0 ? std::min(waiting_count(p), 1U) : waiting_count(p) + spare;
+    if (p.limit.most > 0) {
+        const unsigned running = running_count(p);
+        useful = std::min(useful, p.limit.most - std::min(p.limit.most, running));
+    }
     while (open_count(p) < p.share && p.opening.size() < useful) {
         const connection_number c = next_connection++;
         p.opening.insert(c);
@@ -106,15 +114,36 @@
     }
 }
 
-// How long a new waiter of this class will wait: those before it, over the connections that serve them.
-duration expected_wait(const pool_state& p, request_class klass) {
+std::size_t waiting_before(const pool_state& p, const pool_waiter& w) {
     std::size_t before = 0;
-    for (std::size_t i = 0; i <= static_cast<std::size_t>(klass); ++i) {
+    for (std::size_t i = 0; i < static_cast<std::size_t>(w.klass); ++i) {
         before += p.waiting.at(i).size();
     }
-    const std::size_t servers = std::max<std::size_t>(
-        1, klass == request_class::background ? std::min(p.share, background_limit(p)) : p.share);
-    return p.service_time * static_cast<std::int64_t>(before / servers);
+    const auto& same = p.waiting.at(static_cast<std::size_t>(w.klass));
+    return before + static_cast<std::size_t>(std::count_if(same.begin(), same.end(), [&w](const auto& other) {
+               return other.deadline <= w.deadline;
+           }));
+}
+
+// How long a new waiter will wait: those before it, over the connections that serve them, or over the
+// statements that may run at once.
+duration expected_wait(const pool_state& p, const pool_waiter& w) {
+    const auto before = static_cast<std::int64_t>(waiting_before(p, w));
+    const bool is_background = w.klass == request_class::background;
+    const std::int64_t connections =
+        std::max(1U, is_background ? std::min(p.share, background_limit(p)) : p.share);
+    const duration for_connections = p.service_time * (before / connections);
+    if (p.limit.most == 0) {
+        return for_connections;
+    }
+    return std::max(for_connections, p.limit.usual_answer * (before / std::int64_t{p.limit.most}));
+}
+
+void put_in_queue(pool_state& p, const pool_waiter& w) {
+    auto& queue = queue_of(p, w.klass);
+    const auto later = std::upper_bound(queue.begin(), queue.end(), w,
+                                        [](const auto& a, const auto& b) { return a.deadline < b.deadline; });
+    queue.insert(later, w);
 }
 
 } // namespace
@@ -133,20 +162,21 @@
 
 void request_connection(pool_state& p, const pool_waiter& w, time_point now,
                         connection_number& next_connection, pool_actions& actions) {
-    const duration wait = expected_wait(p, w.klass);
+    const duration wait = expected_wait(p, w);
     if (waiting_count(p) >= p.max_waiting) {
         actions.emplace_back(
             refuse_request{.request = w.request, .code = result_code::queue_full, .retry_after = wait});
         return;
     }
     const bool opens_first = p.busy.empty() && p.idle.empty();
-    if (now + wait + (opens_first ? expected_open_time : duration{0}) > w.deadline) {
+    const time_point latest = w.send_by == time_point{} ? w.deadline : w.send_by;
+    if (now + wait + (opens_first ? expected_open_time : duration{0}) > latest) {
         actions.emplace_back(refuse_request{.request = w.request,
                                             .code = result_code::overloaded,
                                             .retry_after = std::max(wait, expected_open_time)});
         return;
     }
-    queue_of(p, w.klass).push_back(w);
+    put_in_queue(p, w);
     note_demand(p, now);
     settle(p, now, next_connection, actions);
 }
@@ -197,12 +227,33 @@
     settle(p, now, next_connection, actions);
 }
 
+void statement_ended(pool_state& p, connection_number c, const statement_end& end, time_point now,
+                     connection_number& next_connection, pool_actions& actions) {
+    if (!p.busy.contains(c)) {
+        return;
+    }
+    if (end.crowded) {
+        note_crowded(p.limit, running_count(p), now);
+    } else {
+        note_statement_answered(p.limit, end.took, p.share, now);
+    }
+    if (end.stays) {
+        p.resting.insert(c);
+    }
+    settle(p, now, next_connection, actions);
+}
+
+void statement_begun(pool_state& p, connection_number c) {
+    p.resting.erase(c);
+}
+
 void release_connection(pool_state& p, connection_number c, bool reusable, duration used_for, time_point now,
                         connection_number& next_connection, pool_actions& actions) {
     if (p.busy.erase(c) == 0) {
         return;
     }
     p.busy_background.erase(c);
+    p.resting.erase(c);
     p.service_time += (used_for - p.service_time) / smoothing;
     if (reusable) {
         p.idle.push_back(c);
@@ -230,6 +281,7 @@
         const connection_number c = *p.busy.begin();
         p.busy.erase(c);
         p.busy_background.erase(c);
+        p.resting.erase(c);
         actions.emplace_back(close_connection{c});
     }
     if (share == 0) {
--- a/src/core/pool.hpp
+++ b/src/core/pool.hpp
@@ -1,9 +1,10 @@
 // One service's connections to one backend server, as one daemon holds them: who gets the next one.
 //
 // The daemon may have `share` connections open. A request gets an idle one, or opens one, or waits in a
-// bounded queue in the order of its class. Class "background" may use only a part of the share, so that
-// browsing does not crowd out orders. A request that cannot be served within its deadline is refused at
-// once, with the time after which asking again makes sense.
+// bounded queue in the order of its class, and within one of its deadline. Where the server is crowded, fewer
+// statements run at once than connections are open (core/running_limit). Class "background" may use only a
+// part of the share, so that browsing does not crowd out orders. A request that cannot be served within its
+// deadline is refused at once, with the time after which asking again makes sense.
 //
 // A plain struct and free functions; the caller carries out the returned actions in order.
 //
@@ -12,6 +13,7 @@
 #pragma once
 
 #include "core/result_codes.hpp"
+#include "core/running_limit.hpp"
 #include "core/session.hpp"
 #include "core/types.hpp"
 
@@ -33,7 +35,8 @@
 struct pool_waiter {
     request_number request = 0;
     request_class klass = request_class::normal;
-    time_point deadline{};
+    time_point deadline{}; // waits no longer
+    time_point send_by{};  // is refused at once where it will probably be sent later; 0: the deadline
     auto operator<=>(const pool_waiter&) const = default;
 };
 
@@ -45,6 +48,8 @@
     std::set<connection_number> opening;
     std::set<connection_number> busy;
     std::set<connection_number> busy_background;
+    std::set<connection_number> resting; // of the busy ones: in a transaction, with no statement running
+    running_limit limit;
     std::array<std::deque<pool_waiter>, request_class_count> waiting; // by class
     duration service_time = std::chrono::milliseconds{2};             // smoothed time a request keeps one
     time_point open_retry_at{};                                       // no attempt to open before
@@ -104,6 +109,17 @@
 // Makes an attempt to open one, if it is time for that, whether or not a request waits for it.
 void look_for_room(pool_state& p, time_point now, connection_number& next_connection, pool_actions& actions);
 
+// The statement that ran on a busy connection was answered; `crowded`: refused, since the server is. One that
+// stays with its transaction rests until the transaction's next statement.
+struct statement_end {
+    duration took{0};
+    bool crowded = false;
+    bool stays = false;
+};
+void statement_ended(pool_state& p, connection_number c, const statement_end& end, time_point now,
+                     connection_number& next_connection, pool_actions& actions);
+void statement_begun(pool_state& p, connection_number c); // on a connection that rested
+
 // A request is done with its connection. One that is not reusable is closed.
 void release_connection(pool_state& p, connection_number c, bool reusable, duration used_for, time_point now,
                         connection_number& next_connection, pool_actions& actions);
--- a/src/daemon/agent.cpp
+++ b/src/daemon/agent.cpp
@@ -614,7 +614,7 @@
         ask(lent, 0);
         return;
     }
-    pools_.request(key, primary, all_connections, request_class::critical, until,
+    pools_.request(key, primary, all_connections, {.klass = request_class::critical, .deadline = until},
                    [this, group, ask](const pool_answer& answer) {
                        if (answer.connection) {
                            ask(answer.connection, answer.number);
--- a/src/daemon/loans.cpp
+++ b/src/daemon/loans.cpp
@@ -31,6 +31,8 @@
 constexpr duration idle_loan_time = std::chrono::seconds{10};
 constexpr duration tick_interval = std::chrono::seconds{1};
 constexpr duration drop_timeout = std::chrono::seconds{1};
+// Of the time that a borrower's request may wait; the same as the borrower's own pools do.
+constexpr int wait_parts = 3;
 constexpr duration lost_pause = std::chrono::milliseconds{20};
 
 std::uint64_t to_us(duration d) {
@@ -464,11 +466,14 @@
     begun.term = request.term();
     begun.since = now();
     begun.used_at = begun.since;
-    const request_number waiting = pools_.request(
-        key, server->second, service->background_share, static_cast<request_class>(request.klass()),
-        now() + from_us(request.wait_us()), [this, number, request, respond](const pool_answer& answer) {
-            on_connection(number, request, respond, answer);
-        });
+    const request_number waiting =
+        pools_.request(key, server->second, service->background_share,
+                       {.klass = static_cast<request_class>(request.klass()),
+                        .deadline = now() + from_us(request.wait_us()),
+                        .send_by = now() + from_us(request.wait_us()) / wait_parts},
+                       [this, number, request, respond](const pool_answer& answer) {
+                           on_connection(number, request, respond, answer);
+                       });
     const auto still = loans_.find(number); // it may have been answered, or refused, at once
     if (still != loans_.end() && !still->second.connection) {
         still->second.waiting = waiting;
@@ -528,6 +533,12 @@
         const auto still = loans_.find(number);
         if (still != loans_.end()) {
             still->second.running = false;
+            if (outcome.answered) {
+                pools_.note_statement_ended(still->second.key, still->second.number,
+                                            {.took = now() - still->second.used_at,
+                                             .crowded = outcome.refusal == server_refusal::busy,
+                                             .stays = outcome.transaction != 'I'});
+            }
             still->second.used_at = now();
             if (!outcome.answered || outcome.transaction == 'I') {
                 end_loan(number, outcome.answered);
@@ -536,6 +547,7 @@
         respond({.status = 200, .body = make_reply(outcome, *bytes)});
     };
     cluster_.note_asked(l.key.server);
+    pools_.note_statement_begun(l.key, l.number);
     connection->run(statement, std::move(sink));
 }
 
--- a/src/daemon/pools.cpp
+++ b/src/daemon/pools.cpp
@@ -26,8 +26,7 @@
 }
 
 request_number backend_pools::request(const share_key& key, const server_record& server,
-                                      unsigned background_share, request_class klass, time_point deadline,
-                                      pool_callback done) {
+                                      unsigned background_share, pool_waiter waiter, pool_callback done) {
     pool& p = find_or_make(key);
     p.server = server;
     p.used_at = now();
@@ -35,7 +34,7 @@
     const request_number number = next_request_++;
     p.requests[number] = waiting_request{.done = std::move(done)};
     pool_actions actions;
-    const pool_waiter waiter{.request = number, .klass = klass, .deadline = deadline};
+    waiter.request = number;
     request_connection(p.state, waiter, now(), next_connection_, actions);
     carry_out(key, actions);
     if (on_short_of_share && waiting_count(p.state) > 0 && open_count(p.state) >= p.state.share) {
@@ -67,6 +66,31 @@
     carry_out(key, actions);
 }
 
+void backend_pools::note_statement_ended(const share_key& key, connection_number number,
+                                         const statement_end& end) {
+    const auto found = pools_.find(key);
+    if (found == pools_.end()) {
+        return;
+    }
+    running_limit& limit = found->second.state.limit;
+    const unsigned before = limit.most;
+    pool_actions actions;
+    statement_ended(found->second.state, number, end, now(), next_connection_, actions);
+    if (limit.most != before && (before == 0 || limit.most == 0)) {
+        log_event(
+            severity::info, limit.most > 0 ? "server_crowded" : "server_no_longer_crowded",
+            {{"server", key.server.value}, {"running_at_most", static_cast<std::uint64_t>(limit.most)}});
+    }
+    carry_out(key, actions);
+}
+
+void backend_pools::note_statement_begun(const share_key& key, connection_number number) {
+    const auto found = pools_.find(key);
+    if (found != pools_.end()) {
+        statement_begun(found->second.state, number);
+    }
+}
+
 void backend_pools::set_share(const share_key& key, unsigned share) {
     pool_actions actions;
     larchpin::set_share(find_or_make(key).state, share, now(), next_connection_, actions);
--- a/src/daemon/pools.hpp
+++ b/src/daemon/pools.hpp
@@ -39,12 +39,18 @@
     // The driver must outlive the pools.
     backend_pools(boost::asio::io_context& io, const backend_driver& driver);
 
+    // The waiter's number is given here.
     request_number request(const share_key& key, const server_record& server, unsigned background_share,
-                           request_class klass, time_point deadline, pool_callback done);
+                           pool_waiter waiter, pool_callback done);
     // The caller no longer wants it; its callback is not called any more.
     void cancel(const share_key& key, request_number request);
     void release(const share_key& key, connection_number number, bool reusable, duration used_for);
 
+    // A statement on a connection that was handed out was answered, or is about to be sent on one that
+    // rested.
+    void note_statement_ended(const share_key& key, connection_number number, const statement_end& end);
+    void note_statement_begun(const share_key& key, connection_number number);
+
     void set_share(const share_key& key, unsigned share);
     void revoke_share(const share_key& key, unsigned share);
     [[nodiscard]] std::vector<share_claim> claims();
--- a/src/daemon/request_path.cpp
+++ b/src/daemon/request_path.cpp
@@ -22,6 +22,9 @@
 constexpr duration sample_wait = std::chrono::milliseconds{100};
 // A request that comes to a queue at the end of its patience may still get a connection that opens (15 ms).
 constexpr duration least_queue_time = std::chrono::milliseconds{30};
+// Of its patience a request may wait one third for its turn: at a crowded server it takes another third to be
+// answered (95 ms of 250 measured).
+constexpr int patience_parts = 3;
 constexpr duration lost_server_pause = std::chrono::milliseconds{1};
 
 std::int64_t to_us(duration d) {
@@ -242,6 +245,10 @@
     const time_point queue_until = r.what.patience > duration{0}
                                        ? std::max(r.started_at + r.what.patience, now() + least_queue_time)
                                        : r.deadline;
+    const time_point send_by =
+        r.what.patience > duration{0}
+            ? std::max(r.started_at + r.what.patience / patience_parts, now() + least_queue_time)
+            : r.deadline;
     arm_timer(r.deadline);
     owner_.cluster.note_request_started(r.server);
     const share_key key{.service = state.service, .server = r.server};
@@ -257,7 +264,8 @@
     const std::uint64_t serial = r.serial;
     const auto self = shared_from_this();
     const request_number number =
-        owner_.pools.request(key, server->second, service.background_share, state.settings.klass, queue_until,
+        owner_.pools.request(key, server->second, service.background_share,
+                             {.klass = state.settings.klass, .deadline = queue_until, .send_by = send_by},
                              [self, serial, key](const pool_answer& answer) {
                                  const bool awaited = self->active_ && self->active_->serial == serial &&
                                                       self->active_->step == request_step::queued &&
--- a/src/daemon/request_run.cpp
+++ b/src/daemon/request_run.cpp
@@ -51,6 +51,7 @@
     active_->sent_at = now();
     if (!connection->is_lent) {
         owner_.cluster.note_asked(active_->server);
+        owner_.pools.note_statement_begun(pinned_->key, pinned_->number);
     }
     connection->run(request, std::move(sink));
 }
@@ -65,6 +66,12 @@
         owner_.cluster.note_position(active_->server, active_->sent_at, *outcome.position);
     }
     note_context(*pinned_->connection, outcome);
+    if (!pinned_->connection->is_lent) {
+        owner_.pools.note_statement_ended(pinned_->key, pinned_->number,
+                                          {.took = now() - active_->sent_at,
+                                           .crowded = outcome.refusal == server_refusal::busy,
+                                           .stays = outcome.transaction != 'I'});
+    }
 }
 
 // Runs a statement of larchpin's own; `next` is called where it was answered.
@@ -234,7 +241,11 @@
     }
     const bool to_primary = outcome.refusal == server_refusal::read_only && !r.on_primary;
     const bool to_another = outcome.refusal != server_refusal::read_only && !r.on_primary;
-    if (!r.what.may_use_replica || !(to_primary || to_another) || ++r.attempts >= r.what.max_attempts) {
+    // A crowded primary may take it a little later, from our own queue.
+    const bool again =
+        outcome.refusal == server_refusal::busy && r.on_primary && r.what.patience > duration{0};
+    const bool elsewhere = r.what.may_use_replica && (to_primary || to_another);
+    if (!(elsewhere || again) || now() >= give_up_at() || ++r.attempts >= r.what.max_attempts) {
         return false;
     }
     owner_.counts.note_retry(metric());
@@ -246,7 +257,10 @@
                {"server_position", outcome.position ? outcome.position->position : 0}});
     owner_.cluster.note_request_ended(r.server, outcome.refusal != server_refusal::busy, now() - r.used_from);
     release_if_done();
-    r.avoid.push_back(r.server);
+    if (elsewhere) {
+        r.avoid.push_back(r.server);
+    }
+    r.serial = next_serial_++;
     r.held.clear();
     if (to_primary) {
         r.what.may_use_replica = false;
--- a/tests/platform_site.cpp
+++ b/tests/platform_site.cpp
@@ -152,6 +152,11 @@
         if (server.silent) {
             return;
         }
+        if (server.refusals_as_busy > 0) {
+            --server.refusals_as_busy;
+            send("ERROR BUSY crowded\r\n" + ready());
+            return;
+        }
         if (server.answers_to_lose > 0 && text != "ROLLBACK") {
             --server.answers_to_lose;
             return;
--- a/tests/platform_site.hpp
+++ b/tests/platform_site.hpp
@@ -51,14 +51,15 @@
     std::string id;
     std::string zone;
     bool is_primary = false;
-    std::uint64_t applied = 0;    // number of the last commit
-    bool follows = true;          // gets the primary's commits at once
-    bool silent = false;          // runs statements and answers nothing
-    unsigned answers_to_lose = 0; // runs so many statements more without answering them
-    bool cuts_writes = false;     // closes the connection in place of a write's answer
-    bool full = false;            // turns every new connection away
-    std::string cut_from;         // hears nothing of this daemon any more; empty: of nobody
-    std::string refuse_with;      // error code for every read, write and commit; empty: none
+    std::uint64_t applied = 0;     // number of the last commit
+    bool follows = true;           // gets the primary's commits at once
+    bool silent = false;           // runs statements and answers nothing
+    unsigned refusals_as_busy = 0; // refuses so many statements more
+    unsigned answers_to_lose = 0;  // runs so many statements more without answering them
+    bool cuts_writes = false;      // closes the connection in place of a write's answer
+    bool full = false;             // turns every new connection away
+    std::string cut_from;          // hears nothing of this daemon any more; empty: of nobody
+    std::string refuse_with;       // error code for every read, write and commit; empty: none
     std::unique_ptr<boost::asio::ip::tcp::acceptor> acceptor;
     std::vector<std::weak_ptr<boost::asio::ip::tcp::socket>> sockets;
     [[nodiscard]] unsigned port() const { return acceptor->local_endpoint().port(); }
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -339,6 +339,16 @@
     EXPECT_EQ(a.state, "I");
 }
 
+TEST(outcomes, a_crowded_primary_is_asked_again_from_our_own_queue) {
+    platform_site s;
+    s.start();
+    line_caller c = s.connect("strict");
+    ASSERT_EQ(c.ask("w0", "STORE k v").state, "I");
+    s.server("s1").refusals_as_busy = 1;
+    EXPECT_FALSE(c.ask("w1", "STORE k v").done.empty());
+    EXPECT_EQ(s.server("s1").applied, 2U);
+}
+
 TEST(outcomes, a_read_that_one_replica_refuses_is_served_by_another) {
     platform_site s;
     s.start();
