A fault soak of our own; the log has a thread of its own; larchpinctl explain

Traced with a debugger on our own process: three workers stood in PQcancel, which waits for a silent server, and the log's write lay in the same oneTBB arena. An arena of its own with a higher priority was tried first and failed the same way (a fourth thread stood idle), so the log now has a thread of its own; open cancels are bounded. Ruled out: lost messages, elections refused, the disk.

--- a/src/ctl/main.cpp
+++ b/src/ctl/main.cpp
@@ -2,6 +2,7 @@
 //
 // Index
 //   [output]  [commands]  [main]
+#include "ctl/log_story.hpp"
 #include "ctl/operator_client.hpp"
 #include "ctl/table_file.hpp"
 #include "generated/larchpin.pb.h"
@@ -15,6 +16,7 @@
 #include <fstream>
 #include <iomanip>
 #include <iostream>
+#include <list>
 #include <map>
 #include <sstream>
 #include <thread>
@@ -328,6 +330,33 @@
     return 0;
 }
 
+// Needs no daemon: on-call engineers have the logs only.
+int run_explain(const arguments& a) {
+    if (a.words.size() < 2) {
+        return fail("explain needs the request's id; see --help", result_code::bad_command_line);
+    }
+    std::list<std::ifstream> files;
+    std::vector<std::istream*> logs;
+    for (std::size_t i = 2; i < a.words.size(); ++i) {
+        files.emplace_back(a.words[i]);
+        if (!files.back()) {
+            return fail("the log cannot be read: " + a.words[i], result_code::bad_command_line);
+        }
+        logs.push_back(&files.back());
+    }
+    if (logs.empty()) {
+        logs.push_back(&std::cin);
+    }
+    const auto story = larchpin::tell_story(a.words[1], logs);
+    if (story.empty()) {
+        return fail("no line names the request " + a.words[1], result_code::no_such_record);
+    }
+    for (const larchpin::story_line& line : story) {
+        std::cout << line.time << (line.is_own ? "  * " : "    ") << line.text << "\n";
+    }
+    return 0;
+}
+
 leaf::result<int> run_command(const arguments& a) {
     const std::string& command = a.words.front();
     if (command == "apply" || command == "diff") {
@@ -378,6 +407,7 @@
                              "  leave SERVER                   gives a backend server no new work\n"
                              "  switchover GROUP SERVER        makes a replica the primary\n"
                              "  drain                          stops the daemon at --to gracefully\n"
+                             "  explain ID [LOG...]            what happened to a request, from logs\n"
                              "  stats                          metrics of each daemon at --to\n"
                              "  bootstrap                      starts a new cluster at --to, once\n");
     options.add_options()("help", "print this")("version", "print the version")(
@@ -401,6 +431,9 @@
             std::cout << "larchpinctl " << LARCHPIN_VERSION << "\n";
             return 0;
         }
+        if (!a.words.empty() && a.words.front() == "explain") {
+            return run_explain(a);
+        }
         if (a.words.empty() || a.client.addresses.empty() || key_file.empty()) {
             return fail("a command, --to and --key-file are needed; see --help",
                         result_code::bad_command_line);
--- a/src/daemon/control_node.cpp
+++ b/src/daemon/control_node.cpp
@@ -174,7 +174,7 @@
 }
 
 void control_node::write_batch(const std::shared_ptr<std::vector<raft::output>>& batch) {
-    run_on_worker([this, batch] {
+    run_on_log_worker([this, batch] {
         std::vector<raft::record> records;
         for (const raft::output& out : *batch) {
             records.insert(records.end(), out.records.begin(), out.records.end());
--- a/src/io/pg_connection.cpp
+++ b/src/io/pg_connection.cpp
@@ -5,6 +5,7 @@
 #include "io/pg_connection.hpp"
 
 #include "io/backend_sql.hpp"
+#include "io/log.hpp"
 #include "io/pg_frame.hpp"
 #include "io/workers.hpp"
 
@@ -13,6 +14,7 @@
 #include <libpq-fe.h>
 
 #include <array>
+#include <atomic>
 
 namespace larchpin {
 
@@ -21,6 +23,7 @@
 namespace {
 
 constexpr std::size_t flush_threshold = 32768;
+constexpr int max_open_cancels = 64; // waiting ones included; the statements then run to their end
 
 //-----------------------------------------------------------------------------
 // [results as messages]
@@ -265,14 +268,20 @@
     if (connection_ == nullptr || broken_ || !running_) {
         return;
     }
-    PGcancel* cancel = PQgetCancel(connection_);
+    // PQcancel opens a connection of its own and blocks, for as long as the server is silent.
+    static std::atomic<int> open_cancels{0};
+    PGcancel* cancel = open_cancels < max_open_cancels ? PQgetCancel(connection_) : nullptr;
     if (cancel == nullptr) {
+        log_event(severity::warning, "statement_not_cancelled",
+                  {{"open_cancels", static_cast<std::int64_t>(open_cancels.load())}});
         return;
     }
-    run_on_worker([cancel] { // PQcancel opens a connection of its own and blocks
+    ++open_cancels;
+    run_on_worker([cancel] {
         std::array<char, 256> problem{};
         PQcancel(cancel, problem.data(), static_cast<int>(problem.size()));
         PQfreeCancel(cancel);
+        --open_cancels;
     });
 }
 
--- a/tests/io_test.cpp
+++ b/tests/io_test.cpp
@@ -1,7 +1,8 @@
 // Decoders, the log on disk, settings and the table of codes: what strangers, disks and people may hand in.
 //
 // Index
-//   [log]  [messages]  [settings]  [codes]
+//   [log]  [messages]  [settings]  [codes]  [workers]  [stories]
+#include "ctl/log_story.hpp"
 #include "ctl/table_file.hpp"
 #include "generated/larchpin.pb.h"
 #include "io/auth.hpp"
@@ -11,6 +12,7 @@
 #include "io/pg_frame.hpp"
 #include "io/raft_store.hpp"
 #include "io/settings.hpp"
+#include "io/workers.hpp"
 
 #include <boost/leaf/handle_errors.hpp>
 #include <gtest/gtest.h>
@@ -18,10 +20,13 @@
 
 #include <sys/resource.h>
 
+#include <atomic>
 #include <csignal>
 #include <filesystem>
 #include <fstream>
+#include <future>
 #include <sstream>
+#include <thread>
 
 namespace larchpin {
 namespace {
@@ -405,5 +410,76 @@
     EXPECT_EQ(in_page, rows);
 }
 
+//-----------------------------------------------------------------------------
+// [workers]
+//-----------------------------------------------------------------------------
+
+// Cancel requests to servers that are silent block for as long as these are.
+TEST(workers, the_log_is_written_while_other_work_is_blocked) {
+    std::promise<void> release;
+    const std::shared_future<void> released = release.get_future().share();
+    std::atomic<int> ended{0};
+    constexpr int blocked = 16; // more than there are workers
+    for (int i = 0; i < blocked; ++i) {
+        run_on_worker([released, &ended] {
+            released.wait();
+            ++ended;
+        });
+    }
+    auto written = std::make_shared<std::promise<void>>();
+    std::future<void> done = written->get_future();
+    run_on_log_worker([written] { written->set_value(); });
+    const bool in_time = done.wait_for(std::chrono::seconds{10}) == std::future_status::ready;
+    EXPECT_TRUE(in_time);
+    EXPECT_EQ(ended, 0);
+    release.set_value();
+    while (ended < blocked) {
+        std::this_thread::sleep_for(std::chrono::milliseconds{1});
+    }
+}
+
+//-----------------------------------------------------------------------------
+// [stories] of one request, from the logs of several processes
+//-----------------------------------------------------------------------------
+
+std::string make_log_line(const std::string& time, const std::string& event, const std::string& instance,
+                          const std::string& more) {
+    return R"({"time":"2026-12-02T10:00:)" + time + R"(Z","level":"info","event":")" + event +
+           R"(","instance":")" + instance + R"(","failure_domain":"d")" + more + "}\n";
+}
+
+TEST(stories, join_what_several_processes_say_of_a_request) {
+    std::istringstream entry(
+        make_log_line("05.000", "lease_lost", "e1", "") +
+        make_log_line("08.500", "server_unreachable", "e1", R"(,"server":"s1")") +
+        make_log_line("08.600", "server_unreachable", "e1", R"(,"server":"other")") +
+        make_log_line("09.000", "request_ended", "e1", R"(,"request":"abd","server":"s1")") +
+        "a torn line {\"time\n" +
+        make_log_line("09.200", "request_ended", "e1",
+                      R"(,"request":"abc","group":"g","server":"s1","code":3002)") +
+        make_log_line("09.300", "lease_held", "e1", ""));
+    std::istringstream lender(
+        "16.2 lender " +
+        make_log_line("09.100", "loan_refused", "e2", R"(,"request":"abc","server":"s1","code":3006)"));
+    std::istringstream control(make_log_line("08.900", "promoting", "c1", R"(,"group":"g","server":"s2")") +
+                               make_log_line("08.900", "promoting", "c1", R"(,"group":"h","server":"t")"));
+    const auto story = tell_story("abc", {&entry, &lender, &control});
+    std::vector<std::string> events;
+    for (const story_line& line : story) {
+        events.push_back((line.is_own ? "*" : "") + line.text.substr(0, line.text.find("  ")));
+    }
+    const std::vector<std::string> expected{"server_unreachable at e1", "promoting at c1",
+                                            "*loan_refused at e2", "*request_ended at e1"};
+    EXPECT_EQ(events, expected);
+    EXPECT_NE(story.back().text.find("code=3002"), std::string::npos);
+}
+
+TEST(stories, of_unknown_requests_and_any_bytes_are_empty) {
+    rc::check([](const std::string& bytes) {
+        std::istringstream log(bytes);
+        RC_ASSERT(tell_story("abc", {&log}).empty());
+    });
+}
+
 } // namespace
 } // namespace larchpin
--- a/tests/site.cpp
+++ b/tests/site.cpp
@@ -9,6 +9,7 @@
 #include <libpq-fe.h>
 
 #include <fcntl.h>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -40,9 +41,12 @@
     raw.push_back(nullptr);
     const pid_t pid = ::fork();
     if (pid == 0) {
+        ::prctl(PR_SET_PDEATHSIG, SIGKILL); // also where a run is ended from outside
         const int file = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
         ::dup2(file, STDOUT_FILENO);
         ::dup2(file, STDERR_FILENO);
+        // A copy of a relay's connection would keep it open after its end.
+        ::close_range(STDERR_FILENO + 1, ~0U, 0);
         ::execv(raw[0], raw.data());
         ::_exit(127);
     }
@@ -206,13 +210,18 @@
     folder_ = std::filesystem::temp_directory_path() / ("larchpin-" + random_hex(8));
     std::filesystem::create_directories(folder_);
     std::ofstream(folder_ + "/key") << random_hex(24) << "\n";
+    const auto relay = [this](unsigned port) { return options_.relay ? options_.relay(port) : port; };
     for (int i = 0; i < options_.daemons; ++i) {
-        daemons_.push_back({.entry_port = free_port(), .peer_port = free_port()});
+        const unsigned peer_port = free_port();
+        daemons_.push_back(
+            {.entry_port = free_port(), .peer_port = peer_port, .relay_port = relay(peer_port)});
     }
     for (int g = 0; g < options_.groups; ++g) {
         for (int s = 0; s < options_.servers; ++s) {
             const std::string group = "g" + std::to_string(g);
-            servers_[group + "-s" + std::to_string(s)] = {.group = group, .index = s, .port = free_port()};
+            const unsigned port = free_port();
+            servers_[group + "-s" + std::to_string(s)] = {
+                .group = group, .index = s, .port = port, .relay_port = relay(port)};
         }
     }
 }
@@ -237,7 +246,18 @@
 }
 
 std::string site::peer_address(int i) const {
-    return std::string(host) + ":" + std::to_string(daemons_.at(static_cast<std::size_t>(i)).peer_port);
+    return std::string(host) + ":" + std::to_string(daemons_.at(static_cast<std::size_t>(i)).relay_port);
+}
+
+std::vector<unsigned> site::relays() const {
+    std::vector<unsigned> ports;
+    for (const daemon_process& d : daemons_) {
+        ports.push_back(d.relay_port);
+    }
+    for (const auto& [name, s] : servers_) {
+        ports.push_back(s.relay_port);
+    }
+    return ports;
 }
 
 unsigned site::entry_port(int i) const {
@@ -249,7 +269,8 @@
     out << "[instance]\nid = \"i" << i << "\"\nfailure_domain = \"" << domain_of(i) << "\"\n"
         << "[entry]\nlisten = \"" << host << ":" << entry_port(i) << "\"\ndrain_ms = " << options_.drain_ms
         << "\n"
-        << "[peer]\nlisten = \"" << peer_address(i) << "\"\nkey_file = \"" << folder_ << "/key\"\n"
+        << "[peer]\nlisten = \"" << host << ":" << daemons_.at(static_cast<std::size_t>(i)).peer_port
+        << "\"\naddress = \"" << peer_address(i) << "\"\nkey_file = \"" << folder_ << "/key\"\n"
         << "[backend]\ndetect_ms = " << options_.detect_ms << "\n"
         << "[control]\nlease_ms = " << options_.lease_ms
         << "\nsnapshot_entries = " << options_.snapshot_entries << "\naddresses = [\"" << peer_address(0)
@@ -277,6 +298,8 @@
                                        domain_of(s.index),
                                        "--port",
                                        std::to_string(s.port),
+                                       "--announce-port",
+                                       std::to_string(s.relay_port),
                                        "--key-file",
                                        folder_ + "/key",
                                        "--lag-ms",
--- a/tests/site.hpp
+++ b/tests/site.hpp
@@ -79,6 +79,8 @@
     unsigned drain_ms = 5000;
     unsigned snapshot_entries = 4096;
     std::vector<std::string> services = {"shop"};
+    // Puts a relay before a listener and gives its port; empty: everyone connects directly.
+    std::function<unsigned(unsigned port)> relay = {};
 };
 
 class site {
@@ -110,7 +112,8 @@
     [[nodiscard]] operator_client operators() const;
     [[nodiscard]] std::string log_of_daemon(int i) const;
     [[nodiscard]] pid_t pid_of_daemon(int i) const;
-    [[nodiscard]] std::string peer_address(int i) const;
+    [[nodiscard]] std::string peer_address(int i) const; // as others reach it
+    [[nodiscard]] std::vector<unsigned> relays() const;  // ports of all
     [[nodiscard]] unsigned entry_port(int i) const;
     [[nodiscard]] const site_options& options() const { return options_; }
     [[nodiscard]] const std::string& folder() const { return folder_; }
@@ -120,11 +123,13 @@
         std::string group;
         int index = 0;
         unsigned port = 0;
+        unsigned relay_port = 0; // `port` where there is none
         pid_t pid = 0;
     };
     struct daemon_process {
         unsigned entry_port = 0;
         unsigned peer_port = 0;
+        unsigned relay_port = 0;
         pid_t pid = 0;
     };
 
--- a/tools/standin/main.cpp
+++ b/tools/standin/main.cpp
@@ -43,7 +43,8 @@
     std::string domain;
     std::string host = "127.0.0.1";
     unsigned port = 0;
-    std::string upstream; // "ip:port" of the primary to follow; empty: starts as primary
+    unsigned announce_port = 0; // told to others in place of `port`; 0: the same
+    std::string upstream;       // "ip:port" of the primary to follow; empty: starts as primary
     std::vector<std::string> announce_to;
     std::string key_file;
     unsigned lag_ms = 0;      // of a replica
@@ -654,7 +655,7 @@
     m.mutable_record()->set_group(opt.group);
     m.mutable_record()->set_domain(opt.domain);
     m.mutable_record()->set_host(opt.host);
-    m.mutable_record()->set_port(opt.port);
+    m.mutable_record()->set_port(opt.announce_port == 0 ? opt.port : opt.announce_port);
     m.set_is_primary(data.is_primary);
     m.set_timeline(data.timeline);
     m.set_position(position_of(data));
@@ -752,6 +753,7 @@
         "domain", "its failure domain", cxxopts::value(opt.domain))(
         "host", "IP number", cxxopts::value(opt.host))("port", "port", cxxopts::value(opt.port))(
         "follow", "ip:port of the primary", cxxopts::value(opt.upstream))(
+        "announce-port", "port that others are told, of a relay", cxxopts::value(opt.announce_port))(
         "announce-to", "ip:port of peer listeners",
         cxxopts::value(opt.announce_to))("key-file", "shared key", cxxopts::value(opt.key_file))(
         "lag-ms", "replication lag", cxxopts::value(opt.lag_ms))("service-ms", "time a statement takes",
