--- a/src/daemon/agent.hpp
+++ b/src/daemon/agent.hpp
@@ -17,7 +17,7 @@
 #include "core/routing.hpp"
 #include "daemon/pools.hpp"
 #include "io/backend_driver.hpp"
-#include "io/http2.hpp"
+#include "io/http2_clients.hpp"
 #include "io/settings.hpp"
 
 #include <memory>
@@ -129,11 +129,9 @@
     void probe_unreachable();
     void ask_primaries();
     void ask_primary(const group_id& group, const service_id& service, const server_record& primary);
-    http2_client& client_to(const std::string& address);
 
     boost::asio::io_context& io_;
     const settings& config_;
-    shared_keys keys_;
     backend_pools& pools_;
     const backend_driver& driver_;
     boost::asio::steady_timer timer_;
@@ -181,7 +179,7 @@
     };
     std::map<server_id, position_source> sources_; // who answered last for a server
     time_point next_pull_{};
-    std::map<std::string, std::unique_ptr<http2_client>> clients_;
+    http2_clients clients_;
 };
 
 } // namespace larchpin
--- a/src/daemon/control_node.cpp
+++ b/src/daemon/control_node.cpp
@@ -59,7 +59,8 @@
 
 control_node::control_node(asio::io_context& io, const settings& config, const shared_keys& keys,
                            const backend_driver& driver)
-    : io_(io), config_(config), keys_(keys), driver_(driver), random_(std::random_device{}()), timer_(io) {}
+    : io_(io), config_(config), driver_(driver), random_(std::random_device{}()), clients_(io, keys),
+      timer_(io) {}
 
 control_node::~control_node() = default;
 
@@ -217,20 +218,11 @@
         }
         wire::raft_message wire_message;
         to_wire(m, wire_message);
-        client_to(to->address)
+        clients_.to(to->address)
             .post("/v1/raft", wire_message.SerializeAsString(), message_timeout, [](const http_outcome&) {});
     }
 }
 
-http2_client& control_node::client_to(const std::string& address) {
-    auto& client = clients_[address];
-    if (!client) {
-        const auto endpoint = parse_endpoint(address);
-        client = std::make_unique<http2_client>(io_, endpoint.value_or(asio::ip::tcp::endpoint{}), keys_);
-    }
-    return *client;
-}
-
 void control_node::on_raft_message(const std::string& body) {
     wire::raft_message m;
     if (!m.ParseFromString(body) || store_failed_) {
@@ -418,8 +410,8 @@
     }
     wire::join_request request;
     to_wire(core_.self, *request.mutable_member());
-    client_to(address).post("/v1/join", request.SerializeAsString(), message_timeout,
-                            [](const http_outcome&) {});
+    clients_.to(address).post("/v1/join", request.SerializeAsString(), message_timeout,
+                              [](const http_outcome&) {});
 }
 
 std::string control_node::answer_join(const std::string& body) {
--- a/src/daemon/control_node.hpp
+++ b/src/daemon/control_node.hpp
@@ -10,7 +10,7 @@
 
 #include "core/control_core.hpp"
 #include "daemon/watch_replies.hpp"
-#include "io/http2.hpp"
+#include "io/http2_clients.hpp"
 #include "io/raft_store.hpp"
 #include "io/settings.hpp"
 
@@ -108,11 +108,9 @@
     void found_cluster();
     [[nodiscard]] raft::node_id new_identity() const;
     [[nodiscard]] std::string leader_address() const;
-    http2_client& client_to(const std::string& address);
 
     boost::asio::io_context& io_;
     settings config_;
-    shared_keys keys_;
     const backend_driver& driver_;
     std::mt19937_64 random_;
     raft_store store_;
@@ -124,7 +122,7 @@
     whole_state_reply whole_state_;
     std::vector<waiting_edit> edits_;
     std::map<std::uint64_t, server_operation> operations_;
-    std::map<std::string, std::unique_ptr<http2_client>> clients_;
+    http2_clients clients_;
     boost::asio::steady_timer timer_;
     time_point next_join_at_{};
     std::size_t join_index_ = 0;
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -53,16 +53,7 @@
     : io_(io), config_(config), keys_(keys), driver_(std::move(driver)),
       make_session_(std::move(make_session)), pools_(io, driver_),
       agent_(io, config_, keys_, pools_, driver_), loans_(io, config_, keys_, agent_, pools_, driver_),
-      signals_(io, SIGTERM, SIGINT), reload_signal_(io, SIGHUP), settings_timer_(io) {}
-
-http2_client& daemon::client_to(const std::string& address) {
-    auto& client = clients_[address];
-    if (!client) {
-        client = std::make_unique<http2_client>(
-            io_, parse_endpoint(address).value_or(asio::ip::tcp::endpoint{}), keys_);
-    }
-    return *client;
-}
+      clients_(io, keys), signals_(io, SIGTERM, SIGINT), reload_signal_(io, SIGHUP), settings_timer_(io) {}
 
 leaf::result<void> daemon::start() {
     if (config_.control_member) {
@@ -86,7 +77,7 @@
             const std::string body = std::to_string(process) + " " + std::to_string(secret);
             for (const auto& [id, record] : agent_.cluster().instances) {
                 if (id != config_.id) {
-                    client_to(record.address)
+                    clients_.to(record.address)
                         .post("/v1/cancel", body, cancel_timeout, [](const http_outcome&) {});
                 }
             }
@@ -329,7 +320,7 @@
 // An operator may ask any daemon; this one passes the request on, following hints, to whoever leads.
 void daemon::forward_to_control(const http_request& request, const http_respond& respond,
                                 const std::string& address, unsigned hops) {
-    client_to(address).post(
+    clients_.to(address).post(
         request.path, request.body, control_timeout, [this, request, respond, hops](const http_outcome& o) {
             const auto reply = o.answered ? peek_reply(o.body) : std::nullopt;
             const bool other_leads =
--- a/src/daemon/daemon.hpp
+++ b/src/daemon/daemon.hpp
@@ -10,7 +10,7 @@
 #include "daemon/entry.hpp"
 #include "daemon/loans.hpp"
 #include "daemon/pools.hpp"
-#include "io/http2.hpp"
+#include "io/http2_clients.hpp"
 #include "io/metrics.hpp"
 #include "io/settings.hpp"
 
@@ -65,7 +65,6 @@
     void await_reload_signal();
     void watch_settings();
     void reload_settings(bool by_signal);
-    http2_client& client_to(const std::string& address);
 
     boost::asio::io_context& io_;
     settings config_;
@@ -79,7 +78,7 @@
     std::unique_ptr<control_node> control_;
     std::unique_ptr<entry> entry_;
     std::unique_ptr<http2_server> server_;
-    std::map<std::string, std::unique_ptr<http2_client>> clients_;
+    http2_clients clients_;
     boost::asio::signal_set signals_;
     boost::asio::signal_set reload_signal_;
     boost::asio::steady_timer settings_timer_;
--- a/src/daemon/loans.cpp
+++ b/src/daemon/loans.cpp
@@ -182,8 +182,8 @@
         wire::loan_request m;
         m.set_loan(number_);
         m.set_drop(true);
-        owner_.client_to(home_).post("/v1/loan", m.SerializeAsString(), drop_timeout,
-                                     [](const http_outcome&) {});
+        owner_.clients_.to(home_).post("/v1/loan", m.SerializeAsString(), drop_timeout,
+                                       [](const http_outcome&) {});
         home_.clear();
     }
 
@@ -200,12 +200,12 @@
         }
         const wire::loan_request m = make_request(terms_, number_, !is_lent_, request_);
         const duration time = std::max(terms_.deadline - now(), duration{0}) + answer_slack;
-        owner_.client_to(home_).post("/v1/loan", m.SerializeAsString(), time,
-                                     [self = shared_from_this(), number = number_](const http_outcome& o) {
-                                         if (self->running_ && number == self->number_) {
-                                             self->on_reply(o);
-                                         }
-                                     });
+        owner_.clients_.to(home_).post("/v1/loan", m.SerializeAsString(), time,
+                                       [self = shared_from_this(), number = number_](const http_outcome& o) {
+                                           if (self->running_ && number == self->number_) {
+                                               self->on_reply(o);
+                                           }
+                                       });
     }
 
     void on_reply(const http_outcome& o) {
@@ -274,8 +274,8 @@
 
 connection_loans::connection_loans(asio::io_context& io, const settings& config, const shared_keys& keys,
                                    agent& cluster, backend_pools& pools, const backend_driver& driver)
-    : io_(io), config_(config), keys_(keys), cluster_(cluster), pools_(pools), driver_(driver), timer_(io),
-      random_(std::random_device{}()) {
+    : io_(io), config_(config), cluster_(cluster), pools_(pools), driver_(driver), timer_(io),
+      random_(std::random_device{}()), clients_(io, keys) {
     on_tick();
 }
 
@@ -394,15 +394,6 @@
     }
 }
 
-http2_client& connection_loans::client_to(const std::string& address) {
-    auto& client = clients_[address];
-    if (!client) {
-        client = std::make_unique<http2_client>(
-            io_, parse_endpoint(address).value_or(asio::ip::tcp::endpoint{}), keys_);
-    }
-    return *client;
-}
-
 //-----------------------------------------------------------------------------
 // [lending]
 //-----------------------------------------------------------------------------
--- a/src/daemon/loans.hpp
+++ b/src/daemon/loans.hpp
@@ -18,7 +18,7 @@
 
 #include "daemon/agent.hpp"
 #include "daemon/pools.hpp"
-#include "io/http2.hpp"
+#include "io/http2_clients.hpp"
 
 #include <memory>
 #include <random>
@@ -84,7 +84,6 @@
     void note_lender(const share_key& key, const std::string& address, const backend_outcome& outcome);
     const std::vector<instance_id>& homes_of(const share_key& key);
     void note_home(const std::string& address, bool answers);
-    http2_client& client_to(const std::string& address);
     // [lending]
     void begin_loan(const wire::loan_request& request, const http_respond& respond);
     void on_connection(std::uint64_t number, const wire::loan_request& request, const http_respond& respond,
@@ -96,7 +95,6 @@
 
     boost::asio::io_context& io_;
     const settings& config_;
-    shared_keys keys_;
     agent& cluster_;
     backend_pools& pools_;
     const backend_driver& driver_;
@@ -108,7 +106,7 @@
     revision_number homes_table_revision_ = 0;
     std::map<server_id, std::string> lent_last_;      // by whom, where we have no connection to the server
     std::map<std::string, time_point> avoided_until_; // homes that did not answer, by address
-    std::map<std::string, std::unique_ptr<http2_client>> clients_;
+    http2_clients clients_;
     std::uint64_t borrowed_ = 0;
     std::uint64_t lent_ = 0;
     bool stopping_ = false;
--- /dev/null
+++ b/src/io/http2_clients.cpp
@@ -0,0 +1,20 @@
+#include "io/http2_clients.hpp"
+
+#include "io/addresses.hpp"
+
+namespace larchpin {
+
+http2_clients::http2_clients(boost::asio::io_context& io, shared_keys keys)
+    : io_(io), keys_(std::move(keys)) {}
+
+http2_client& http2_clients::to(const std::string& address) {
+    auto& client = clients_[address];
+    if (!client) {
+        const auto endpoint = parse_endpoint(address);
+        client =
+            std::make_unique<http2_client>(io_, endpoint.value_or(boost::asio::ip::tcp::endpoint{}), keys_);
+    }
+    return *client;
+}
+
+} // namespace larchpin
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -449,7 +449,8 @@
         const auto rows = rows_of(s, server);
         for (const std::string& key : told.not_run()) {
             if (rows.contains(key)) {
-                told.note_break("not-run: " + key + " is on " + server);
+                std::string text("not-run: ");
+                told.note_break(text.append(key).append(" is on ").append(server));
             }
         }
         if (server != primary || s.term_of(group_name) != 1) {
