The control log: what is in flight is not sent again with every heartbeat

A leader set `next` back with each heartbeat (50 ms) as long as an acknowledgement was out: behind a disk that is slow or hangs, each entry, a whole table, went out up to 52 times; and a new leader sent the whole log to whoever had not answered within 50 ms. Ruled out: the loans (failure domain internal), the watch (whole tables, but 0.2 MB), positions. Change: entries in flight are sent again after 50, 100, 200 .. 1000 ms without an acknowledgement; a refusal that tells of nothing before them sends nothing; a member that joins gets the log from its beginning at once (it cannot refuse: it does not know the others). The test of the hanging peer failed before with 52 copies, now 6.

--- a/src/core/raft.cpp
+++ b/src/core/raft.cpp
@@ -14,6 +14,9 @@
 //-----------------------------------------------------------------------------
 
 constexpr std::size_t max_open_rounds = 256;
+// A peer whose disk hangs keeps what it has got, and each copy costs the whole of the entries (a table of 340
+// routes is 100 KB). One that was lost with its connection is missed for as long at most.
+constexpr duration max_resend_wait = std::chrono::seconds{1};
 
 const entry* entry_at(const state& s, std::uint64_t index) {
     if (index <= s.snap.index || index > last_index(s)) {
@@ -115,6 +118,16 @@
     return m;
 }
 
+// Entries were sent to this peer that it has not acknowledged.
+bool has_entries_in_flight(const progress& p) {
+    return p.base + 1 < p.next;
+}
+
+void note_progress(const state& s, progress& p, time_point now) {
+    p.resend_wait = s.config.heartbeat_interval;
+    p.resend_at = now + p.resend_wait;
+}
+
 void send_append(state& s, node_id to, progress& p, time_point now) {
     if (p.next <= s.snap.index) {
         message m = make_message(s, message_kind::snapshot_request, to);
@@ -131,6 +144,9 @@
     m.commit = s.commit;
     m.round = s.round;
     const std::uint64_t end = std::min(last_index(s), p.next + s.config.batch_entries - 1);
+    if (!has_entries_in_flight(p)) {
+        p.resend_at = std::max(p.resend_at, now + s.config.heartbeat_interval);
+    }
     for (std::uint64_t i = p.next; i <= end; ++i) {
         m.entries.push_back(*entry_at(s, i));
     }
@@ -139,11 +155,27 @@
     s.out.messages.push_back(std::move(m));
 }
 
+// A peer that has said nothing to this leader for long may be empty, and not know whom to tell.
+void send_again_if_overdue(progress& p, time_point now) {
+    const bool silent = !p.acked && p.resend_wait >= max_resend_wait;
+    if (now < p.resend_at || p.snapshot_in_flight || !(has_entries_in_flight(p) || !p.acked)) {
+        return;
+    }
+    p.base = silent ? 0 : p.base;
+    p.next = p.base + 1;
+    p.resend_wait = std::min(p.resend_wait * 2, max_resend_wait);
+    p.resend_at = now + p.resend_wait;
+}
+
 void sync_peers(state& s, time_point now) {
     for (const member& m : s.members.members) {
         if (m.id != s.self && !s.peers.contains(m.id)) {
+            // A member that joins has nothing, and cannot say so: it does not know the others yet.
+            const bool joins = now > s.became_leader_at;
             progress p;
-            p.next = last_index(s) + 1;
+            p.base = joins ? 0 : last_index(s);
+            p.next = p.base + 1;
+            note_progress(s, p, now);
             p.acked_sent_at = now; // it has the time to answer before it counts as silent
             s.peers.emplace(m.id, p);
         }
@@ -162,7 +194,9 @@
     }
     sync_peers(s, now);
     for (auto& [id, p] : s.peers) {
-        const bool waits_for_snapshot = p.snapshot_in_flight && now - p.last_send < s.config.election_timeout;
+        const bool silent = now - p.acked_sent_at > max_resend_wait;
+        const duration snapshot_wait = silent ? max_resend_wait : s.config.election_timeout;
+        const bool waits_for_snapshot = p.snapshot_in_flight && now - p.last_send < snapshot_wait;
         if (!waits_for_snapshot) {
             send_append(s, id, p, now);
         }
@@ -404,6 +438,18 @@
     p.acked = true;
 }
 
+// A refusal that tells of nothing before what is in flight says only that this has not arrived yet: sent once
+// more for each of them, large entries would choke the peer.
+void on_append_refused(state& s, progress& p, const message& m, time_point now) {
+    const bool on_its_way = has_entries_in_flight(p) || p.snapshot_in_flight;
+    if (on_its_way && m.log_index >= p.base) {
+        return;
+    }
+    p.next = std::max<std::uint64_t>(p.match + 1, m.log_index + 1);
+    p.base = p.next - 1;
+    send_append(s, m.from, p, now);
+}
+
 void on_append_reply(state& s, const message& m, time_point now, std::mt19937_64& random) {
     if (m.term > s.hard.term) {
         become_follower(s, m.term, 0, now, random);
@@ -415,13 +461,16 @@
     }
     progress& p = found->second;
     note_ack_time(s, p, m);
-    p.snapshot_in_flight = false;
     if (!m.granted) {
-        p.next = std::max<std::uint64_t>(p.match + 1, m.log_index + 1);
-        send_append(s, m.from, p, now);
+        on_append_refused(s, p, m, now);
         return;
     }
-    p.match = std::max(p.match, m.log_index);
+    p.snapshot_in_flight = false;
+    if (m.log_index > p.match) {
+        p.match = m.log_index;
+        note_progress(s, p, now);
+    }
+    p.base = std::max(p.base, p.match);
     p.next = std::max(p.next, p.match + 1);
     const std::uint64_t commit_before = s.commit;
     advance_commit(s);
@@ -460,10 +509,7 @@
         return;
     }
     for (auto& [id, p] : s.peers) {
-        if (!p.snapshot_in_flight && p.match + 1 < p.next &&
-            now - p.last_send > s.config.heartbeat_interval) {
-            p.next = p.match + 1; // sent and not answered in time: send again
-        }
+        send_again_if_overdue(p, now);
     }
     broadcast(s, now, true);
 }
--- a/src/core/raft.hpp
+++ b/src/core/raft.hpp
@@ -132,10 +132,13 @@
 struct progress {
     std::uint64_t next = 1;
     std::uint64_t match = 0;
+    std::uint64_t base = 0; // index before the oldest entry in flight: what it is thought to hold for certain
     time_point acked_sent_at{}; // when the newest acknowledged round was sent
     bool acked = false;
     time_point last_send{};
     bool snapshot_in_flight = false;
+    time_point resend_at{};  // entries in flight that are not acknowledged by then are sent again
+    duration resend_wait{0}; // up to resend_at; doubles until something is acknowledged
 };
 
 // What a data folder held when it was read back.
