Log: a request's waiting and server time, class and step; what was not served in time has a budget of lines of its own

Change: request_ended carries class, step, objective_us, waited_us, server_us; the bound of lines a second holds for each severity, and an end that was refused, failed or late is a warning.

--- a/src/daemon/request_path.cpp
+++ b/src/daemon/request_path.cpp
@@ -28,6 +28,22 @@
     return std::chrono::duration_cast<std::chrono::microseconds>(d).count();
 }
 
+// The step as the log names it.
+std::string_view to_string(request_step step) {
+    switch (step) {
+    case request_step::routed: return "routed";
+    case request_step::queued: return "queued";
+    case request_step::settings: return "settings";
+    case request_step::begin: return "begin";
+    case request_step::claim: return "claim";
+    case request_step::statement: return "statement";
+    case request_step::commit: return "commit";
+    case request_step::position: return "position";
+    case request_step::safety: break;
+    }
+    return "safety";
+}
+
 std::string_view to_string(request_end end) {
     switch (end) {
     case request_end::success: return "success";
@@ -456,12 +472,24 @@
     front_.finished(result);
 }
 
+// A request that was not served in time is a warning: of each severity only so many lines are written in a
+// second, and those that were served well must not crowd out the others.
 void request_path::log_end(const request_result& result) const {
     const active_request& r = *active_;
-    log_event(severity::info, "request_ended",
+    const time_point at = now();
+    const duration took = at - r.started_at;
+    const duration waited = (r.first_sent_at == time_point{} ? at : r.first_sent_at) - r.started_at;
+    const bool late = r.what.patience > duration{0} && took > r.what.patience;
+    const bool well = result.end == request_end::success && !late;
+    log_event(well ? severity::info : severity::warning, "request_ended",
               {{"request", r.what.request.id},
                {"session", static_cast<std::uint64_t>(number_)},
                {"group", state.group.value},
+               {"class", to_string(state.settings.klass)},
+               {"step", to_string(r.step)},
+               {"objective_us", to_us(r.what.patience)},
+               {"waited_us", to_us(waited)},
+               {"server_us", to_us(r.at_server)},
                {"server", r.server.value},
                {"on_primary", r.on_primary},
                {"term", r.term},
@@ -474,7 +502,7 @@
                {"run", to_string(result.run)},
                {"retry_after_us", to_us(result.retry_after)},
                {"lease", owner_.cluster.has_lease()},
-               {"took_us", to_us(now() - r.started_at)}});
+               {"took_us", to_us(took)}});
 }
 
 void request_path::release_if_done() {
--- a/src/daemon/request_path.hpp
+++ b/src/daemon/request_path.hpp
@@ -87,6 +87,19 @@
 // [the path]
 //-----------------------------------------------------------------------------
 
+// How far a request has come.
+enum class request_step : std::uint8_t {
+    routed,
+    queued,
+    settings,
+    begin,
+    claim,
+    statement,
+    commit,
+    position,
+    safety,
+};
+
 class request_path : public std::enable_shared_from_this<request_path> {
 public:
     request_path(entry& owner, session_number number, path_front front);
@@ -112,26 +125,16 @@
     std::map<std::string, std::string> values; // the same, for servers that take steps
 
 private:
-    enum class request_step : std::uint8_t {
-        routed,
-        queued,
-        settings,
-        begin,
-        claim,
-        statement,
-        commit,
-        position,
-        safety,
-    };
-
     struct active_request {
         caller_request what;
         bool was_write = false; // sent to the primary as something that may write
         time_point started_at{};
         time_point deadline{};
-        time_point used_from{}; // has held its connection since
-        time_point sent_at{};   // its newest statement was sent
-        time_point answer_by{}; // what is repeatable is asked anew then; 0: waits to the end
+        time_point used_from{};     // has held its connection since
+        time_point sent_at{};       // its newest statement was sent; 0: none yet
+        time_point first_sent_at{}; // the first thing of it was sent; 0: nothing yet
+        duration at_server{0};      // from the sending of its newest statement to the answer
+        time_point answer_by{};     // what is repeatable is asked anew then; 0: waits to the end
         request_step step = request_step::routed;
         server_id server;
         bool on_primary = false;
--- a/src/daemon/request_run.cpp
+++ b/src/daemon/request_run.cpp
@@ -49,6 +49,9 @@
         }
     }
     active_->sent_at = now();
+    if (active_->first_sent_at == time_point{}) {
+        active_->first_sent_at = active_->sent_at;
+    }
     if (!connection->is_lent) {
         owner_.cluster.note_asked(active_->server);
         owner_.pools.note_statement_begun(pinned_->key, pinned_->number);
@@ -59,6 +62,7 @@
 // Takes up what an answer says beside its result.
 void request_path::note_answer(const backend_outcome& outcome) {
     active_->lender = outcome.lender;
+    active_->at_server = now() - active_->sent_at;
     if (!pinned_->connection->is_lent) {
         owner_.cluster.note_answered(active_->server);
     }
--- a/src/io/log.cpp
+++ b/src/io/log.cpp
@@ -37,10 +37,10 @@
     boost::shared_ptr<frontend> sink;
 };
 
-// How many lines of each event this second has seen.
+// How many lines of each event and severity this second has seen.
 struct log_budget {
     std::int64_t second = 0;
-    std::map<std::string, unsigned, std::less<>> written;
+    std::map<std::pair<severity, std::string>, unsigned> written;
     std::uint64_t dropped = 0;
 };
 
@@ -98,7 +98,7 @@
 }
 
 // False where this second has had enough of the event already.
-bool take_budget(std::string_view event) {
+bool take_budget(severity level, std::string_view event) {
     log_budget& b = budget();
     const std::int64_t second = current_second();
     if (second != b.second) {
@@ -110,12 +110,9 @@
             write_line(line);
         }
     }
-    auto found = b.written.find(event);
-    if (found == b.written.end()) {
-        found = b.written.emplace(std::string(event), 0U).first;
-    }
-    const bool left = found->second < default_lines_per_event;
-    found->second += left ? 1 : 0;
+    unsigned& written = b.written[{level, std::string(event)}];
+    const bool left = written < default_lines_per_event;
+    written += left ? 1 : 0;
     b.dropped += left ? 0 : 1;
     return left;
 }
@@ -125,7 +122,7 @@
 }
 
 void write(severity level, std::string_view event, json::object extra, log_fields fields) {
-    if (level < identity().lowest || !take_budget(event)) {
+    if (level < identity().lowest || !take_budget(level, event)) {
         return;
     }
     json::object line = begin_line(level, event);
--- a/src/io/log.hpp
+++ b/src/io/log.hpp
@@ -7,8 +7,8 @@
 //   log_failure("edit_refused", result_code::revision_conflict, {{"change", id}});
 //
 // Lines are handed to a thread of their own over a bounded queue, so that a slow reader never holds the
-// daemon up; and of one event only so many are written in a second. What was left out is counted and told in
-// a line "log_lines_dropped".
+// daemon up; and of one event in one severity only so many are written in a second. What was left out is
+// counted and told in a line "log_lines_dropped".
 //
 // Never log statements, parameters, keys or passwords: they are the callers' secrets.
 #pragma once
@@ -31,7 +31,7 @@
 };
 using log_fields = std::initializer_list<log_field>;
 
-// `lines_per_event` is the bound for one event in one second.
+// `lines_per_event` is the bound for one event of one severity in one second.
 constexpr unsigned default_lines_per_event = 100; // a peak day has 60 statements a second on an instance
 
 void start_log(severity lowest, const std::string& instance, const std::string& domain);
