--- a/src/core/routing.cpp
+++ b/src/core/routing.cpp
@@ -37,7 +37,7 @@
 }
 
 // Without a lease nobody knows whether the primary has been replaced. It is then one more server that holds
-// what it is known to hold, but only for reads that the caller vouches for: it would not refuse a write.
+// what it is known to hold, but only for reads that surely write nothing: it would not refuse a write.
 bool may_take_reads(const group_view& g, const server_view& s, bool as_replica, time_point now) {
     return (s.id != g.record.primary || as_replica) && s.weight > 0 && s.ramp > 0 && !s.leaving &&
            !s.silent && s.has_connections && now >= s.ejected_until;
@@ -102,7 +102,7 @@
     }
     std::vector<const server_view*> fit;
     for (const server_view& server : g.servers) {
-        if (may_take_reads(g, server, false, wish.now) && !is_avoided(wish, server.id) &&
+        if (may_take_reads(g, server, !wish.lease_live, wish.now) && !is_avoided(wish, server.id) &&
             is_likely_to_hold(*g.positions, server.id, g.record.timeline, *floor, wish.now,
                               settings.position_trust)) {
             fit.push_back(&server);
--- a/src/daemon/agent.cpp
+++ b/src/daemon/agent.cpp
@@ -103,12 +103,41 @@
     log_event(has ? severity::info : severity::warning, has ? "lease_held" : "lease_lost",
               {{"revision", cluster_.revision}});
     shares_end_ = has ? time_point{} : now() + (stopping_ ? duration{0} : share_grace);
+    if (!has && !stopping_) {
+        take_reserves();
+    }
     give_shares_back();
     if (on_change) {
         on_change();
     }
 }
 
+bool agent::holds_reserve(const server_record& server) const {
+    const auto holders = reserve_holders(cluster_, server);
+    return std::find(holders.begin(), holders.end(), config_.id) != holders.end();
+}
+
+// Without control what is reserved here may be used, also where others hold the connections otherwise:
+// control gives these to nobody.
+void agent::take_reserves() {
+    if (!takes_callers || !driver_.servers_enforce_floor) {
+        return; // others learn nothing of a server's positions without control
+    }
+    const auto shares = pools_.shares();
+    for (const auto& [id, server] : cluster_.servers) {
+        if (server.domain != config_.domain || !holds_reserve(server)) {
+            continue;
+        }
+        for (const route_entry& route : cluster_.current.routes) {
+            const share_key key{.service = route.service, .server = id};
+            const auto held = shares.find(key);
+            if (route.group == server.group && (held == shares.end() || held->second == 0)) {
+                pools_.set_share(key, 1);
+            }
+        }
+    }
+}
+
 // Connections stay for a while after the lease, for reads by known positions; then the others count on them.
 void agent::give_shares_back() {
     if (shares_end_ == time_point{} || now() < shares_end_) {
@@ -117,9 +146,7 @@
     shares_end_ = {};
     for (const auto& [key, share] : pools_.shares()) {
         const auto server = cluster_.servers.find(key.server);
-        const auto holders = server == cluster_.servers.end() ? std::vector<instance_id>{}
-                                                              : reserve_holders(cluster_, server->second);
-        const bool reserved = std::find(holders.begin(), holders.end(), config_.id) != holders.end();
+        const bool reserved = server != cluster_.servers.end() && holds_reserve(server->second);
         pools_.revoke_share(key, reserved && !stopping_ ? std::min(share, 1U) : 0);
     }
 }
@@ -375,7 +402,8 @@
         s.latency = health.latency;
         s.ejected_until = health.ejected_until;
         s.ramp = read_ramp(health, at);
-        s.has_connections = pools_.may_serve({.service = service, .server = server.id}, lease);
+        const share_key key{.service = service, .server = server.id};
+        s.has_connections = pools_.may_serve(key, lease) || (may_borrow_near && may_borrow_near(key));
         v.servers.push_back(s);
     }
     return v;
--- a/src/daemon/agent.hpp
+++ b/src/daemon/agent.hpp
@@ -81,6 +81,8 @@
     bool takes_callers = false; // told to control: whoever has sessions may hold connections for others
     // A connection of another instance, where this one uses none of its own (see loans.hpp).
     std::function<std::shared_ptr<backend_connection>(const loan_terms&)> borrow;
+    // Another instance of this failure domain may lend one for this share, also without control.
+    std::function<bool(const share_key&)> may_borrow_near;
 
     // Called after every change of the copy or the lease: waiting requests may go on.
     std::function<void()> on_change;
@@ -117,6 +119,8 @@
     void rotate_control();
     void apply_shares(const renewal_reply& reply);
     void follow_lease();
+    [[nodiscard]] bool holds_reserve(const server_record& server) const;
+    void take_reserves();
     void give_shares_back();
     void follow_assignment(const std::vector<server_id>& observe);
     void probe_all();
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -85,6 +85,7 @@
     }
     agent_.takes_callers = entry_ != nullptr;
     agent_.borrow = [this](const loan_terms& terms) { return loans_.borrow(terms); };
+    agent_.may_borrow_near = [this](const share_key& key) { return loans_.may_borrow_near(key); };
     agent_.start();
     signals_.async_wait([this](const boost::system::error_code& error, int /*signal*/) {
         if (!error) {
--- a/src/daemon/entry.cpp
+++ b/src/daemon/entry.cpp
@@ -30,6 +30,7 @@
         tls->use_certificate_chain_file(config.tls_certificate);
         tls->use_private_key_file(config.tls_key, asio::ssl::context::pem);
     }
+    evacuated_ = config.close_without_lease; // until the first lease
     cluster.on_change = [this] {
         watch_lease();
         wake_waiting();
--- a/src/daemon/entry.hpp
+++ b/src/daemon/entry.hpp
@@ -58,7 +58,8 @@
     connection_loans& loans;
     std::unique_ptr<boost::asio::ssl::context> tls;
     std::mt19937_64 random;
-    // Control has been out of reach for too long: callers are better served by another instance.
+    // Control has been out of reach for too long, or since the start: callers are better served by another
+    // instance, and a session that began here would be refused everything.
     [[nodiscard]] bool is_evacuating() const { return evacuated_; }
     [[nodiscard]] bool is_draining() const { return draining_; }
     [[nodiscard]] std::size_t session_count() const { return sessions_.size(); }
@@ -80,8 +81,8 @@
     bool draining_ = false; // refuses new sessions
     bool stopping_ = false; // will be draining after drain_notice
     bool wake_posted_ = false;
-    bool has_served_ = false; // has held a lease
-    bool evacuated_ = false;
+    bool has_served_ = false;    // has held a lease
+    bool evacuated_ = false;     // see is_evacuating()
     bool lease_watched_ = false; // the timer runs
     time_point drain_deadline_{};
     std::function<void(std::size_t)> on_drained_;
--- a/src/daemon/loans.cpp
+++ b/src/daemon/loans.cpp
@@ -212,7 +212,10 @@
         const bool answered = o.answered && o.status == 200 && m.ParseFromString(o.body);
         owner_.note_home(home_, answered);
         if (!answered) {
-            finish({}, {});
+            backend_outcome outcome;
+            outcome.lender = home_;
+            outcome.lender_silent = true;
+            finish(outcome, {});
             return;
         }
         backend_outcome outcome = read_outcome(m);
@@ -280,7 +283,9 @@
 
 std::shared_ptr<backend_connection> connection_loans::borrow(const loan_terms& terms) {
     const auto& homes = homes_of(terms.key);
-    const bool has_own = homes.empty() || std::find(homes.begin(), homes.end(), config_.id) != homes.end();
+    const bool is_home = std::find(homes.begin(), homes.end(), config_.id) != homes.end();
+    const bool has_reserve = !cluster_.has_lease() && pools_.may_serve(terms.key, false);
+    const bool has_own = homes.empty() || is_home || has_reserve;
     const bool reaches_it = !cluster_.is_unreachable(terms.key.server);
     const bool turned_away = pools_.is_turned_away(terms.key);
     if (!driver_.servers_enforce_floor || (has_own && reaches_it && !turned_away)) {
@@ -326,6 +331,22 @@
     return homes_.emplace(key, std::move(homes)).first->second;
 }
 
+bool connection_loans::may_borrow_near(const share_key& key) {
+    if (!driver_.servers_enforce_floor) {
+        return false;
+    }
+    const cluster_state& s = cluster_.cluster();
+    const auto& homes = homes_of(key);
+    return std::any_of(homes.begin(), homes.end(), [&](const instance_id& id) {
+        const auto record = s.instances.find(id);
+        if (id == config_.id || record == s.instances.end() || record->second.domain != config_.domain) {
+            return false;
+        }
+        const auto avoided = avoided_until_.find(record->second.address);
+        return avoided == avoided_until_.end() || now() >= avoided->second;
+    });
+}
+
 // Whoever may lend: the homes, or everyone where everyone holds connections of its own.
 std::vector<instance_id> connection_loans::lenders_of(const share_key& key) {
     std::vector<instance_id> lenders = homes_of(key);
--- a/src/daemon/loans.hpp
+++ b/src/daemon/loans.hpp
@@ -56,6 +56,9 @@
     // borrowed with the first request, whose outcome says `refused` where no home could lend one.
     std::shared_ptr<backend_connection> borrow(const loan_terms& terms);
 
+    // A home in this failure domain, another one than this instance, answered when it was asked last.
+    bool may_borrow_near(const share_key& key);
+
     // Body of /v1/loan: another instance's request on one of our connections.
     void answer(const std::string& body, const http_respond& respond);
 
--- a/src/daemon/request_path.cpp
+++ b/src/daemon/request_path.cpp
@@ -226,7 +226,7 @@
     }
     active_->answer_by = {};
     active_->serial = next_serial_++; // a late answer reaches nobody
-    on_connection_lost();
+    on_connection_lost(silent || !pinned_->connection->is_lent);
 }
 
 // The primary is fenced or replaced, or the lease is gone: nothing that it still answers can be passed on as
@@ -357,7 +357,7 @@
     active_request& r = *active_;
     r.lender = outcome.lender;
     if (pinned_->in_transaction()) {
-        on_connection_lost(); // with the loan the transaction is gone
+        on_connection_lost(true); // with the loan the transaction is gone
         return;
     }
     const bool unreachable = outcome.refused == result_code::connection_lost;
@@ -609,9 +609,14 @@
            take_retry(owner_.cluster.budget(state.group));
 }
 
-void request_path::on_connection_lost() {
+// `blames_server`: it is the server that failed, and not the way over another instance.
+void request_path::on_connection_lost(bool blames_server) {
     active_request& r = *active_;
-    owner_.cluster.note_request_ended(r.server, false, now() - r.used_from);
+    if (blames_server) {
+        owner_.cluster.note_request_ended(r.server, false, now() - r.used_from);
+    } else {
+        owner_.cluster.note_request_left(r.server);
+    }
     lost_transaction_ = loses_transaction();
     const bool retry = may_retry();
     const run_state run = outcome_if_lost();
--- a/src/daemon/request_path.hpp
+++ b/src/daemon/request_path.hpp
@@ -212,7 +212,7 @@
     [[nodiscard]] bool loses_transaction() const;
     [[nodiscard]] bool is_repeatable() const;
     bool may_retry();
-    void on_connection_lost();
+    void on_connection_lost(bool blames_server);
     void on_deadline();
     void arm_timer(time_point at);
 
--- a/src/daemon/request_run.cpp
+++ b/src/daemon/request_run.cpp
@@ -101,7 +101,7 @@
             return;
         }
         if (!outcome.answered) {
-            self->on_connection_lost();
+            self->on_connection_lost(!outcome.lender_silent);
             return;
         }
         self->note_answer(outcome);
@@ -154,7 +154,7 @@
             return;
         }
         if (!outcome.answered) {
-            self->on_connection_lost();
+            self->on_connection_lost(!outcome.lender_silent);
             return;
         }
         if (!outcome.failed) {
@@ -284,7 +284,7 @@
         return;
     }
     if (!outcome.answered) {
-        on_connection_lost();
+        on_connection_lost(!outcome.lender_silent);
         return;
     }
     note_answer(outcome);
--- a/src/io/backend_connection.hpp
+++ b/src/io/backend_connection.hpp
@@ -74,7 +74,8 @@
     // A connection of another instance could not be had: the request did not run. ok: it could.
     result_code refused = result_code::ok;
     duration retry_after{0};
-    std::string lender; // address of the instance whose connection it was; empty: our own
+    std::string lender;         // address of the instance whose connection it was; empty: our own
+    bool lender_silent = false; // not answered, since the lender was not heard: says nothing of the server
 };
 
 struct backend_sink {
