--- a/src/core/pool.cpp
+++ b/src/core/pool.cpp
@@ -125,18 +125,38 @@
            }));
 }
 
-// How long a new waiter will wait: those before it, over the connections that serve them, or over the
-// statements that may run at once.
+// How long a new waiter will wait until one of these places is free: those before it and itself, less the
+// free ones, each for its part of the time that a place is taken.
+duration wait_for_place(std::int64_t before, std::int64_t places, std::int64_t taken, duration held) {
+    const std::int64_t first =
+        std::max<std::int64_t>(0, before + 1 - std::max<std::int64_t>(0, places - taken));
+    return held * first / places;
+}
+
+// It needs a connection, which a transaction holds also while it rests, and where the server is crowded, one
+// of the statements that may run at once.
 duration expected_wait(const pool_state& p, const pool_waiter& w) {
     const auto before = static_cast<std::int64_t>(waiting_before(p, w));
     const bool is_background = w.klass == request_class::background;
     const std::int64_t connections =
         std::max(1U, is_background ? std::min(p.share, background_limit(p)) : p.share);
-    const duration for_connections = p.service_time * (before / connections);
+    const auto busy = static_cast<std::int64_t>(is_background ? p.busy_background.size() : p.busy.size());
+    const duration for_connection = wait_for_place(before, connections, busy, p.service_time);
     if (p.limit.most == 0) {
-        return for_connections;
+        return for_connection;
+    }
+    return std::max(for_connection,
+                    wait_for_place(before, p.limit.most, running_count(p), p.limit.usual_answer));
+}
+
+// The latest moment at which it may be sent. An answer takes up to half as long again as usual (four in five
+// answers of one played day).
+time_point latest_sending(const pool_state& p, const pool_waiter& w) {
+    if (w.answer_by == time_point{}) {
+        return w.deadline;
     }
-    return std::max(for_connections, p.limit.usual_answer * (before / std::int64_t{p.limit.most}));
+    const duration usual = p.limit.times.at(static_cast<std::size_t>(w.klass)).usual;
+    return std::min(w.deadline, w.answer_by - usual * 3 / 2);
 }
 
 void put_in_queue(pool_state& p, const pool_waiter& w) {
@@ -169,8 +189,7 @@
         return;
     }
     const bool opens_first = p.busy.empty() && p.idle.empty();
-    const time_point latest = w.send_by == time_point{} ? w.deadline : w.send_by;
-    if (now + wait + (opens_first ? expected_open_time : duration{0}) > latest) {
+    if (now + wait + (opens_first ? expected_open_time : duration{0}) > latest_sending(p, w)) {
         actions.emplace_back(refuse_request{.request = w.request,
                                             .code = result_code::overloaded,
                                             .retry_after = std::max(wait, expected_open_time)});
@@ -235,7 +254,12 @@
     if (end.crowded) {
         note_crowded(p.limit, running_count(p), now);
     } else {
-        note_statement_answered(p.limit, end.took, p.share, now);
+        note_statement_answered(p.limit,
+                                {.took = end.took,
+                                 .klass = static_cast<std::size_t>(end.klass),
+                                 .running = running_count(p),
+                                 .share = p.share},
+                                now);
     }
     if (end.stays) {
         p.resting.insert(c);
@@ -292,15 +316,16 @@
 
 void expire_waiters(pool_state& p, time_point now, connection_number& next_connection,
                     pool_actions& actions) {
+    const auto is_hopeless = [&p, now](const pool_waiter& w) { return now >= latest_sending(p, w); };
     for (auto& queue : p.waiting) {
         for (const pool_waiter& w : queue) {
-            if (now >= w.deadline) {
+            if (is_hopeless(w)) {
                 actions.emplace_back(refuse_request{.request = w.request,
                                                     .code = result_code::deadline_passed,
                                                     .retry_after = p.service_time});
             }
         }
-        std::erase_if(queue, [now](const pool_waiter& w) { return now >= w.deadline; });
+        std::erase_if(queue, is_hopeless);
     }
     settle(p, now, next_connection, actions);
 }
--- a/src/core/pool.hpp
+++ b/src/core/pool.hpp
@@ -35,14 +35,13 @@
 struct pool_waiter {
     request_number request = 0;
     request_class klass = request_class::normal;
-    time_point deadline{}; // waits no longer
-    time_point send_by{};  // is refused at once where it will probably be sent later; 0: the deadline
+    time_point deadline{};  // waits no longer
+    time_point answer_by{}; // is refused once it will probably be answered later; 0: the deadline
     auto operator<=>(const pool_waiter&) const = default;
 };
 
-// Of its patience a request may wait one third for its turn: at a crowded server it takes another third to be
-// answered (95 ms of 250 measured).
-constexpr int patience_parts = 3;
+// Of the time for a transaction, its first statement may take one part: others follow, and a commit.
+constexpr int transaction_parts = 3;
 
 struct pool_state {
     unsigned share = 0;             // most connections open at once
@@ -117,6 +116,7 @@
 // stays with its transaction rests until the transaction's next statement.
 struct statement_end {
     duration took{0};
+    request_class klass = request_class::normal;
     bool crowded = false;
     bool stays = false;
 };
--- a/src/daemon/loans.cpp
+++ b/src/daemon/loans.cpp
@@ -56,6 +56,9 @@
     m.set_server(terms.key.server.value);
     m.set_klass(static_cast<std::uint32_t>(terms.klass));
     m.set_wait_us(to_us(terms.queue_until - now()));
+    if (terms.answer_by != time_point{}) {
+        m.set_answer_us(std::max<std::uint64_t>(1, to_us(terms.answer_by - now())));
+    }
     m.set_on_primary(terms.on_primary);
     m.set_term(terms.term);
     m.set_id(request.id);
@@ -477,14 +480,14 @@
     begun.term = request.term();
     begun.since = now();
     begun.used_at = begun.since;
-    const request_number waiting =
-        pools_.request(key, server->second, service->background_share,
-                       {.klass = static_cast<request_class>(request.klass()),
-                        .deadline = now() + from_us(request.wait_us()),
-                        .send_by = now() + from_us(request.wait_us()) / patience_parts},
-                       [this, number, request, respond](const pool_answer& answer) {
-                           on_connection(number, request, respond, answer);
-                       });
+    const request_number waiting = pools_.request(
+        key, server->second, service->background_share,
+        {.klass = static_cast<request_class>(request.klass()),
+         .deadline = now() + from_us(request.wait_us()),
+         .answer_by = request.answer_us() == 0 ? time_point{} : now() + from_us(request.answer_us())},
+        [this, number, request, respond](const pool_answer& answer) {
+            on_connection(number, request, respond, answer);
+        });
     const auto still = loans_.find(number); // it may have been answered, or refused, at once
     if (still != loans_.end() && !still->second.connection) {
         still->second.waiting = waiting;
@@ -535,7 +538,8 @@
     sink.hold_errors = true;
     sink.keep_first_row = true;
     sink.on_bytes = [bytes](std::string_view more) { bytes->append(more); };
-    sink.on_done = [this, number, server = l.key.server, connection, bytes,
+    const auto klass = static_cast<request_class>(request.klass());
+    sink.on_done = [this, number, klass, server = l.key.server, connection, bytes,
                     respond](const backend_outcome& outcome) {
         note_context(*connection, outcome);
         if (outcome.answered) {
@@ -547,6 +551,7 @@
             if (outcome.answered) {
                 pools_.note_statement_ended(still->second.key, still->second.number,
                                             {.took = now() - still->second.used_at,
+                                             .klass = klass,
                                              .crowded = outcome.refusal == server_refusal::busy,
                                              .stays = outcome.transaction != 'I'});
             }
--- a/src/daemon/loans.hpp
+++ b/src/daemon/loans.hpp
@@ -38,6 +38,7 @@
     share_key key;
     request_class klass = request_class::normal;
     time_point queue_until{}; // waits so long for a connection at most
+    time_point answer_by{};   // see pool_waiter; 0: the deadline
     time_point deadline{};    // of the request
     bool on_primary = false;  // the server must be the primary of `term` when the request is sent
     term_number term = 0;
--- a/src/daemon/pools.cpp
+++ b/src/daemon/pools.cpp
@@ -14,6 +14,26 @@
 constexpr duration tick_interval = std::chrono::milliseconds{5};
 constexpr duration idle_pool_time = std::chrono::seconds{30}; // afterwards it claims nothing
 
+std::int64_t to_us(duration d) {
+    return std::chrono::duration_cast<std::chrono::microseconds>(d).count();
+}
+
+// What the pool went by when it refused; its request's own line tells the rest.
+void log_refusal(const share_key& key, const pool_state& p, const refuse_request& refusal) {
+    log_event(severity::info, "queue_refusal",
+              {{"server", key.server.value},
+               {"code", static_cast<std::uint64_t>(refusal.code)},
+               {"expected_wait_us", to_us(refusal.retry_after)},
+               {"share", static_cast<std::uint64_t>(p.share)},
+               {"open", static_cast<std::uint64_t>(open_count(p))},
+               {"busy", static_cast<std::uint64_t>(p.busy.size())},
+               {"resting", static_cast<std::uint64_t>(p.resting.size())},
+               {"waiting", static_cast<std::uint64_t>(waiting_count(p))},
+               {"running_at_most", static_cast<std::uint64_t>(p.limit.most)},
+               {"usual_answer_us", to_us(p.limit.usual_answer)},
+               {"usual_hold_us", to_us(p.service_time)}});
+}
+
 } // namespace
 
 backend_pools::backend_pools(asio::io_context& io, const backend_driver& driver)
@@ -167,6 +187,7 @@
                 continue;
             }
             ++counters_.refused;
+            log_refusal(key, p.state, *refuse);
             const pool_callback done = std::move(request->second.done);
             p.requests.erase(request);
             done({.connection = nullptr,
--- a/src/daemon/request_path.cpp
+++ b/src/daemon/request_path.cpp
@@ -258,16 +258,15 @@
     const time_point queue_until = r.what.patience > duration{0}
                                        ? std::max(r.started_at + r.what.patience, now() + least_queue_time)
                                        : r.deadline;
-    const time_point send_by =
-        r.what.patience > duration{0}
-            ? std::max(r.started_at + r.what.patience / patience_parts, now() + least_queue_time)
-            : r.deadline;
+    const duration for_answer = r.what.begin.empty() ? r.what.patience : r.what.patience / transaction_parts;
+    const time_point answer_by = r.what.patience > duration{0} ? r.started_at + for_answer : time_point{};
     arm_timer(r.deadline);
     owner_.cluster.note_request_started(r.server);
     const share_key key{.service = state.service, .server = r.server};
     if (const auto lent = owner_.loans.borrow({.key = key,
                                                .klass = state.settings.klass,
                                                .queue_until = queue_until,
+                                               .answer_by = answer_by,
                                                .deadline = r.deadline,
                                                .on_primary = r.on_primary,
                                                .term = r.term})) {
@@ -278,7 +277,7 @@
     const auto self = shared_from_this();
     const request_number number =
         owner_.pools.request(key, server->second, service.background_share,
-                             {.klass = state.settings.klass, .deadline = queue_until, .send_by = send_by},
+                             {.klass = state.settings.klass, .deadline = queue_until, .answer_by = answer_by},
                              [self, serial, key](const pool_answer& answer) {
                                  const bool awaited = self->active_ && self->active_->serial == serial &&
                                                       self->active_->step == request_step::queued &&
