--- a/src/core/pool.cpp
+++ b/src/core/pool.cpp
@@ -1,6 +1,7 @@
 #include "core/pool.hpp"
 
 #include <algorithm>
+#include <tuple>
 
 namespace larchpin {
 namespace {
@@ -114,6 +115,10 @@
     }
 }
 
+bool goes_before(const pool_waiter& a, const pool_waiter& b) {
+    return std::tie(a.objective, a.deadline) < std::tie(b.objective, b.deadline);
+}
+
 std::size_t waiting_before(const pool_state& p, const pool_waiter& w) {
     std::size_t before = 0;
     for (std::size_t i = 0; i < static_cast<std::size_t>(w.klass); ++i) {
@@ -121,7 +126,7 @@
     }
     const auto& same = p.waiting.at(static_cast<std::size_t>(w.klass));
     return before + static_cast<std::size_t>(std::count_if(same.begin(), same.end(), [&w](const auto& other) {
-               return other.deadline <= w.deadline;
+               return !goes_before(w, other);
            }));
 }
 
@@ -150,9 +155,10 @@
 }
 
 // The latest moment at which it may be sent. An answer takes up to half as long again as usual (four in five
-// answers of one played day).
+// answers of one played day). Critical requests are sent as long as anybody waits for them: they go first, so
+// they take little from the others.
 time_point latest_sending(const pool_state& p, const pool_waiter& w) {
-    if (w.answer_by == time_point{}) {
+    if (w.answer_by == time_point{} || w.klass == request_class::critical) {
         return w.deadline;
     }
     const duration usual = p.limit.times.at(static_cast<std::size_t>(w.klass)).usual;
@@ -161,8 +167,7 @@
 
 void put_in_queue(pool_state& p, const pool_waiter& w) {
     auto& queue = queue_of(p, w.klass);
-    const auto later = std::upper_bound(queue.begin(), queue.end(), w,
-                                        [](const auto& a, const auto& b) { return a.deadline < b.deadline; });
+    const auto later = std::upper_bound(queue.begin(), queue.end(), w, goes_before);
     queue.insert(later, w);
 }
 
@@ -188,6 +193,12 @@
             refuse_request{.request = w.request, .code = result_code::queue_full, .retry_after = wait});
         return;
     }
+    const auto starved = p.starved_until.find({.klass = w.klass, .objective = w.objective});
+    if (starved != p.starved_until.end() && now < starved->second && waiting_before(p, w) > 0) {
+        actions.emplace_back(refuse_request{
+            .request = w.request, .code = result_code::overloaded, .retry_after = starved->second - now});
+        return;
+    }
     const bool opens_first = p.busy.empty() && p.idle.empty();
     if (now + wait + (opens_first ? expected_open_time : duration{0}) > latest_sending(p, w)) {
         actions.emplace_back(refuse_request{.request = w.request,
@@ -320,6 +331,7 @@
     for (auto& queue : p.waiting) {
         for (const pool_waiter& w : queue) {
             if (is_hopeless(w)) {
+                p.starved_until[{.klass = w.klass, .objective = w.objective}] = now + w.objective;
                 actions.emplace_back(refuse_request{.request = w.request,
                                                     .code = result_code::deadline_passed,
                                                     .retry_after = p.service_time});
--- a/src/core/pool.hpp
+++ b/src/core/pool.hpp
@@ -1,7 +1,9 @@
 // One service's connections to one backend server, as one daemon holds them: who gets the next one.
 //
 // The daemon may have `share` connections open. A request gets an idle one, or opens one, or waits in a
-// bounded queue in the order of its class, and within one of its deadline. Where the server is crowded, fewer
+// bounded queue in the order of its class, within one of its objective, and among equals of its deadline. So
+// where more is asked than the server can do, quick work goes on, and it is patient work that is refused; in
+// the order of deadlines alone each would wait until it is late. Where the server is crowded, fewer
 // statements run at once than connections are open (core/running_limit). Class "background" may use only a
 // part of the share, so that browsing does not crowd out orders. A request that cannot be served within its
 // deadline is refused at once, with the time after which asking again makes sense.
@@ -19,6 +21,7 @@
 
 #include <array>
 #include <deque>
+#include <map>
 #include <set>
 #include <variant>
 #include <vector>
@@ -37,9 +40,17 @@
     request_class klass = request_class::normal;
     time_point deadline{};  // waits no longer
     time_point answer_by{}; // is refused once it will probably be answered later; 0: the deadline
+    duration objective{0};  // for its answer; within a class the shorter one goes first
     auto operator<=>(const pool_waiter&) const = default;
 };
 
+// Requests that go before each other by their deadline only.
+struct waiter_kind {
+    request_class klass = request_class::normal;
+    duration objective{0};
+    auto operator<=>(const waiter_kind&) const = default;
+};
+
 // Of the time for a transaction, its first statement may take one part: others follow, and a commit.
 constexpr int transaction_parts = 3;
 
@@ -54,8 +65,9 @@
     std::set<connection_number> resting; // of the busy ones: in a transaction, with no statement running
     running_limit limit;
     std::array<std::deque<pool_waiter>, request_class_count> waiting; // by class
-    duration service_time = std::chrono::milliseconds{2};             // smoothed time a request keeps one
-    time_point open_retry_at{};                                       // no attempt to open before
+    std::map<waiter_kind, time_point> starved_until;      // kinds of which one waited in vain a moment ago
+    duration service_time = std::chrono::milliseconds{2}; // smoothed time a request keeps one
+    time_point open_retry_at{};                           // no attempt to open before
     unsigned turned_away = 0; // attempts in a row for which the server had no room
     unsigned peak_demand = 0; // of the last demand_memory, or above
     time_point peak_at{};     // when it was reached last
--- a/src/daemon/loans.cpp
+++ b/src/daemon/loans.cpp
@@ -59,6 +59,7 @@
     if (terms.answer_by != time_point{}) {
         m.set_answer_us(std::max<std::uint64_t>(1, to_us(terms.answer_by - now())));
     }
+    m.set_objective_us(to_us(terms.objective));
     m.set_on_primary(terms.on_primary);
     m.set_term(terms.term);
     m.set_id(request.id);
@@ -484,7 +485,8 @@
         key, server->second, service->background_share,
         {.klass = static_cast<request_class>(request.klass()),
          .deadline = now() + from_us(request.wait_us()),
-         .answer_by = request.answer_us() == 0 ? time_point{} : now() + from_us(request.answer_us())},
+         .answer_by = request.answer_us() == 0 ? time_point{} : now() + from_us(request.answer_us()),
+         .objective = from_us(request.objective_us())},
         [this, number, request, respond](const pool_answer& answer) {
             on_connection(number, request, respond, answer);
         });
--- a/src/daemon/request_path.cpp
+++ b/src/daemon/request_path.cpp
@@ -267,6 +267,7 @@
                                                .klass = state.settings.klass,
                                                .queue_until = queue_until,
                                                .answer_by = answer_by,
+                                               .objective = r.what.patience,
                                                .deadline = r.deadline,
                                                .on_primary = r.on_primary,
                                                .term = r.term})) {
@@ -277,7 +278,10 @@
     const auto self = shared_from_this();
     const request_number number =
         owner_.pools.request(key, server->second, service.background_share,
-                             {.klass = state.settings.klass, .deadline = queue_until, .answer_by = answer_by},
+                             {.klass = state.settings.klass,
+                              .deadline = queue_until,
+                              .answer_by = answer_by,
+                              .objective = r.what.patience},
                              [self, serial, key](const pool_answer& answer) {
                                  const bool awaited = self->active_ && self->active_->serial == serial &&
                                                       self->active_->step == request_step::queued &&
