--- a/src/core/control.cpp
+++ b/src/core/control.cpp
@@ -167,6 +167,17 @@
     }
 }
 
+// Whoever may still hold connections by an earlier leader's word has told this one. Instances without callers
+// hold none, so one that is gone for good, as a replaced control instance is, need not be waited out.
+bool knows_all_holders(const control_state& c, const cluster_state& s, time_point now) {
+    if (!c.leading || outlived_earlier_leases(c, now)) {
+        return c.leading;
+    }
+    return std::all_of(s.instances.begin(), s.instances.end(), [&c](const auto& i) {
+        return !i.second.takes_callers || c.daemons.contains(i.first);
+    });
+}
+
 unsigned grant_share(control_state& c, const cluster_state& s, const instance_id& daemon,
                      const share_claim& claim, bool everyone_known, time_point now) {
     const auto server = s.servers.find(claim.key.server);
@@ -209,7 +220,7 @@
                    renewal_reply& reply) {
     daemon_state& d = c.daemons[r.instance.id];
     sent_shares sent{.seq = reply.seq, .shares = {}};
-    const bool everyone_known = settled(c, s, now);
+    const bool everyone_known = knows_all_holders(c, s, now);
     for (const share_claim& claim : r.claims) {
         const unsigned share = grant_share(c, s, r.instance.id, claim, everyone_known, now);
         reply.shares.push_back({.key = claim.key, .connections = share});
--- a/src/core/raft.cpp
+++ b/src/core/raft.cpp
@@ -14,6 +14,9 @@
 //-----------------------------------------------------------------------------
 
 constexpr std::size_t max_open_rounds = 256;
+// Longer than processes of one failure take to start one after the other (50 ms measured), and than a vote
+// takes (two syncs of 2 to 5 ms and a round trip).
+constexpr duration first_election_step = std::chrono::milliseconds{60};
 // A peer whose disk hangs keeps what it has got, and each copy costs the whole of the entries (a table of 340
 // routes is 100 KB). One that was lost with its connection is missed for as long at most.
 constexpr duration max_resend_wait = std::chrono::seconds{1};
@@ -79,6 +82,16 @@
     s.election_deadline = now + s.config.election_timeout + duration{extra(random)};
 }
 
+// After a start the voters stand one after the other: where all of them start at once, nobody leads, and the
+// first one need not wait longer than a leader's lease can last.
+void set_first_election_timer(state& s, time_point now) {
+    std::int64_t rank = 0;
+    for (const member& m : s.members.members) {
+        rank += m.voter && m.id < s.self ? 1 : 0;
+    }
+    s.election_deadline = now + s.config.election_timeout + first_election_step * rank;
+}
+
 void become_follower(state& s, std::uint64_t term, node_id leader, time_point now, std::mt19937_64& random) {
     if (term > s.hard.term) {
         s.hard = hard_state{.term = term, .voted_for = 0};
@@ -575,6 +588,9 @@
     // It may have heard a leader just before it stopped, so it waits out that leader's lease.
     s.leader_heard_at = now;
     reset_election_timer(s, now, random);
+    if (is_voter(s.members, self)) {
+        set_first_election_timer(s, now);
+    }
     return s;
 }
 
--- a/src/daemon/agent.cpp
+++ b/src/daemon/agent.cpp
@@ -93,6 +93,10 @@
     return !stopping_ && lease_is_live(lease_, now());
 }
 
+bool agent::is_in_touch() const {
+    return has_lease() && lease_is_live(lease_, now() + config_.lease / 2);
+}
+
 // The share of a daemon without a lease is what control has reserved for it.
 void agent::follow_lease() {
     const bool has = has_lease();
--- a/src/daemon/agent.hpp
+++ b/src/daemon/agent.hpp
@@ -46,6 +46,8 @@
 
     [[nodiscard]] const cluster_state& cluster() const { return cluster_; }
     [[nodiscard]] bool has_lease() const;
+    // Renewed within the last half of the lease: it will hardly be lost in the next moment.
+    [[nodiscard]] bool is_in_touch() const;
     // The copy is known to have been current at some time since this process started.
     [[nodiscard]] bool has_confirmed_state() const { return confirmed_once_; }
 
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -28,6 +28,7 @@
 constexpr duration settings_look_interval = std::chrono::seconds{1};
 constexpr duration cancel_timeout = std::chrono::seconds{1};
 constexpr unsigned max_hops = 4;
+constexpr unsigned looks_to_leave_rotation = 2; // the platform's balancer; one more elsewhere costs a second
 constexpr int status_not_found = 404;
 
 std::string encode_reply(result_code code) {
@@ -179,10 +180,19 @@
 }
 
 bool daemon::is_ready() const {
-    return !stopping_ && agent_.has_lease() && agent_.has_confirmed_state() &&
+    return !stopping_ && agent_.is_in_touch() && agent_.has_confirmed_state() &&
            !agent_.cluster().current.services.empty();
 }
 
+bool daemon::answer_balancer() {
+    const bool ready = is_ready();
+    refused_looks_ = ready ? 0 : refused_looks_ + 1;
+    if (refused_looks_ == looks_to_leave_rotation && entry_) {
+        entry_->leave_if_without_lease();
+    }
+    return ready;
+}
+
 //-----------------------------------------------------------------------------
 // [for operators' fronts]
 //-----------------------------------------------------------------------------
--- a/src/daemon/daemon.hpp
+++ b/src/daemon/daemon.hpp
@@ -38,6 +38,9 @@
 
     // Whether requests of callers can be expected to be served here.
     [[nodiscard]] bool is_ready() const;
+    // The same, asked by the balancer: after two answers of "no" it sends nobody here any more, so sessions
+    // whose requests nothing is left for end then.
+    bool answer_balancer();
     // Control has been reached lately.
     [[nodiscard]] bool has_lease() const { return agent_.has_lease(); }
     [[nodiscard]] const cluster_state& cluster() const { return agent_.cluster(); }
@@ -85,6 +88,7 @@
     std::string settings_file_;
     std::string settings_text_; // as read last
     bool stopping_ = false;
+    unsigned refused_looks_ = 0;  // of the balancer, in a row
     std::uint64_t next_edit_ = 1; // submitted by this daemon
 };
 
--- a/src/daemon/entry.cpp
+++ b/src/daemon/entry.cpp
@@ -138,6 +138,14 @@
     });
 }
 
+void entry::leave_if_without_lease() {
+    if (config.close_without_lease && !cluster.has_lease() && !evacuated_) {
+        lease_timer_.cancel();
+        lease_watched_ = false;
+        evacuate();
+    }
+}
+
 // Idle sessions are ended, so that their callers connect again, by way of the balancer, where they are
 // served.
 void entry::evacuate() {
--- a/src/daemon/entry.hpp
+++ b/src/daemon/entry.hpp
@@ -47,6 +47,9 @@
     // The caller's cancel request reached us; the session may be another instance's.
     std::function<void(std::uint32_t process, std::uint32_t secret)> on_foreign_cancel;
 
+    // The balancer sends nobody here any more: without a lease the idle sessions are better off elsewhere.
+    void leave_if_without_lease();
+
     // For sessions.
     void remove(session_number number);
     boost::asio::io_context& io;
