--- a/src/core/raft.cpp
+++ b/src/core/raft.cpp
@@ -122,15 +122,6 @@
 // [replication]
 //-----------------------------------------------------------------------------
 
-message make_message(const state& s, message_kind kind, node_id to) {
-    message m;
-    m.kind = kind;
-    m.from = s.self;
-    m.to = to;
-    m.term = s.hard.term;
-    return m;
-}
-
 // Entries were sent to this peer that it has not acknowledged.
 bool has_entries_in_flight(const progress& p) {
     return p.base + 1 < p.next;
@@ -141,6 +132,15 @@
     p.resend_at = now + p.resend_wait;
 }
 
+message make_message(const state& s, message_kind kind, node_id to) {
+    message m;
+    m.kind = kind;
+    m.from = s.self;
+    m.to = to;
+    m.term = s.hard.term;
+    return m;
+}
+
 void send_append(state& s, node_id to, progress& p, time_point now) {
     if (p.next <= s.snap.index) {
         message m = make_message(s, message_kind::snapshot_request, to);
@@ -254,7 +254,9 @@
     for (const member& m : s.members.members) {
         if (m.id != s.self) {
             progress p;
+            p.base = first.index - 1; // until a refusal tells that it lacks more
             p.next = first.index;
+            note_progress(s, p, now);
             p.acked_sent_at = now;
             s.peers.emplace(m.id, p);
         }
--- a/src/core/routing.cpp
+++ b/src/core/routing.cpp
@@ -64,11 +64,17 @@
     return decision;
 }
 
-// Of two drawn by weight, the one with the smaller expected delay.
+// Of two drawn by weight, the one with the smaller expected delay. Where some are near, one of the two is, so
+// that a read stays in its failure domain unless the far one is quicker by more than its penalty.
 const server_view& choose(const std::vector<const server_view*>& fit, const routing_settings& settings,
                           std::mt19937_64& random) {
-    const server_view* first = draw(fit, random);
-    const server_view* second = draw(fit, random);
+    std::vector<const server_view*> near;
+    std::vector<const server_view*> far;
+    for (const server_view* s : fit) {
+        (s->near ? near : far).push_back(s);
+    }
+    const server_view* first = draw(near.empty() ? far : near, random);
+    const server_view* second = draw(far.empty() ? near : far, random);
     return expected_delay(*second, settings) < expected_delay(*first, settings) ? *second : *first;
 }
 
--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -296,29 +296,154 @@
         << "a transaction at rest leaves its place, and the nearer deadline is next";
 }
 
-TEST(running_limit, halves_with_a_refusal_and_grows_back_while_answers_are_quick) {
-    running_limit l;
+// The pattern: a server with two slots whose statements take 10 and 40 ms by class, and of which `running`
+// are ours; each that waits adds its part of a slot's time.
+class crowded_server_model {
+public:
+    running_limit limit;
     time_point now{std::chrono::seconds{1}};
-    EXPECT_TRUE(may_send(l, 1000)) << "there is none until a server complains";
+
+    // One second in which `wanted` statements would run at once if the limit allows.
+    void run_for_a_second(unsigned wanted, duration extra = duration{0}) {
+        const time_point until = now + std::chrono::seconds{1};
+        while (now < until) {
+            const unsigned running = limit.most == 0 ? wanted : std::min(wanted, limit.most);
+            const std::size_t klass = turn_++ % 2;
+            const duration alone = std::chrono::milliseconds{klass == 0 ? 10 : 40};
+            const duration took = alone * std::max(running, slots) / slots + extra;
+            now += took / running;
+            note_statement_answered(limit, {.took = took, .klass = klass, .running = running, .share = 12},
+                                    now);
+        }
+    }
+
+private:
+    static constexpr unsigned slots = 2;
+    std::size_t turn_ = 0;
+};
+
+TEST(running_limit, falls_while_answers_take_twice_the_least_usual_time_and_ends_with_the_crowd) {
+    crowded_server_model m;
+    EXPECT_TRUE(may_send(m.limit, 1000)) << "there is none until a server is crowded";
+    m.run_for_a_second(2);
+    EXPECT_EQ(m.limit.most, 0U) << "classes of different length are no crowd";
+    m.run_for_a_second(10);
+    EXPECT_GE(m.limit.most, 2U) << "no slot stands idle";
+    EXPECT_LE(m.limit.most, 4U) << "a statement or two wait at the server, the others here";
+    for (int i = 0; i < 3; ++i) {
+        m.run_for_a_second(1);
+    }
+    EXPECT_EQ(m.limit.most, 0U) << "quick answers end it";
+}
+
+TEST(running_limit, of_a_server_that_has_become_slow_by_nature_ends_too) {
+    crowded_server_model m;
+    m.run_for_a_second(2);
+    m.run_for_a_second(2, std::chrono::milliseconds{60});
+    EXPECT_GT(m.limit.most, 0U) << "at first it looks like a crowd";
+    for (int i = 0; i < 30; ++i) {
+        m.run_for_a_second(2, std::chrono::milliseconds{60});
+    }
+    EXPECT_TRUE(m.limit.most == 0 || m.limit.most > 2) << "nothing is held back any more";
+}
+
+TEST(running_limit, is_halved_with_a_refusal_and_never_none) {
+    running_limit l;
+    const time_point now{std::chrono::seconds{1}};
     note_crowded(l, 16, now);
     note_crowded(l, 8, now + std::chrono::milliseconds{10});
     EXPECT_EQ(l.most, 8U) << "refusals of one moment count once";
-    const auto answer_for_a_second = [&](duration took) {
-        for (int i = 0; i < 100; ++i) {
-            now += std::chrono::milliseconds{10};
-            note_statement_answered(l, took, 12, now);
+    for (int i = 1; i < 10; ++i) {
+        note_crowded(l, 8, now + std::chrono::milliseconds{100 * i});
+    }
+    EXPECT_EQ(l.most, 1U);
+}
+
+// The pattern: a primary alone, more work than it can do. Requests of two objectives come, and in the order
+// of deadlines each would wait until it is late.
+TEST(pool, of_more_work_than_can_be_done_the_patient_part_is_refused_and_the_quick_part_is_in_time) {
+    pool_state p;
+    connection_number next = 1;
+    pool_actions actions;
+    time_point now{std::chrono::seconds{1}};
+    set_share(p, 1, now, next, actions);
+    constexpr duration work = std::chrono::milliseconds{20};
+    struct outcome {
+        unsigned served = 0;
+        unsigned refused_at_once = 0;
+        unsigned waited_in_vain = 0;
+    };
+    std::map<request_number, std::pair<duration, time_point>> asked; // objective, when
+    std::map<duration, outcome> outcomes;
+    time_point free_at{};
+    const auto take = [&] {
+        for (const pool_action& a : std::exchange(actions, {})) {
+            if (const auto* opened = std::get_if<open_connection>(&a)) {
+                pool_actions more;
+                connection_opened(p, opened->connection, now, next, more);
+                actions.insert(actions.end(), more.begin(), more.end());
+            } else if (const auto* use = std::get_if<use_connection>(&a)) {
+                ++outcomes[asked[use->request].first].served;
+                free_at = now + work;
+            } else if (const auto* refused = std::get_if<refuse_request>(&a)) {
+                const auto& [objective, at] = asked[refused->request];
+                ++(now - at < work ? outcomes[objective].refused_at_once
+                                   : outcomes[objective].waited_in_vain);
+            }
         }
     };
-    answer_for_a_second(std::chrono::milliseconds{200});
-    EXPECT_EQ(l.most, 8U);
-    answer_for_a_second(std::chrono::milliseconds{200});
-    EXPECT_EQ(l.most, 9U) << "slow answers: one step in 2 s";
-    for (int i = 0; i < 3; ++i) {
-        answer_for_a_second(std::chrono::milliseconds{20});
+    request_number id = 0;
+    for (int ms = 0; ms < 10'000; ++ms) {
+        now += std::chrono::milliseconds{1};
+        if (!p.busy.empty() && now >= free_at) {
+            statement_ended(p, *p.busy.begin(), {.took = work}, now, next, actions);
+            release_connection(p, *p.busy.begin(), true, work, now, next, actions);
+        }
+        // 40 requests a second of 200 ms and 25 of 400 ms, for a server that does 50.
+        const bool quick = ms % 25 == 0;
+        if (quick || ms % 40 == 7) {
+            const duration objective = std::chrono::milliseconds{quick ? 200 : 400};
+            asked[++id] = {objective, now};
+            request_connection(p,
+                               {.request = id,
+                                .deadline = now + objective,
+                                .answer_by = now + objective,
+                                .objective = objective},
+                               now, next, actions);
+        }
+        expire_waiters(p, now, next, actions);
+        while (!actions.empty()) {
+            take();
+        }
     }
-    EXPECT_EQ(l.most, 0U) << "quick answers end it";
-    note_crowded(l, 1, now);
-    EXPECT_EQ(l.most, 1U) << "never none";
+    const outcome& quick = outcomes[std::chrono::milliseconds{200}];
+    const outcome& patient = outcomes[std::chrono::milliseconds{400}];
+    EXPECT_GE(quick.served, 395U) << "of 400";
+    EXPECT_GE(quick.served + patient.served, 480U) << "of the 500 that the server can do";
+    EXPECT_LE(patient.waited_in_vain, 50U) << "of 250: the others are served or told at once";
+    EXPECT_GE(patient.refused_at_once, 50U);
+}
+
+TEST(pool, critical_work_is_sent_as_long_as_anybody_waits_for_it) {
+    pool_state p;
+    connection_number next = 1;
+    pool_actions actions;
+    const time_point now{std::chrono::seconds{1}};
+    set_share(p, 1, now, next, actions);
+    p.limit.times.fill({.usual = std::chrono::milliseconds{100}, .least = std::chrono::milliseconds{100}});
+    const auto ask = [&](request_number id, request_class klass) {
+        actions.clear();
+        request_connection(p,
+                           {.request = id,
+                            .klass = klass,
+                            .deadline = now + std::chrono::milliseconds{120},
+                            .answer_by = now + std::chrono::milliseconds{120}},
+                           now, next, actions);
+        return std::none_of(actions.begin(), actions.end(),
+                            [](const auto& a) { return std::holds_alternative<refuse_request>(a); });
+    };
+    EXPECT_FALSE(ask(1, request_class::normal)) << "its answer would come after 150 ms";
+    EXPECT_TRUE(ask(2, request_class::critical));
 }
 
 TEST(pool, makes_single_attempts_while_the_server_has_no_room) {
--- a/tests/replication_test.cpp
+++ b/tests/replication_test.cpp
@@ -147,6 +147,23 @@
     EXPECT_LE(n.snapshots_sent[1], 2U);
 }
 
+TEST(replication, a_new_leader_sends_no_log_to_peers_that_are_slow_to_answer) {
+    three_nodes n;
+    for (int i = 0; i < 50; ++i) {
+        propose(n.leader(), "edit", n.now);
+    }
+    n.run(milliseconds{200});
+    n.hangs[1] = true;
+    while (n.nodes[2].current_role != role::leader && n.nodes[3].current_role != role::leader) {
+        n.run(milliseconds{1});
+    }
+    const node_id peer = n.nodes[2].current_role == role::leader ? 3 : 2;
+    n.hangs[peer] = true;
+    n.entries_sent.clear();
+    n.run(milliseconds{250});
+    EXPECT_LE(n.entries_sent[peer], 5U) << "its own first entry, again and again, and nothing before it";
+}
+
 // A member that joins with an empty disk does not know whom to answer until it has got something.
 TEST(replication, a_member_that_joins_gets_the_log_without_asking) {
     three_nodes n;
