larchpinctl losses: where service was lost, by cause, class, group, failure domain and interval, from logs alone

Change: the lines that tell of a request's end are classified (20 causes; a missing primary by the phase of its failover, a late answer by where its time went), counted and printed as a table, as values or as an SVG over time, with three ids for explain. Reading a log line stands once (ctl/log_lines), explain uses it too. Ruled out: reading metrics alone (no ids, no moments).

--- a/src/ctl/log_story.cpp
+++ b/src/ctl/log_story.cpp
@@ -2,17 +2,15 @@
 // known when and where the request ran, bounded by max_kept_lines.
 #include "ctl/log_story.hpp"
 
-#include <boost/json/parse.hpp>
+#include "ctl/log_lines.hpp"
+
 #include <boost/json/serialize.hpp>
 
 #include <algorithm>
 #include <chrono>
 #include <deque>
-#include <iomanip>
 #include <istream>
-#include <optional>
 #include <set>
-#include <sstream>
 
 namespace larchpin {
 namespace {
@@ -22,57 +20,21 @@
 constexpr std::size_t max_kept_lines = 1'000'000; // some 300 MB of text at worst
 // Detection of a silent server, a lost lease and an election each take less (settings: 600 ms, 600 ms, 300
 // ms).
-constexpr std::chrono::seconds time_before{3};
-constexpr std::size_t time_text_length = 23; // 2026-12-02T19:33:17.000
-
-struct log_line {
-    std::string time;
-    json::object fields;
-};
-
-std::string text_of(const json::object& o, const char* key) {
-    const json::value* v = o.if_contains(key);
-    return v != nullptr && v->is_string() ? std::string(v->as_string()) : std::string{};
-}
-
-std::optional<log_line> read_line(const std::string& text) {
-    const std::size_t start = text.find('{'); // a collector may put its own words in front
-    if (start == std::string::npos) {
-        return std::nullopt;
-    }
-    boost::system::error_code problem;
-    const json::value v = json::parse(std::string_view(text).substr(start), problem);
-    if (problem || !v.is_object() || text_of(v.as_object(), "event").empty()) {
-        return std::nullopt;
-    }
-    return log_line{.time = text_of(v.as_object(), "time"), .fields = v.as_object()};
-}
+constexpr std::chrono::milliseconds time_before{3000};
 
 // Every event of a process but the ends of other requests may explain one.
 bool may_explain(const log_line& line) {
-    return text_of(line.fields, "request").empty() && text_of(line.fields, "event") != "session_refused";
+    return text_field(line, "request").empty() && text_field(line, "event") != "session_refused";
 }
 
 // The moment `time_before` earlier, as text; the text itself where it is no time.
 std::string earlier(const std::string& time) {
-    std::tm parts{};
-    std::istringstream in(time);
-    int ms = 0;
-    char dot = 0;
-    in >> std::get_time(&parts, "%Y-%m-%dT%H:%M:%S") >> dot >> ms;
-    if (in.fail()) {
-        return time;
-    }
-    const std::time_t moment = timegm(&parts) - time_before.count();
-    std::tm before{};
-    gmtime_r(&moment, &before);
-    std::ostringstream out;
-    out << std::put_time(&before, "%Y-%m-%dT%H:%M:%S") << time.substr(time_text_length - 4, 4) << "Z";
-    return out.str();
+    const auto ms = to_unix_ms(time);
+    return ms ? to_time_text(*ms - time_before.count()) : time;
 }
 
 story_line to_story(const log_line& line, bool is_own) {
-    std::string text = text_of(line.fields, "event") + " at " + text_of(line.fields, "instance");
+    std::string text = text_field(line, "event") + " at " + text_field(line, "instance");
     static const std::set<std::string_view> told{"time", "level", "event", "instance", "failure_domain"};
     for (const auto& [key, value] : line.fields) {
         const bool empty = value.is_string() && value.as_string().empty();
@@ -96,9 +58,9 @@
     for (const log_line& line : own) {
         around.from = std::min(around.from, line.time);
         around.until = std::max(around.until, line.time);
-        around.instances.insert(text_of(line.fields, "instance"));
-        around.names.insert(text_of(line.fields, "server"));
-        around.names.insert(text_of(line.fields, "group"));
+        around.instances.insert(text_field(line, "instance"));
+        around.names.insert(text_field(line, "server"));
+        around.names.insert(text_field(line, "group"));
     }
     around.names.erase("");
     around.from = earlier(around.from);
@@ -111,11 +73,11 @@
     if (line.time < around.from || line.time > around.until) {
         return false;
     }
-    const std::string server = text_of(line.fields, "server");
-    const std::string group = text_of(line.fields, "group");
+    const std::string server = text_field(line, "server");
+    const std::string group = text_field(line, "group");
     const bool about_it = around.names.contains(server) || around.names.contains(group);
     const bool about_nobody = server.empty() && group.empty();
-    return about_it || (about_nobody && around.instances.contains(text_of(line.fields, "instance")));
+    return about_it || (about_nobody && around.instances.contains(text_field(line, "instance")));
 }
 
 } // namespace
@@ -125,11 +87,11 @@
     std::deque<log_line> others;
     for (std::istream* log : logs) {
         for (std::string text; std::getline(*log, text);) {
-            const auto line = read_line(text);
+            const auto line = read_log_line(text);
             if (!line) {
                 continue;
             }
-            if (text_of(line->fields, "request") == request) {
+            if (text_field(*line, "request") == request) {
                 own.push_back(*line);
             } else if (may_explain(*line) && others.size() < max_kept_lines) {
                 others.push_back(*line);
--- a/src/ctl/main.cpp
+++ b/src/ctl/main.cpp
@@ -3,6 +3,7 @@
 // Index
 //   [output]  [commands]  [main]
 #include "ctl/log_story.hpp"
+#include "ctl/loss_report.hpp"
 #include "ctl/operator_client.hpp"
 #include "ctl/table_file.hpp"
 #include "generated/larchpin.pb.h"
@@ -41,6 +42,9 @@
     bool watch = false;
     std::string change_id;
     std::uint64_t wait_ms = 10000;
+    bool as_csv = false;
+    std::string plot_file;
+    std::int64_t interval_ms = 1000;
 };
 
 //-----------------------------------------------------------------------------
@@ -330,24 +334,61 @@
     return 0;
 }
 
+// The logs that the arguments from `first` on name, or standard input.
+struct open_logs {
+    std::list<std::ifstream> files;
+    std::vector<std::istream*> streams;
+    std::string unreadable; // the first that is
+};
+
+open_logs open_named_logs(const arguments& a, std::size_t first) {
+    open_logs logs;
+    for (std::size_t i = first; i < a.words.size(); ++i) {
+        logs.files.emplace_back(a.words[i]);
+        if (!logs.files.back() && logs.unreadable.empty()) {
+            logs.unreadable = a.words[i];
+        }
+        logs.streams.push_back(&logs.files.back());
+    }
+    if (logs.streams.empty()) {
+        logs.streams.push_back(&std::cin);
+    }
+    return logs;
+}
+
 // Needs no daemon: on-call engineers have the logs only.
+int run_losses(const arguments& a) {
+    if (a.interval_ms <= 0) {
+        return fail("--interval-ms must be above 0", result_code::bad_command_line);
+    }
+    const open_logs logs = open_named_logs(a, 1);
+    if (!logs.unreadable.empty()) {
+        return fail("the log cannot be read: " + logs.unreadable, result_code::bad_command_line);
+    }
+    const larchpin::loss_report report = larchpin::collect_losses(logs.streams);
+    if (report.requests == 0) {
+        return fail("no line tells of a request's end", result_code::no_such_record);
+    }
+    if (!a.plot_file.empty()) {
+        std::ofstream picture(a.plot_file);
+        larchpin::plot_losses(report, a.interval_ms, picture);
+        if (!picture.flush()) {
+            return fail("the picture cannot be written: " + a.plot_file, result_code::bad_command_line);
+        }
+    }
+    (a.as_csv ? larchpin::print_losses_csv : larchpin::print_losses)(report, a.interval_ms, std::cout);
+    return 0;
+}
+
 int run_explain(const arguments& a) {
     if (a.words.size() < 2) {
         return fail("explain needs the request's id; see --help", result_code::bad_command_line);
     }
-    std::list<std::ifstream> files;
-    std::vector<std::istream*> logs;
-    for (std::size_t i = 2; i < a.words.size(); ++i) {
-        files.emplace_back(a.words[i]);
-        if (!files.back()) {
-            return fail("the log cannot be read: " + a.words[i], result_code::bad_command_line);
-        }
-        logs.push_back(&files.back());
+    const open_logs logs = open_named_logs(a, 2);
+    if (!logs.unreadable.empty()) {
+        return fail("the log cannot be read: " + logs.unreadable, result_code::bad_command_line);
     }
-    if (logs.empty()) {
-        logs.push_back(&std::cin);
-    }
-    const auto story = larchpin::tell_story(a.words[1], logs);
+    const auto story = larchpin::tell_story(a.words[1], logs.streams);
     if (story.empty()) {
         return fail("no line names the request " + a.words[1], result_code::no_such_record);
     }
@@ -408,6 +449,7 @@
                              "  switchover GROUP SERVER        makes a replica the primary\n"
                              "  drain                          stops the daemon at --to gracefully\n"
                              "  explain ID [LOG...]            what happened to a request, from logs\n"
+                             "  losses [--csv] [--plot FILE] [LOG...]  where service was lost, from logs\n"
                              "  stats                          metrics of each daemon at --to\n"
                              "  bootstrap                      starts a new cluster at --to, once\n");
     options.add_options()("help", "print this")("version", "print the version")(
@@ -417,6 +459,9 @@
                                                           cxxopts::value(a.watch))(
         "wait", "return when the edit is in force everywhere",
         cxxopts::value(a.wait))("wait-ms", "at most this long", cxxopts::value(a.wait_ms))(
+        "csv", "losses as comma-separated values",
+        cxxopts::value(a.as_csv))("plot", "losses over time as an SVG picture", cxxopts::value(a.plot_file))(
+        "interval-ms", "of losses; 1000", cxxopts::value(a.interval_ms))(
         "change-id", "the same id again asks for the first answer",
         cxxopts::value(a.change_id))("words", "command", cxxopts::value(a.words));
     options.parse_positional({"words"});
@@ -434,6 +479,9 @@
         if (!a.words.empty() && a.words.front() == "explain") {
             return run_explain(a);
         }
+        if (!a.words.empty() && a.words.front() == "losses") {
+            return run_losses(a);
+        }
         if (a.words.empty() || a.client.addresses.empty() || key_file.empty()) {
             return fail("a command, --to and --key-file are needed; see --help",
                         result_code::bad_command_line);
