Connections only for instances that take callers; the penalty of failures wears off

Control now gives none to an instance whose record does not take callers, and the model's daemons say that they do, as real ones. Reserves at a server were kept for control instances too, which never use them: one connection of 12 for requests; no more. The penalty of failures on a server's latency (up to 2 s) went away only with answers, which a server gets none of while it is thought slow: reads stayed on the primary after a cut.

--- a/src/core/control.cpp
+++ b/src/core/control.cpp
@@ -185,8 +185,9 @@
     if (server == s.servers.end() || service == nullptr) {
         return 0;
     }
-    if (!s.instances.contains(daemon)) {
-        return 0; // its record is not committed yet, so the others' shares do not count it
+    const auto record = s.instances.find(daemon);
+    if (record == s.instances.end() || !record->second.takes_callers) {
+        return 0; // no such record is committed yet, so the others' shares do not count it
     }
     follow_reserves(c, s, claim.key, server->second);
     const unsigned limit = connections_for_requests(service->max_connections, c.config.kept_connections);
--- a/src/core/health.cpp
+++ b/src/core/health.cpp
@@ -1,6 +1,7 @@
 #include "core/health.hpp"
 
 #include <algorithm>
+#include <cmath>
 
 namespace larchpin {
 namespace {
@@ -13,6 +14,9 @@
 constexpr duration least_failed_latency = std::chrono::milliseconds{20};
 constexpr duration most_failed_latency = std::chrono::seconds{2};
 constexpr int smoothing = 8;
+// From the highest penalty (2 s) to a usual answer's time (20 ms) in seven halvings: a server that has
+// recovered is tried again within 3.5 s, about as long as its ramp after an ejection takes.
+constexpr duration penalty_half_life = std::chrono::milliseconds{500};
 constexpr double max_tokens = 10;
 constexpr double tokens_per_request = 0.1;
 
@@ -26,6 +30,7 @@
     h.outstanding -= h.outstanding > 0 ? 1 : 0;
     h.failures = 0;
     h.latency = h.latency.count() == 0 ? took : h.latency + (took - h.latency) / smoothing;
+    h.penalty /= 2;
     if (now - h.ejected_until > ramp_time) {
         h.ejections = 0;
     }
@@ -33,7 +38,10 @@
 
 void note_failed(server_health& h, time_point now) {
     h.outstanding -= h.outstanding > 0 ? 1 : 0;
-    h.latency = std::clamp(h.latency * 2, least_failed_latency, most_failed_latency);
+    h.penalty =
+        std::clamp(expected_latency(h, now) * 2, least_failed_latency, most_failed_latency) - h.latency;
+    h.penalty = std::max(h.penalty, duration{0});
+    h.penalty_at = now;
     if (now < h.ejected_until) {
         return; // the rest of what was running there when it was ejected
     }
@@ -49,6 +57,13 @@
     h.outstanding -= h.outstanding > 0 ? 1 : 0;
 }
 
+duration expected_latency(const server_health& h, time_point now) {
+    const double halvings =
+        static_cast<double>((now - h.penalty_at).count()) / static_cast<double>(penalty_half_life.count());
+    return h.latency +
+           duration{static_cast<std::int64_t>(static_cast<double>(h.penalty.count()) * std::exp2(-halvings))};
+}
+
 double read_ramp(const server_health& h, time_point now) {
     if (h.ejections == 0) {
         return 1.0;
--- a/src/core/health.hpp
+++ b/src/core/health.hpp
@@ -1,9 +1,8 @@
 // How one backend server has been doing for this daemon's requests, and how many retries may be made.
 //
-// A failure counts as a slow answer, and a server that fails several requests in a row gets no reads for a
-// while (ejection); afterwards its share
-// rises slowly, so that it is not met by a herd. Retries draw on a budget filled by ordinary requests, so
-// they can never multiply the load.
+// A failure counts as a slow answer for a while, and a server that fails several requests in a row gets no
+// reads for a while (ejection); afterwards its share rises slowly, so that it is not met by a herd. Retries
+// draw on a budget filled by ordinary requests, so they can never multiply the load.
 #pragma once
 
 #include "core/types.hpp"
@@ -11,7 +10,9 @@
 namespace larchpin {
 
 struct server_health {
-    duration latency{0};      // smoothed; 0: unknown
+    duration latency{0};      // smoothed, of answers; 0: unknown
+    duration penalty{0};      // of failures, on top of it; see expected_latency()
+    time_point penalty_at{};  // of the last failure
     unsigned outstanding = 0; // requests running or waiting there
     unsigned failures = 0;    // in a row
     unsigned ejections = 0;   // in a row, without a success after the ramp
@@ -25,6 +26,9 @@
 // The request went away before it reached the server, or its end says nothing of it.
 void note_left(server_health& h);
 
+// The smoothed latency and what is left of the penalty.
+duration expected_latency(const server_health& h, time_point now);
+
 // 0..1: the part of its usual share that the server gets at this moment.
 double read_ramp(const server_health& h, time_point now);
 
--- a/src/core/rendezvous.cpp
+++ b/src/core/rendezvous.cpp
@@ -99,6 +99,7 @@
 
 std::vector<instance_id> reserve_holders(const cluster_state& s, const server_record& server) {
     auto holders = ranked_instances(s, server.domain, server.id);
+    std::erase_if(holders, [&s](const instance_id& id) { return !s.instances.at(id).takes_callers; });
     if (holders.size() > reserves_per_server) {
         holders.resize(reserves_per_server);
     }
--- a/src/daemon/agent.cpp
+++ b/src/daemon/agent.cpp
@@ -403,7 +403,7 @@
         s.silent = is_silent(server);
         s.near = server.domain == config_.domain;
         s.outstanding = health.outstanding;
-        s.latency = health.latency;
+        s.latency = expected_latency(health, at);
         s.ejected_until = health.ejected_until;
         s.ramp = read_ramp(health, at);
         const share_key key{.service = service, .server = server.id};
@@ -425,7 +425,7 @@
 
 duration agent::usual_latency(const server_id& server) const {
     const auto known = health_.find(server);
-    return known == health_.end() ? duration{0} : known->second.latency;
+    return known == health_.end() ? duration{0} : expected_latency(known->second, now());
 }
 
 void agent::note_request_started(const server_id& server) {
--- a/tests/cluster_model.cpp
+++ b/tests/cluster_model.cpp
@@ -304,7 +304,7 @@
 
 renewal cluster_model::make_renewal(const model_daemon& d) const {
     renewal r;
-    r.instance = {.id = d.id, .domain = d.domain, .address = d.id.value};
+    r.instance = {.id = d.id, .domain = d.domain, .address = d.id.value, .takes_callers = true};
     r.incarnation = d.incarnation;
     r.applied = d.copy.revision;
     r.last_reply_seq = d.last_seq;
--- a/tests/control_test.cpp
+++ b/tests/control_test.cpp
@@ -49,11 +49,15 @@
         }
     }
 
+    bool takes_callers = true; // of whoever renews next
     renewal_reply renew(const std::string& daemon, const std::vector<server_announcement>& announced = {},
                         const std::vector<server_observation>& seen = {},
                         const std::vector<share_claim>& claims = {}) {
         renewal r;
-        r.instance = {.id = {daemon}, .domain = {"d-" + daemon}, .address = "127.0.0.1:1"};
+        r.instance = {.id = {daemon},
+                      .domain = {"d-" + daemon},
+                      .address = "127.0.0.1:1",
+                      .takes_callers = takes_callers};
         r.incarnation = 1;
         r.applied = cluster.revision;
         r.last_reply_seq = seqs[r.instance.id];
@@ -549,6 +553,27 @@
     EXPECT_EQ(s.renew("y", {}, {}, {many}).shares.at(0).connections, 9U) << "x keeps its reserve for good";
 }
 
+// All processes end at once, and one control instance is gone for good: it held no connections, so its lease
+// need not be waited out before the others get theirs.
+TEST(shares_of_connections, of_a_new_leader_wait_for_those_only_that_may_hold_some) {
+    control_site s = make_site();
+    apply(s.cluster, s.cluster.revision + 1, make_versioned(1, 10));
+    const share_claim claim{.key = {.service = {"g"}, .server = {"s1"}}, .in_effect = 0, .wanted = 4};
+    s.renew("x");
+    s.renew("y");
+    s.takes_callers = false;
+    s.renew("control");
+    s.tick();
+    ASSERT_TRUE(s.cluster.instances.contains({"control"}));
+    start_leading(s.control, 2, s.now);
+    s.takes_callers = true;
+    EXPECT_EQ(s.renew("x", {}, {}, {claim}).shares.at(0).connections, 0U) << "y may hold some";
+    s.renew("y");
+    EXPECT_EQ(s.renew("x", {}, {}, {claim}).shares.at(0).connections, 4U);
+    s.takes_callers = false;
+    EXPECT_EQ(s.renew("control", {}, {}, {claim}).shares.at(0).connections, 0U) << "it is not counted";
+}
+
 TEST(shares_of_connections, leave_room_for_probes) {
     control_site s = make_site();
     s.control.config.kept_connections = 4;
--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -595,6 +595,25 @@
     EXPECT_EQ(read_ramp(h, h.ejected_until + std::chrono::seconds{10}), 1.0);
 }
 
+// The pattern: both replicas of a group are cut off for some seconds. Their failures must not keep reads on
+// the primary once they are back: a server that gets no requests can show nothing better.
+TEST(health, a_penalty_for_failures_wears_off_without_news) {
+    server_health h;
+    time_point now{std::chrono::seconds{100}};
+    note_started(h);
+    note_succeeded(h, std::chrono::milliseconds{20}, now);
+    for (int i = 0; i < 12; ++i) {
+        note_started(h);
+        note_failed(h, now);
+    }
+    EXPECT_GE(expected_latency(h, now), std::chrono::seconds{1});
+    now += std::chrono::milliseconds{3500};
+    EXPECT_LE(expected_latency(h, now), std::chrono::milliseconds{60})
+        << "within three times a usual primary";
+    EXPECT_GE(expected_latency(h, now + std::chrono::hours{1}), std::chrono::milliseconds{20})
+        << "what answers took is not forgotten";
+}
+
 // A crowded server's queue would make it look quick, and a dead one well.
 TEST(health, a_request_that_goes_away_unanswered_says_nothing_of_its_server) {
     server_health h;
