A late announcement of a replaced server changes nothing

Cause: a heartbeat held up by a cut may arrive after its sender has crashed and another server has come up at its address. It was taken for news: `leaving` was told to all entries, and the ghost's record, of an address that is another's, never went. Change: control remembers who came up last at each address; whoever came up there before is not heard while that one is. The fixture's servers have addresses of their own now (they shared one). The first new test failed before.

--- a/bench/control_bench.cpp
+++ b/bench/control_bench.cpp
@@ -53,7 +53,10 @@
     for (int i = 0; i < size.daemons; ++i) {
         const std::string id = "instance-" + std::to_string(i);
         apply(s, ++revision,
-              register_instance{{.id = {id}, .domain = {domain_name(i)}, .address = "10.20.30.40:7432"}});
+              register_instance{{.id = {id},
+                                 .domain = {domain_name(i)},
+                                 .address = "10.20.30.40:7432",
+                                 .takes_callers = true}});
     }
     for (int g = 0; g < size.groups; ++g) {
         const std::string group = "database-" + std::to_string(g);
--- a/src/core/control.cpp
+++ b/src/core/control.cpp
@@ -135,11 +135,31 @@
     }
 }
 
+// An announcement may be held up on its way until its sender has crashed and another server has come up at
+// the same address. It tells nothing of today then: not the role, not the address, not that the server is
+// leaving.
+bool is_replaced(control_state& c, const cluster_state& s, const server_announcement& a, time_point now) {
+    const server_id& id = a.record.id;
+    server_id& holder = c.address_holders[a.record.host + ":" + std::to_string(a.record.port)];
+    const auto heard = c.announced.find(holder);
+    const bool holder_lives =
+        heard != c.announced.end() && now - heard->second.at <= c.config.announcement_age;
+    const bool known = c.announced.contains(id) || s.servers.contains(id) || c.replaced.contains(id);
+    if (holder != id && !(known && holder_lives)) {
+        if (!holder.value.empty()) {
+            c.replaced.insert(holder);
+        }
+        c.replaced.erase(id);
+        holder = id;
+    }
+    return holder != id && c.replaced.contains(id);
+}
+
 void take_announcement(control_state& c, const cluster_state& s, const server_announcement& a, time_point now,
                        control_actions& actions) {
     const auto earlier = c.announced.find(a.record.id);
     const bool overtaken = earlier != c.announced.end() && earlier->second.last.sequence > a.sequence;
-    if (overtaken || c.said_goodbye.contains(a.record.id)) {
+    if (overtaken || c.said_goodbye.contains(a.record.id) || is_replaced(c, s, a, now)) {
         return;
     }
     c.announced[a.record.id] = seen_server{.last = a, .at = now};
--- a/src/core/control.hpp
+++ b/src/core/control.hpp
@@ -211,6 +211,8 @@
     std::set<server_id> said_leaving;                      // leaving or gone, as far as announced
     time_point looked_for_lost_at{};                       // forget_lost_servers()
     std::set<server_id> said_goodbye;                      // their ids are never used again
+    std::map<std::string, server_id> address_holders;      // by "host:port": who came up there last
+    std::set<server_id> replaced;                          // another server came up at their address
     std::map<std::uint64_t, server_announcement> founding; // by operation: asked for its timeline
     std::map<group_id, time_point> switched_at;            // last try to leave a leaving primary
     std::vector<std::string> control_addresses;            // told to daemons; set by the control core
--- a/src/core/rendezvous.hpp
+++ b/src/core/rendezvous.hpp
@@ -36,8 +36,8 @@
 std::vector<instance_id> home_instances(const cluster_state& s, const server_id& server,
                                         unsigned connections);
 
-// The instances in the server's own failure domain that keep a connection to it while cut off, among those that
-// take callers: nobody else would use it.
+// The instances in the server's own failure domain that keep a connection to it while cut off, among those
+// that take callers: nobody else would use it.
 std::vector<instance_id> reserve_holders(const cluster_state& s, const server_record& server);
 
 } // namespace larchpin
--- a/tests/control_test.cpp
+++ b/tests/control_test.cpp
@@ -113,7 +113,8 @@
 
 server_announcement announce(const std::string& id, bool primary, std::uint64_t sequence) {
     server_announcement a;
-    a.record = {.id = {id}, .group = {"g"}, .host = "127.0.0.1", .port = 5432, .domain = {"d-x"}};
+    const auto port = static_cast<std::uint16_t>(5400 + id.back()); // each at an address of its own
+    a.record = {.id = {id}, .group = {"g"}, .host = "127.0.0.1", .port = port, .domain = {"d-x"}};
     a.is_primary = primary;
     a.sequence = sequence;
     return a;
@@ -304,6 +305,50 @@
     EXPECT_EQ(s.renew("x", {announce("s2", false, 4)}).leaving, std::vector<server_id>{{"s2"}});
 }
 
+// Held up by a cut, it arrives after its sender has crashed and another server has come up at its address.
+TEST(leaving, a_late_announcement_of_a_replaced_server_changes_nothing) {
+    control_site s = make_site();
+    server_announcement next = announce("n2", false, 1);
+    next.record.port = announce("s2", false, 1).record.port;
+    s.now += milliseconds{1500};
+    s.renew("x", {next});
+    ASSERT_TRUE(s.cluster.servers.contains({"n2"}));
+    server_announcement late = announce("s2", true, 50);
+    late.leaving = true;
+    EXPECT_TRUE(s.renew("x", {late}).leaving.empty());
+    const std::vector<server_observation> seen{{.server = {"s1"}, .alive = true},
+                                               {.server = {"n2"}, .alive = true}};
+    for (std::uint64_t i = 2; i < 40; ++i) {
+        s.now += milliseconds{500};
+        next.sequence = i;
+        late.sequence = 50 + i;
+        s.renew("x", {announce("s1", true, i), announce("s3", false, i), next, late}, seen);
+        s.tick();
+    }
+    EXPECT_FALSE(s.cluster.servers.contains({"s2"})) << "however many of them come";
+    EXPECT_TRUE(s.cluster.servers.contains({"n2"}));
+    EXPECT_EQ(s.group().primary, server_id{"s1"});
+}
+
+// A new leader has not heard who came up last at an address: a late announcement may look like the
+// newcomer's.
+TEST(leaving, a_server_that_was_taken_for_replaced_is_heard_again_once_the_other_is_silent) {
+    control_site s = make_site();
+    start_leading(s.control, 2, s.now);
+    server_announcement living = announce("n2", false, 7);
+    living.record.port = announce("x2", false, 1).record.port;
+    s.renew("x", {living});
+    s.renew("x", {announce("x2", false, 50)}); // of a server that nobody remembers
+    for (std::uint64_t i = 8; i < 18; ++i) {
+        s.now += milliseconds{500};
+        living.sequence = i;
+        s.renew("x", {living});
+    }
+    living.leaving = true;
+    living.sequence = 20;
+    EXPECT_EQ(s.renew("x", {living}).leaving, std::vector<server_id>{{"n2"}});
+}
+
 TEST(leaving, a_server_that_is_gone_loses_its_record_but_not_while_it_is_the_primary) {
     control_site s = make_site();
     server_announcement gone = announce("s2", false, 9);
