--- a/src/core/pool.cpp
+++ b/src/core/pool.cpp
@@ -265,12 +265,8 @@
     if (end.crowded) {
         note_crowded(p.limit, running_count(p), now);
     } else {
-        note_statement_answered(p.limit,
-                                {.took = end.took,
-                                 .klass = static_cast<std::size_t>(end.klass),
-                                 .running = running_count(p),
-                                 .share = p.share},
-                                now);
+        note_statement_answered(
+            p.limit, {.took = end.took, .klass = static_cast<std::size_t>(end.klass), .share = p.share}, now);
     }
     if (end.stays) {
         p.resting.insert(c);
--- a/src/core/running_limit.cpp
+++ b/src/core/running_limit.cpp
@@ -7,15 +7,16 @@
 
 constexpr int smoothing = 8; // a new time counts one eighth
 // The least usual time forgets this part of the difference with each answer, so that a server that has become
-// slow by nature (other hardware, colder caches) is not taken for a crowded one for longer than some 500
-// answers.
-constexpr int forgetting = 256;
+// slow by nature (other hardware, colder caches) is not taken for a crowded one for longer than some 1000
+// answers, ten seconds of a busy server's.
+constexpr int forgetting = 1024;
 // Times that an answer takes what it does at an idle server: one statement waits before each that runs.
 constexpr double crowded_stretch = 2.0;
-// Below this another statement at once is tried.
-constexpr double idle_stretch = 1.6;
-// Between two steps; answers of statements that were sent before a step say nothing of it.
-constexpr duration least_pause = std::chrono::milliseconds{40};
+// Refusals that come within an answer's time (4 to 150 ms measured) tell of the same crowd.
+constexpr duration cut_pause = std::chrono::milliseconds{150};
+constexpr duration raise_pause = std::chrono::milliseconds{250};
+// While the server is crowded: often enough to find out that the crowd is others'.
+constexpr duration crowded_raise_pause = std::chrono::seconds{2};
 
 void note_time(answer_times& t, duration took) {
     t.usual = t.usual.count() == 0 ? took : t.usual + (took - t.usual) / smoothing;
@@ -34,12 +35,13 @@
 } // namespace
 
 void note_crowded(running_limit& l, unsigned running, time_point now) {
-    if (l.most > 0 && now - l.changed_at < std::max(least_pause, l.usual_answer)) {
-        return; // of the same crowd
+    if (l.most > 0 && now - l.cut_at < cut_pause) {
+        return;
     }
     const unsigned from = l.most > 0 ? std::min(l.most, running) : running;
     l.most = std::max(1U, from / 2);
-    l.changed_at = now;
+    l.cut_at = now;
+    l.raised_at = now;
 }
 
 void note_statement_answered(running_limit& l, const answered_statement& a, time_point now) {
@@ -48,18 +50,14 @@
     l.usual_answer =
         l.usual_answer.count() == 0 ? a.took : l.usual_answer + (a.took - l.usual_answer) / smoothing;
     l.stretch += (stretch_of(times, a.took) - l.stretch) / smoothing;
-    if (now - l.changed_at < std::max(least_pause, l.usual_answer)) {
+    const duration pause = l.stretch >= crowded_stretch ? crowded_raise_pause : raise_pause;
+    if (l.most == 0 || now - l.raised_at < pause) {
         return;
     }
-    if (l.stretch >= crowded_stretch && (l.most > 1 || (l.most == 0 && a.running > 1))) {
-        l.most = (l.most == 0 ? a.running : std::min(l.most, std::max(a.running, 2U))) - 1;
-        l.changed_at = now;
-    } else if (l.most > 0 && l.stretch < idle_stretch) {
-        ++l.most;
-        l.changed_at = now;
-        if (l.most >= a.share) {
-            l.most = 0;
-        }
+    ++l.most;
+    l.raised_at = now;
+    if (l.most >= a.share) {
+        l.most = 0;
     }
 }
 
--- a/src/core/running_limit.hpp
+++ b/src/core/running_limit.hpp
@@ -1,12 +1,12 @@
-// How many statements one daemon has running at once at one backend server that is crowded.
+// How many statements one daemon has running at once at one backend server, where that server said it was
+// crowded.
 //
-// A server serves statements in the order of arrival, whatever their class, and in the end refuses them. So
-// where answers take much longer than they do at an idle server, or one is refused, fewer are sent at once,
-// and the rest waits here, where urgent ones go first and hopeless ones are refused early. How long a class
-// of statements takes at an idle server is learned: the least that the smoothed time has been lately. The
-// limit falls by one for each smoothed answer's time while answers take twice that and more, is halved with a
-// refusal, grows by one while they do not, never falls below one, and ends once it exceeds what the daemon
-// may use.
+// A server that queues statements itself serves them in the order of arrival, whatever their class, and in
+// the end refuses them. So after a refusal fewer are sent at once, and the rest waits here, where urgent ones
+// go first and hopeless ones are refused early. The limit is halved with a refusal and grows by one at a
+// time, slowly while answers take twice what they do at an idle server; it never falls below one, and ends
+// once it exceeds what the daemon may use. Slow answers alone do not lower it: entries that each hold a
+// statement back leave slots idle at a server that has few (docs/POLICY.md).
 #pragma once
 
 #include "core/types.hpp"
@@ -29,19 +29,19 @@
     std::array<answer_times, answer_time_classes> times;
     duration usual_answer{0}; // smoothed over all classes; 0: none yet
     double stretch = 1.0;     // smoothed: an answer's time by the least usual one of its class
-    time_point changed_at{};
+    time_point cut_at{};
+    time_point raised_at{};
     auto operator<=>(const running_limit&) const = default;
 };
 
 // The server refused a statement since it is crowded, while `running` of ours were there.
 void note_crowded(running_limit& l, unsigned running, time_point now);
 
-// A statement of this class (0 .. answer_time_classes - 1) was answered after this time, while `running` of
-// ours were there. `share` is what the daemon may have open at the server.
+// A statement of this class (0 .. answer_time_classes - 1) was answered after this time. `share` is what the
+// daemon may have open at the server.
 struct answered_statement {
     duration took{0};
     std::size_t klass = 0;
-    unsigned running = 0;
     unsigned share = 0;
 };
 void note_statement_answered(running_limit& l, const answered_statement& a, time_point now);
