--- a/src/daemon/loans.cpp
+++ b/src/daemon/loans.cpp
@@ -169,6 +169,7 @@
         if (!is_lent_) {
             homes_ = owner_.rank_homes(terms_.key);
             tried_ = 0;
+            is_server_lost_ = false;
             number_ = owner_.random_();
         }
         request_ = request;
@@ -218,13 +219,14 @@
         if (!answered) {
             backend_outcome outcome;
             outcome.lender = home_;
-            outcome.lender_silent = true;
+            outcome.lender_silent = !is_server_lost_; // the others do not reach the server either
             finish(outcome, {});
             return;
         }
         backend_outcome outcome = read_outcome(m);
         outcome.lender = home_;
         owner_.note_lender(terms_.key, home_, outcome);
+        is_server_lost_ = is_server_lost_ || outcome.refused == result_code::connection_lost;
         const bool another = outcome.refused == result_code::stopping ||
                              outcome.refused == result_code::no_lease ||
                              outcome.refused == result_code::connection_lost;
@@ -270,7 +272,8 @@
     std::uint64_t number_ = 0;
     backend_request request_;
     backend_sink sink_;
-    bool is_lent_ = false; // a transaction is open there
+    bool is_lent_ = false;        // a transaction is open there
+    bool is_server_lost_ = false; // a home that was tried does not reach the server
     bool running_ = false;
 };
 
--- a/src/io/backend_connection.hpp
+++ b/src/io/backend_connection.hpp
@@ -75,7 +75,7 @@
     result_code refused = result_code::ok;
     duration retry_after{0};
     std::string lender;         // address of the instance whose connection it was; empty: our own
-    bool lender_silent = false; // not answered, since the lender was not heard: says nothing of the server
+    bool lender_silent = false; // not answered, and all that is known is that the lender was not heard
 };
 
 struct backend_sink {
