--- a/src/core/pool.cpp
+++ b/src/core/pool.cpp
@@ -154,9 +154,9 @@
                     wait_for_place(before, p.limit.most, running_count(p), p.limit.usual_answer));
 }
 
-// The latest moment at which it may be sent. An answer takes up to half as long again as usual (four in five
-// answers of one played day). Critical requests are sent as long as anybody waits for them: they go first, so
-// they take little from the others.
+// The latest moment at which it may be sent. As many answers take longer than usual as do not, so half as
+// long again is allowed for it. Critical requests are sent as long as anybody waits for them: they go first,
+// so they take little from the others.
 time_point latest_sending(const pool_state& p, const pool_waiter& w) {
     if (w.answer_by == time_point{} || w.klass == request_class::critical) {
         return w.deadline;
@@ -335,6 +335,7 @@
         }
         std::erase_if(queue, is_hopeless);
     }
+    std::erase_if(p.starved_until, [now](const auto& kind) { return now >= kind.second; });
     settle(p, now, next_connection, actions);
 }
 
--- a/src/ctl/loss_output.cpp
+++ b/src/ctl/loss_output.cpp
@@ -10,6 +10,7 @@
 #include <iomanip>
 #include <numeric>
 #include <ostream>
+#include <sstream>
 #include <tuple>
 
 namespace larchpin {
@@ -135,8 +136,13 @@
 }
 
 void draw_box(int x, int y, int width, int height, const std::string& colour, std::ostream& out) {
-    out << "<rect x=\"" << x << "\" y=\"" << y << "\" width=\"" << width << "\" height=\"" << height
-        << "\" fill=\"" << colour << "\"/>\n";
+    out << R"(<rect x=")" << x << R"(" y=")" << y << R"(" width=")" << width << R"(" height=")" << height
+        << R"(" fill=")" << colour << R"("/>)"
+        << "\n";
+}
+
+void draw_text(int x, int y, const std::string& text, std::ostream& out) {
+    out << R"(<text x=")" << x << R"(" y=")" << y << R"(">)" << text << "</text>\n";
 }
 
 } // namespace
@@ -154,9 +160,10 @@
     const std::int64_t first = counts.empty() ? 0 : counts.begin()->first;
     const std::int64_t bars = counts.empty() ? 1 : (counts.rbegin()->first - first) / interval_ms + 1;
     const int width = std::max(1, static_cast<int>(plot_width / bars));
-    out << "<svg xmlns=\"http://www.w3.org/2000/svg\" width=\"" << plot_width << "\" height=\""
+    out << R"(<svg xmlns="http://www.w3.org/2000/svg" width=")" << plot_width << R"(" height=")"
         << plot_height + legend_line * static_cast<int>(loss_cause_count + 2)
-        << "\" font-family=\"sans-serif\" font-size=\"12\">\n";
+        << R"(" font-family="sans-serif" font-size="12">)"
+        << "\n";
     for (const auto& [at, by_cause] : counts) {
         const int x = static_cast<int>((at - first) / interval_ms) * width;
         int y = plot_height;
@@ -167,14 +174,15 @@
         }
     }
     int y = plot_height + legend_line;
-    out << "<text x=\"0\" y=\"" << y << "\">" << to_time_text(first) << ", " << interval_ms
-        << " ms a bar; the highest: " << highest << " losses</text>\n";
+    std::ostringstream title;
+    title << to_time_text(first) << ", " << interval_ms << " ms a bar; the highest: " << highest << " losses";
+    draw_text(0, y, title.str(), out);
     for (std::size_t cause = 0; cause < totals.size(); ++cause) {
         if (totals[cause] > 0) {
             y += legend_line;
             draw_box(0, y - legend_line / 2, legend_line / 2, legend_line / 2, colour_of(cause), out);
-            out << "<text x=\"" << legend_line << "\" y=\"" << y << "\">"
-                << to_string(static_cast<loss_cause>(cause)) << ": " << totals[cause] << "</text>\n";
+            const std::string name(to_string(static_cast<loss_cause>(cause)));
+            draw_text(legend_line, y, name + ": " + std::to_string(totals[cause]), out);
         }
     }
     out << "</svg>\n";
--- a/src/ctl/loss_report.hpp
+++ b/src/ctl/loss_report.hpp
@@ -62,7 +62,7 @@
 };
 
 struct loss_report {
-    std::vector<loss> losses;               // in the order of the logs
+    std::vector<loss> losses;           // in the order of the logs
     std::uint64_t requests = 0;         // lines that tell of a request's end
     std::uint64_t dropped = 0;          // lines that the processes left out
     std::uint64_t refusals_counted = 0; // by the processes' metrics, where their text was among the logs
--- a/src/daemon/loans.cpp
+++ b/src/daemon/loans.cpp
@@ -459,13 +459,14 @@
     const std::uint64_t number = request.loan();
     loan& begun = loans_[number];
     begun.key = key;
+    begun.klass = static_cast<request_class>(request.klass());
     begun.on_primary = request.on_primary();
     begun.term = request.term();
     begun.since = now();
     begun.used_at = begun.since;
     const request_number waiting = pools_.request(
         key, server->second, service->background_share,
-        {.klass = static_cast<request_class>(request.klass()),
+        {.klass = begun.klass,
          .deadline = now() + from_us(request.wait_us()),
          .answer_by = request.answer_us() == 0 ? time_point{} : now() + from_us(request.answer_us()),
          .objective = from_us(request.objective_us())},
@@ -522,8 +523,7 @@
     sink.hold_errors = true;
     sink.keep_first_row = true;
     sink.on_bytes = [bytes](std::string_view more) { bytes->append(more); };
-    const auto klass = static_cast<request_class>(request.klass());
-    sink.on_done = [this, number, klass, server = l.key.server, connection, bytes,
+    sink.on_done = [this, number, klass = l.klass, server = l.key.server, connection, bytes,
                     respond](const backend_outcome& outcome) {
         note_context(*connection, outcome);
         if (outcome.answered) {
--- a/src/daemon/loans.hpp
+++ b/src/daemon/loans.hpp
@@ -74,6 +74,7 @@
 
     struct loan {
         share_key key;
+        request_class klass = request_class::normal;
         bool on_primary = false;
         term_number term = 0;
         request_number waiting = 0; // in the pool's queue
--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -327,7 +327,7 @@
     time_point now{std::chrono::seconds{1}};
     for (int i = 0; i < 400; ++i) {
         now += std::chrono::milliseconds{10};
-        const std::size_t klass = i % 2;
+        const std::size_t klass = i % 2 == 0 ? 0 : 1;
         note_statement_answered(
             l, {.took = std::chrono::milliseconds{klass == 0 ? 5 : 60}, .klass = klass, .share = 12}, now);
     }
--- a/tests/replication_test.cpp
+++ b/tests/replication_test.cpp
@@ -7,6 +7,7 @@
 
 #include <gtest/gtest.h>
 
+#include <array>
 #include <map>
 
 namespace larchpin::raft {
@@ -30,13 +31,15 @@
     time_point now{std::chrono::seconds{10}};
     settings timing{.heartbeat_interval = milliseconds{50}, .election_timeout = milliseconds{300}};
 
+    static constexpr std::array<node_id, 3> ids{1, 2, 3};
+
     three_nodes() {
         configuration founders;
-        for (const node_id id : {1, 2, 3}) {
+        for (const node_id id : ids) {
             founders.members.push_back(
                 {.id = id, .name = std::to_string(id), .address = std::to_string(id), .voter = true});
         }
-        for (const node_id id : {1, 2, 3}) {
+        for (const node_id id : ids) {
             nodes[id] = make_state(id, timing, {}, now, random);
             bootstrap(nodes[id], founders, now, random);
         }
