--- a/src/ctl/loss_output.cpp
+++ b/src/ctl/loss_output.cpp
@@ -90,6 +90,13 @@
     }
     out << "\n";
     print_sums("cause", sum_losses(report.losses, key_of_cause), all, out);
+    out << "\nleft out of the logs, by the causes of the same instance and second:";
+    for (std::size_t cause = 0; cause < report.left_out.size(); ++cause) {
+        if (report.left_out.at(cause) > 0) {
+            out << "  " << to_string(static_cast<loss_cause>(cause)) << " " << report.left_out.at(cause);
+        }
+    }
+    out << "\n";
     print_sums("class", sum_losses(report.losses, key_of_class), all, out);
     print_sums("group", sum_losses(report.losses, key_of_group), all, out);
     print_sums("failure domain", sum_losses(report.losses, key_of_domain), all, out);
--- a/src/ctl/loss_report.cpp
+++ b/src/ctl/loss_report.cpp
@@ -12,6 +12,8 @@
 namespace {
 
 constexpr std::size_t ids_kept = 3;
+// Lines that were left out are told of with the next line, in the second after at the earliest.
+constexpr std::int64_t told_after_ms = 2000;
 // Longer ago, a line of a failover belongs to an earlier one.
 constexpr std::int64_t failover_ms = 30'000;
 constexpr std::string_view refusal_metric = "larchpin_refusals{";
@@ -102,6 +104,7 @@
                  .klass = text_field(line, "class"),
                  .group = text_field(line, "group"),
                  .domain = text_field(line, "failure_domain"),
+                 .instance = text_field(line, "instance"),
                  .request = text_field(line, "request"),
                  .lost_us = number_field(line, "took_us")};
     const std::string end = text_field(line, "end");
@@ -120,6 +123,41 @@
     return seen;
 }
 
+struct dropped_lines {
+    std::int64_t at_ms = 0;
+    std::string instance;
+    std::string of; // event
+    std::string level;
+    std::uint64_t count = 0;
+};
+
+// What a process left out of its log in a second was lost for the same causes as what it wrote.
+void attribute_dropped(loss_report& report, const dropped_lines& lines) {
+    if (lines.of == "session_refused") {
+        report.left_out.at(static_cast<std::size_t>(loss_cause::session_closed)) += lines.count;
+        return;
+    }
+    if (lines.of != "request_ended" || lines.level != "warning") {
+        return; // requests that were served in time
+    }
+    loss_counts written{};
+    std::uint64_t all = 0;
+    for (const loss& l : report.losses) {
+        const bool same = l.instance == lines.instance && l.cause != loss_cause::session_closed;
+        if (same && l.at_ms <= lines.at_ms && l.at_ms > lines.at_ms - told_after_ms) {
+            ++written.at(static_cast<std::size_t>(l.cause));
+            ++all;
+        }
+    }
+    if (all == 0) {
+        report.left_out.at(static_cast<std::size_t>(loss_cause::other)) += lines.count;
+        return;
+    }
+    for (std::size_t cause = 0; cause < written.size(); ++cause) {
+        report.left_out.at(cause) += written.at(cause) * lines.count / all;
+    }
+}
+
 // The value behind the last blank of a metric's line; 0 where there is none.
 std::uint64_t read_metric(const std::string& text) {
     const std::size_t blank = text.rfind(' ');
@@ -146,6 +184,7 @@
     loss_report report;
     failover_phases phases;
     std::vector<seen_end> ends;
+    std::vector<dropped_lines> dropped;
     for (std::istream* log : logs) {
         for (std::string text; std::getline(*log, text);) {
             if (text.starts_with(refusal_metric)) {
@@ -167,9 +206,15 @@
                 seen.what.at_ms = *at;
                 seen.what.cause = loss_cause::session_closed;
                 seen.what.domain = text_field(*line, "failure_domain");
+                seen.what.instance = text_field(*line, "instance");
                 ends.push_back(std::move(seen));
             } else if (event == "log_lines_dropped") {
                 report.dropped += static_cast<std::uint64_t>(number_field(*line, "count"));
+                dropped.push_back({.at_ms = *at,
+                                   .instance = text_field(*line, "instance"),
+                                   .of = text_field(*line, "of"),
+                                   .level = text_field(*line, "severity"),
+                                   .count = static_cast<std::uint64_t>(number_field(*line, "count"))});
             } else {
                 note_failover(*line, *at, phases);
             }
@@ -181,6 +226,9 @@
             report.losses.push_back(std::move(seen.what));
         }
     }
+    for (const dropped_lines& lines : dropped) {
+        attribute_dropped(report, lines);
+    }
     return report;
 }
 
--- a/src/ctl/loss_report.hpp
+++ b/src/ctl/loss_report.hpp
@@ -56,15 +56,20 @@
     std::string klass; // of the request; empty where a session was refused
     std::string group;
     std::string domain; // failure domain of the entry
+    std::string instance;
     std::string request;
     std::int64_t lost_us = 0; // from the request's arrival to its end
     auto operator<=>(const loss&) const = default;
 };
 
+// Counts by cause.
+using loss_counts = std::array<std::uint64_t, loss_cause_count>;
+
 struct loss_report {
     std::vector<loss> losses;           // in the order of the logs
     std::uint64_t requests = 0;         // lines that tell of a request's end
     std::uint64_t dropped = 0;          // lines that the processes left out
+    loss_counts left_out{};             // losses among them, by the causes of the same instance and second
     std::uint64_t refusals_counted = 0; // by the processes' metrics, where their text was among the logs
 };
 
@@ -88,8 +93,7 @@
 
 std::map<std::string, loss_sum> sum_losses(const std::vector<loss>& losses, loss_key key);
 
-// Counts by interval (its start, ms since the epoch) and cause.
-using loss_counts = std::array<std::uint64_t, loss_cause_count>;
+// By interval (its start, ms since the epoch).
 std::map<std::int64_t, loss_counts> count_by_interval(const std::vector<loss>& losses,
                                                       std::int64_t interval_ms);
 
--- a/src/io/log.cpp
+++ b/src/io/log.cpp
@@ -40,8 +40,7 @@
 // How many lines of each event and severity this second has seen.
 struct log_budget {
     std::int64_t second = 0;
-    std::map<std::pair<severity, std::string>, unsigned> written;
-    std::uint64_t dropped = 0;
+    std::map<std::pair<severity, std::string>, unsigned> written; // and left out
 };
 
 log_budget& budget() {
@@ -97,24 +96,30 @@
     return line;
 }
 
+// What the last second has left out, a line for each event and severity.
+void tell_dropped(const log_budget& b) {
+    for (const auto& [what, written] : b.written) {
+        if (written > default_lines_per_event) {
+            json::object line = begin_line(severity::warning, "log_lines_dropped");
+            line["of"] = what.second;
+            line["severity"] = to_string(what.first);
+            line["count"] = written - default_lines_per_event;
+            write_line(line);
+        }
+    }
+}
+
 // False where this second has had enough of the event already.
 bool take_budget(severity level, std::string_view event) {
     log_budget& b = budget();
     const std::int64_t second = current_second();
     if (second != b.second) {
-        const std::uint64_t dropped = b.dropped;
-        b = log_budget{.second = second, .written = {}, .dropped = 0};
-        if (dropped > 0) {
-            json::object line = begin_line(severity::warning, "log_lines_dropped");
-            line["count"] = dropped;
-            write_line(line);
-        }
+        tell_dropped(b);
+        b = log_budget{.second = second, .written = {}};
     }
     unsigned& written = b.written[{level, std::string(event)}];
-    const bool left = written < default_lines_per_event;
-    written += left ? 1 : 0;
-    b.dropped += left ? 0 : 1;
-    return left;
+    ++written;
+    return written <= default_lines_per_event;
 }
 
 json::value to_json(const log_field& field) {
--- a/src/io/log.hpp
+++ b/src/io/log.hpp
@@ -8,7 +8,8 @@
 //
 // Lines are handed to a thread of their own over a bounded queue, so that a slow reader never holds the
 // daemon up; and of one event in one severity only so many are written in a second. What was left out is
-// counted and told in a line "log_lines_dropped".
+// counted and told in a line "log_lines_dropped" for each event and severity, with the next line that is
+// written.
 //
 // Never log statements, parameters, keys or passwords: they are the callers' secrets.
 #pragma once
--- a/tests/losses_test.cpp
+++ b/tests/losses_test.cpp
@@ -86,6 +86,24 @@
     EXPECT_TRUE(report.losses.empty());
 }
 
+TEST(losses, that_were_left_out_of_a_log_are_told_by_the_causes_of_the_same_second) {
+    const std::string refused = R"("end":"refused","run":"not-run","took_us":900,"instance":"i1",)";
+    const std::string no_lease = refused + R"("code":3001,"step":"routed","lender":"")";
+    const std::string estimate = refused + R"("code":3013,"step":"queued","lender":"")";
+    const auto dropped = [](const std::string& of, const std::string& level) {
+        return R"({"time":"2026-12-02T10:00:02.100Z","event":"log_lines_dropped","instance":"i1","of":")" +
+               of + R"(","severity":")" + level + R"(","count":40})" + "\n";
+    };
+    const loss_report report =
+        read(request_line("01", no_lease) + request_line("01", estimate) + request_line("01", estimate) +
+             request_line("01", estimate) + dropped("request_ended", "warning") +
+             dropped("request_ended", "info") + dropped("session_refused", "info"));
+    EXPECT_EQ(report.left_out.at(static_cast<std::size_t>(loss_cause::no_lease)), 10U);
+    EXPECT_EQ(report.left_out.at(static_cast<std::size_t>(loss_cause::refused_by_estimate)), 30U);
+    EXPECT_EQ(report.left_out.at(static_cast<std::size_t>(loss_cause::session_closed)), 40U);
+    EXPECT_EQ(report.dropped, 120U);
+}
+
 TEST(losses, come_out_as_table_values_and_picture) {
     const std::string refused =
         R"("end":"refused","code":3013,"step":"queued","run":"not-run","took_us":700,)";
