Sight: who knew that a server leaves, and why its group keeps it as primary

The incident's logs could not tell whether the leader and the instances that send requests knew that the server leaves, nor why no switchover was started. Three lines, each once a change: server_leaves (leader), leaving_primary_has_no_successor (leader), leaving_learned (every instance, both ways).

--- a/src/core/control.cpp
+++ b/src/core/control.cpp
@@ -163,8 +163,9 @@
         return;
     }
     c.announced[a.record.id] = seen_server{.last = a, .at = now};
-    if (a.leaving || a.gone) {
-        c.said_leaving.insert(a.record.id);
+    if ((a.leaving || a.gone) && c.said_leaving.insert(a.record.id).second) {
+        actions.emplace_back(
+            note_event{.what = "server_leaves", .group = a.record.group, .server = a.record.id});
     }
     if (a.gone) {
         c.said_goodbye.insert(a.record.id);
@@ -512,10 +513,12 @@
     }
 }
 
-// The primary says that it is leaving, and another server of the group can take over.
-bool must_leave_primary(const control_state& c, const cluster_state& s, const group_record& group,
-                        time_point now) {
+// The primary says that it is leaving, and another server of the group can take over. That none can is noted
+// once.
+bool must_leave_primary(control_state& c, const cluster_state& s, const group_record& group, time_point now,
+                        control_actions& actions) {
     if (!is_leaving(c, s, group.primary, now)) {
+        c.without_successor.erase(group.id);
         return false;
     }
     const auto last = c.switched_at.find(group.id);
@@ -523,10 +526,17 @@
         return false;
     }
     const auto servers = servers_of(s, group.id);
-    return std::any_of(servers.begin(), servers.end(), [&](const server_record& server) {
+    const bool succeeded = std::any_of(servers.begin(), servers.end(), [&](const server_record& server) {
         return server.id != group.primary && !is_leaving(c, s, server.id, now) &&
                looks_alive(c, server.id, now);
     });
+    if (succeeded) {
+        c.without_successor.erase(group.id);
+    } else if (c.without_successor.insert(group.id).second) {
+        actions.emplace_back(note_event{
+            .what = "leaving_primary_has_no_successor", .group = group.id, .server = group.primary});
+    }
+    return succeeded;
 }
 
 // Takes up what the log says: a fence that committed, a finished failover, an earlier leader's open one.
@@ -696,7 +706,7 @@
             follow_record(c, group, s.revision, now);
         } else if (looks_dead(c, group.primary, now)) {
             begin_failover(c, group, false, {}, now, actions);
-        } else if (must_leave_primary(c, s, group, now)) {
+        } else if (must_leave_primary(c, s, group, now, actions)) {
             c.switched_at[id] = now;
             begin_failover(c, group, true, {}, now, actions);
         }
--- a/src/core/control.hpp
+++ b/src/core/control.hpp
@@ -215,6 +215,7 @@
     std::set<server_id> replaced;                          // another server came up at their address
     std::map<std::uint64_t, server_announcement> founding; // by operation: asked for its timeline
     std::map<group_id, time_point> switched_at;            // last try to leave a leaving primary
+    std::set<group_id> without_successor;                  // their leaving primary cannot be replaced
     std::vector<std::string> control_addresses;            // told to daemons; set by the control core
     std::uint64_t next_operation = 1;
 };
--- a/src/daemon/agent.cpp
+++ b/src/daemon/agent.cpp
@@ -231,7 +231,7 @@
         // The settings' addresses stay the last resort.
         control_.insert(control_.end(), config_.control_addresses.begin(), config_.control_addresses.end());
     }
-    leaving_ = reply.leaving;
+    take_leaving(reply.leaving, reply.revision);
     apply_shares(reply);
     follow_assignment(reply.observe);
     if (reply.revision > cluster_.revision && watch_address_ != leader_) {
@@ -242,6 +242,22 @@
     follow_lease();
 }
 
+// What is new of it is logged: whether this instance knew is the first question about a request that went to
+// a leaving server.
+void agent::take_leaving(const std::vector<server_id>& leaving, revision_number revision) {
+    const auto log_new = [revision](const auto& now_said, const auto& before, bool leaves) {
+        for (const server_id& id : now_said) {
+            if (std::find(before.begin(), before.end(), id) == before.end()) {
+                log_event(severity::info, "leaving_learned",
+                          {{"server", id.value}, {"leaving", leaves}, {"revision", revision}});
+            }
+        }
+    };
+    log_new(leaving, leaving_, true);
+    log_new(leaving_, leaving, false);
+    leaving_ = leaving;
+}
+
 void agent::stop(std::function<void()> done) {
     stopping_ = true;
     drop_lease(lease_);
--- a/src/daemon/agent.hpp
+++ b/src/daemon/agent.hpp
@@ -115,6 +115,7 @@
     void renew();
     void on_renewed(const http_outcome& o, time_point sent);
     renewal make_renewal();
+    void take_leaving(const std::vector<server_id>& leaving, revision_number revision);
     void watch();
     void on_watched(const http_outcome& o, std::uint64_t generation);
     void apply_reply(const wire::watch_reply& reply);
