Tests of the incident, failing: a leaving server's time has no end, and the fact is kept nowhere

The same cause elsewhere, each with a test that fails: an instance acknowledges from its own memory although control cannot be reached; the leader forgets after 3 s of silence, and a new leader never knew, so that the leaving server is promoted. backend.leave_ms (from the platform's drain_timeout_ms) is read; nothing acts on it yet.

--- a/src/io/settings.cpp
+++ b/src/io/settings.cpp
@@ -194,6 +194,7 @@
         {"backend.kept_connections", count(&settings::kept_connections, {0, 100})},
         {"backend.probe_ms", milliseconds(&settings::probe_interval, {10, 10'000})},
         {"backend.detect_ms", milliseconds(&settings::detect_time, {50, 60'000})},
+        {"backend.leave_ms", milliseconds(&settings::leave_time, {1'000, 3'600'000})},
         {"log.level",
          [](const auto& at, const auto& n, settings& s) { return read_level(at, n, s.log_level); }},
     };
--- a/src/io/settings.hpp
+++ b/src/io/settings.hpp
@@ -54,6 +54,9 @@
     unsigned kept_connections = 0;     // of a service's limit to one server, kept back for our own probes
     duration probe_interval = std::chrono::milliseconds{50};
     duration detect_time = std::chrono::milliseconds{400}; // without an answer for so long: dead
+    // A server that announced that it leaves may be sent requests for so long. Servers are told to wait
+    // longer than that before they end: 7 s at the users' sites.
+    duration leave_time = std::chrono::seconds{7};
     // [log]
     severity log_level = severity::info;
     auto operator<=>(const settings&) const = default;
--- a/tests/control_test.cpp
+++ b/tests/control_test.cpp
@@ -349,6 +349,32 @@
     EXPECT_EQ(s.renew("x", {living}).leaving, std::vector<server_id>{{"n2"}});
 }
 
+// An acknowledgement rests on it, so neither silence nor a change of leader may end it.
+TEST(leaving, a_server_that_leaves_is_not_chosen_after_silence_or_by_a_new_leader) {
+    for (const bool new_leader : {false, true}) {
+        control_site s = make_site();
+        server_announcement bye = announce("s2", false, 2);
+        bye.leaving = true;
+        s.renew("x", {bye}, all_alive());
+        s.now += std::chrono::seconds{4};
+        if (new_leader) {
+            start_leading(s.control, 4, s.now);
+            s.now += std::chrono::seconds{3};
+        }
+        const std::vector<server_observation> seen{{.server = {"s1"}, .alive = false},
+                                                   {.server = {"s2"}, .alive = true},
+                                                   {.server = {"s3"}, .alive = true}};
+        s.renew("x", {}, seen);
+        s.tick();
+        s.renew("x", {}, seen); // confirms the fence
+        s.tick();
+        s.answer_probes({"s1"}, 20);
+        const auto order = s.take_open<promote_server>();
+        ASSERT_TRUE(order.has_value());
+        EXPECT_EQ(order->server.id, server_id{"s3"}) << "new leader: " << new_leader;
+    }
+}
+
 TEST(leaving, a_server_that_is_gone_loses_its_record_but_not_while_it_is_the_primary) {
     control_site s = make_site();
     server_announcement gone = announce("s2", false, 9);
--- a/tests/platform_site.cpp
+++ b/tests/platform_site.cpp
@@ -393,6 +393,7 @@
     d.config.election = std::chrono::milliseconds{80};
     d.config.probe_interval = std::chrono::milliseconds{50};
     d.config.detect_time = std::chrono::milliseconds{200};
+    d.config.leave_time = leave_time;
     d.config.close_without_lease = true;
     const platform::driver_settings driver{.who = d.config.id.value,
                                            .promotion_authority = address_of(authority_port_)};
@@ -512,18 +513,21 @@
 
 void platform_site::beat() {
     for (const fake_server& s : group.servers) {
-        if (!s.acceptor->is_open()) {
-            continue;
+        if (s.acceptor->is_open()) {
+            beat_at(daemons.front(), s);
         }
-        const std::string body = R"({"service":"svc","address":")" + address_of(s.port()) + R"(","zone":")" +
-                                 s.zone +
-                                 R"(","version":"v1","capacity":3,"state":"ready","warmup_remaining_ms":0,)" +
-                                 R"("database_role":")" + (s.is_primary ? "primary" : "replica") +
-                                 R"(","sequence_number":)" + std::to_string(next_beat_++) + "}";
-        post(daemons.front().control_port, "/larchpin/instances/" + s.id + "/heartbeat", body);
     }
 }
 
+platform::http_result platform_site::beat_at(const site_daemon& d, const fake_server& s) {
+    const std::string body = R"({"service":"svc","address":")" + address_of(s.port()) + R"(","zone":")" +
+                             s.zone + R"(","version":"v1","capacity":3,"state":")" +
+                             (s.leaves ? "draining" : "ready") + R"(","warmup_remaining_ms":0,)" +
+                             R"("database_role":")" + (s.is_primary ? "primary" : "replica") +
+                             R"(","sequence_number":)" + std::to_string(next_beat_++) + "}";
+    return post(d.control_port, "/larchpin/instances/" + s.id + "/heartbeat", body);
+}
+
 void platform_site::run_for(std::chrono::milliseconds time) {
     const auto end = std::chrono::steady_clock::now() + time;
     while (std::chrono::steady_clock::now() < end) {
--- a/tests/platform_site.hpp
+++ b/tests/platform_site.hpp
@@ -29,6 +29,7 @@
 namespace larchpin::testing {
 
 constexpr std::chrono::seconds patience{10};
+constexpr std::chrono::milliseconds leave_time{1000}; // of every daemon's settings
 
 //-----------------------------------------------------------------------------
 // [servers]
@@ -53,6 +54,7 @@
     bool is_primary = false;
     std::uint64_t applied = 0;     // number of the last commit
     bool follows = true;           // gets the primary's commits at once
+    bool leaves = false;           // reports that it will end
     bool silent = false;           // runs statements and answers nothing
     unsigned refusals_as_busy = 0; // refuses so many statements more
     unsigned answers_to_lose = 0;  // runs so many statements more without answering them
@@ -144,6 +146,7 @@
     platform::http_result post(unsigned port, const std::string& path, const std::string& body);
     platform::http_result get(unsigned port, const std::string& path);
     void beat(); // every server reports itself
+    platform::http_result beat_at(const site_daemon& d, const fake_server& s);
     void run_for(std::chrono::milliseconds time);
     [[nodiscard]] bool run_until(const std::function<bool()>& holds);
     fake_server& server(const std::string& id);
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -1,8 +1,8 @@
 // The users' platform: its messages, and the product behind them on a small site without the bench.
 //
 // Index
-//   [messages]  [bodies]  [table]  [sessions]  [freshness]  [transactions]  [outcomes]  [failover]  [loans]
-//   [lease]
+//   [messages]  [bodies]  [table]  [sessions]  [freshness]  [transactions]  [outcomes]  [leaving]  [failover]
+//   [loans]  [lease]
 #include "operator_messages.hpp"
 #include "platform_site.hpp"
 
@@ -394,6 +394,47 @@
     EXPECT_EQ(s.server("s1").applied, 1U);
 }
 
+//-----------------------------------------------------------------------------
+// [leaving]
+//-----------------------------------------------------------------------------
+
+// The incident: requests reached a primary for three seconds after the time that it had been promised was
+// over. It was the last server of its group: one replica was dead, the other gone. It announced every 1.2 s
+// that it leaves, and every announcement was acknowledged. Leaving only made others preferred: replicas that
+// leave got no reads, and a primary was replaced if another server could take over. Nothing knew when the
+// time was over, and the way to the primary did not look. The logs showed that the leader and all instances
+// knew within 30 ms.
+TEST(leaving, a_primary_without_a_successor_gets_nothing_once_its_time_is_over) {
+    platform_site s;
+    s.start();
+    s.stop_server("s2");
+    s.stop_server("s3");
+    s.run_for(milliseconds{600}); // both are known to be dead
+    line_caller c = s.connect("shop");
+    s.server("s1").leaves = true;
+    s.beat();
+    EXPECT_FALSE(c.ask("w1", "STORE k v").done.empty()) << "its time is not over";
+    s.run_for(leave_time);
+    s.beat();
+    for (const std::string kind : {"STORE k v", "FETCH k", "BEGIN"}) {
+        line_caller late = s.connect("shop");
+        const answer a = late.ask("late", kind);
+        const answer first = kind == "BEGIN" ? late.ask("late", "FETCH k") : a;
+        EXPECT_FALSE(first.error.empty()) << kind;
+        EXPECT_TRUE(s.statements_with("late").empty()) << kind;
+    }
+}
+
+// What was acknowledged must not be forgotten with the one instance that heard it, or with the leader.
+TEST(leaving, is_acknowledged_only_once_control_has_agreed_on_it) {
+    platform_site s;
+    s.start();
+    site_daemon& entry = s.add_entry();
+    s.freeze_control();
+    s.server("s2").leaves = true;
+    EXPECT_NE(s.beat_at(entry, s.server("s2")).status, 200);
+}
+
 //-----------------------------------------------------------------------------
 // [failover]
 //-----------------------------------------------------------------------------
