A leaving server's time ends, and its leaving is agreed before it is acknowledged

Cause: the acknowledgement promises that nothing reaches a leaving server after 7 s. Nothing carried that promise. The fact lived for 1 s in the memory of the instance that acknowledged, for 3 s in the leader's and came to entries with renewals; and no part knew of an end: leaving only made other servers preferred, and a primary without a successor was used for as long as it answered. Change: server_record.leaving stands in the control log. Every instance derives the earliest moment at which the acknowledgement can have been given from its own renewals (core/leave_times), and 0.5 s before the time is over refuses as 3015 (not run, at once) what only that server could serve; the same look after a wait for a connection and by a lender. Leaving is final for as long as the record stands. renewal_reply.leaving goes. Of an instance that has just started, which knows of no renewal, the time counts as over.

--- a/src/core/cluster_state.hpp
+++ b/src/core/cluster_state.hpp
@@ -81,6 +81,7 @@
     std::string host; // IP number
     std::uint16_t port = 0;
     failure_domain domain;
+    bool leaving = false; // agreed before it is acknowledged; stays until the record goes
     auto operator<=>(const server_record&) const = default;
 };
 
--- a/src/core/control.cpp
+++ b/src/core/control.cpp
@@ -77,6 +77,22 @@
     }
     c.proposed_servers[record.id] = record;
     actions.emplace_back(propose_command{register_server{record}});
+    const bool known_to_leave = known != s.servers.end() && known->second.leaving;
+    if (record.leaving && !known_to_leave) {
+        actions.emplace_back(note_event{.what = "server_leaves", .group = record.group, .server = record.id});
+    }
+}
+
+// The record that an announcement asks for. That a server leaves is told to it as promised, so neither a
+// later word of it, nor silence, nor another leader takes that back: it stands in the log until the record
+// goes.
+server_record wanted_record(const control_state& c, const cluster_state& s, const server_announcement& a) {
+    server_record record = a.record;
+    const auto known = s.servers.find(record.id);
+    const auto proposed = c.proposed_servers.find(record.id);
+    record.leaving = a.leaving || a.gone || (known != s.servers.end() && known->second.leaving) ||
+                     (proposed != c.proposed_servers.end() && proposed->second.leaving);
+    return record;
 }
 
 bool is_being_founded(const control_state& c, const group_id& group) {
@@ -163,16 +179,16 @@
         return;
     }
     c.announced[a.record.id] = seen_server{.last = a, .at = now};
-    if ((a.leaving || a.gone) && c.said_leaving.insert(a.record.id).second) {
-        actions.emplace_back(
-            note_event{.what = "server_leaves", .group = a.record.group, .server = a.record.id});
-    }
     if (a.gone) {
-        c.said_goodbye.insert(a.record.id);
-        return; // on_tick() lets go of its record
+        c.said_goodbye.insert(a.record.id); // on_tick() lets go of its record
+        if (!s.servers.contains(a.record.id)) {
+            return;
+        }
+    }
+    register_if_new(c, s, wanted_record(c, s, a), actions);
+    if (!a.gone) {
+        found_group(c, s, a, actions);
     }
-    register_if_new(c, s, a.record, actions);
-    found_group(c, s, a, actions);
 }
 
 //-----------------------------------------------------------------------------
@@ -303,16 +319,9 @@
     return dead >= observers->second.size() / 2 + 1;
 }
 
-bool is_leaving(const control_state& c, const cluster_state& s, const server_id& server, time_point now) {
-    if (server_settings(s.current, server).leaving) {
-        return true;
-    }
-    const auto seen = c.announced.find(server);
-    if (seen == c.announced.end()) {
-        return false;
-    }
-    const bool lately = now - seen->second.at <= c.config.announcement_age;
-    return seen->second.last.gone || (seen->second.last.leaving && lately);
+bool is_leaving(const cluster_state& s, const server_id& server) {
+    const auto known = s.servers.find(server);
+    return server_settings(s.current, server).leaving || (known != s.servers.end() && known->second.leaving);
 }
 
 bool looks_alive(const control_state& c, const server_id& server, time_point now) {
@@ -391,11 +400,10 @@
     return a_weight != b_weight ? a_weight > b_weight : a.server < b.server;
 }
 
-const server_answer* best_candidate(const control_state& c, const cluster_state& s, const group_record& group,
-                                    const failover& f, time_point now) {
+const server_answer* best_candidate(const cluster_state& s, const group_record& group, const failover& f) {
     const server_answer* best = nullptr;
     for (const auto& [id, answer] : f.answers) {
-        if (!answer.answered || is_leaving(c, s, id, now) || answer.timeline < group.timeline) {
+        if (!answer.answered || is_leaving(s, id) || answer.timeline < group.timeline) {
             continue;
         }
         if (best == nullptr || better_candidate(s, f, answer, *best)) {
@@ -442,7 +450,7 @@
 
 void promote_best(control_state& c, const cluster_state& s, const group_record& group, failover& f,
                   time_point now, control_actions& actions) {
-    const server_answer* best = best_candidate(c, s, group, f, now);
+    const server_answer* best = best_candidate(s, group, f);
     if (best == nullptr) {
         return;
     }
@@ -517,7 +525,7 @@
 // once.
 bool must_leave_primary(control_state& c, const cluster_state& s, const group_record& group, time_point now,
                         control_actions& actions) {
-    if (!is_leaving(c, s, group.primary, now)) {
+    if (!is_leaving(s, group.primary)) {
         c.without_successor.erase(group.id);
         return false;
     }
@@ -527,8 +535,7 @@
     }
     const auto servers = servers_of(s, group.id);
     const bool succeeded = std::any_of(servers.begin(), servers.end(), [&](const server_record& server) {
-        return server.id != group.primary && !is_leaving(c, s, server.id, now) &&
-               looks_alive(c, server.id, now);
+        return server.id != group.primary && !is_leaving(s, server.id) && looks_alive(c, server.id, now);
     });
     if (succeeded) {
         c.without_successor.erase(group.id);
@@ -661,11 +668,6 @@
     if (observed != c.observed_by.end()) {
         reply.observe = observed->second;
     }
-    for (const server_id& id : c.said_leaving) {
-        if (is_leaving(c, s, id, now)) {
-            reply.leaving.push_back(id);
-        }
-    }
     reply.control_addresses = c.control_addresses;
     return reply;
 }
@@ -682,7 +684,6 @@
     for (const server_id& id : c.proposed_removals) {
         if (!s.servers.contains(id)) {
             c.announced.erase(id); // whoever comes back starts anew
-            c.said_leaving.erase(id);
         }
     }
     std::erase_if(c.proposed_removals, [&s](const server_id& id) { return !s.servers.contains(id); });
--- a/src/core/control.hpp
+++ b/src/core/control.hpp
@@ -45,7 +45,7 @@
 
 // A backend server that announced itself to a daemon.
 struct server_announcement {
-    server_record record;
+    server_record record; // but for `leaving`, which is what control agreed on
     bool is_primary = false;
     std::uint64_t timeline = 0; // 0: not told
     log_position position = 0;
@@ -74,7 +74,6 @@
     std::uint64_t seq = 0;
     std::vector<share_grant> shares;
     std::vector<server_id> observe;             // to be probed by this daemon
-    std::vector<server_id> leaving;             // announced that they are leaving
     std::vector<std::string> control_addresses; // peer listeners of the control instances
     bool operator==(const renewal_reply&) const = default;
 };
@@ -208,7 +207,6 @@
     std::map<server_id, server_record> proposed_servers;
     std::set<group_id> proposed_groups;
     std::set<server_id> proposed_removals;
-    std::set<server_id> said_leaving;                      // leaving or gone, as far as announced
     time_point looked_for_lost_at{};                       // forget_lost_servers()
     std::set<server_id> said_goodbye;                      // their ids are never used again
     std::map<std::string, server_id> address_holders;      // by "host:port": who came up there last
--- a/src/core/result_codes.cpp
+++ b/src/core/result_codes.cpp
@@ -72,6 +72,8 @@
     {result_code::overloaded, "overloaded", "53300", "The daemon has no room for the connection or request."},
     {result_code::not_safe_yet, "not_safe_yet", "40003",
      "The write ran on the primary, but no second failure domain confirmed it in time."},
+    {result_code::server_left, "server_left", "57P03",
+     "The primary has announced that it leaves, its time is over, and no other server can take over yet."},
     {result_code::unsupported, "unsupported", "0A000",
      "A feature that cannot be carried over shared connections."},
     {result_code::protocol_violation, "protocol_violation", "08P01",
--- a/src/core/result_codes.hpp
+++ b/src/core/result_codes.hpp
@@ -46,6 +46,7 @@
     stopping = 3012,
     overloaded = 3013,
     not_safe_yet = 3014,
+    server_left = 3015,
     // 4000: the callers' protocol
     unsupported = 4001,
     protocol_violation = 4002,
--- a/src/core/routing.cpp
+++ b/src/core/routing.cpp
@@ -158,6 +158,13 @@
     if (g.record.phase != group_phase::serving || g.record.primary.value.empty()) {
         return refuse(result_code::no_primary);
     }
+    // Control replaces a primary that leaves as soon as another server can take over. Until one can, the
+    // promise to the leaving one goes before service.
+    const auto primary = std::find_if(g.servers.begin(), g.servers.end(),
+                                      [&g](const server_view& s) { return s.id == g.record.primary; });
+    if (primary != g.servers.end() && primary->leave_is_over) {
+        return refuse(result_code::server_left);
+    }
     return to_server(g.record.primary, true);
 }
 
--- a/src/core/routing.hpp
+++ b/src/core/routing.hpp
@@ -23,7 +23,8 @@
 struct server_view {
     server_id id;
     unsigned weight = 100;       // 0: takes no reads
-    bool leaving = false;        // gets no new work
+    bool leaving = false;        // gets no new work, but as the primary
+    bool leave_is_over = false;  // nor as the primary: nothing may reach it any more
     bool silent = false;         // its observers have not heard of it lately
     bool near = false;           // in this daemon's failure domain
     unsigned outstanding = 0;    // requests of this daemon running or waiting there
--- a/src/ctl/loss_report.cpp
+++ b/src/ctl/loss_report.cpp
@@ -77,6 +77,7 @@
     switch (static_cast<result_code>(number_field(line, "code"))) {
     case result_code::no_lease: return loss_cause::no_lease;
     case result_code::no_primary: return loss_cause::primary_unknown;
+    case result_code::server_left: return loss_cause::server_left;
     case result_code::no_replica: return loss_cause::no_fresh_position;
     case result_code::queue_full:
     case result_code::overloaded: return loss_cause::refused_by_estimate;
@@ -171,12 +172,27 @@
 } // namespace
 
 std::string_view to_string(loss_cause cause) {
-    constexpr std::array<std::string_view, loss_cause_count> names{
-        "no lease",          "no primary: revoking", "no primary: choosing", "no primary: promoting",
-        "no primary",        "no fresh position",    "waited for a place",   "refused by estimate",
-        "server busy",       "server behind",        "server refused",       "server failed",
-        "unreachable",       "unanswered",           "term changed",         "session closed",
-        "late: waited here", "late: at the server",  "late: relayed",        "other"};
+    constexpr std::array<std::string_view, loss_cause_count> names{"no lease",
+                                                                   "no primary: revoking",
+                                                                   "no primary: choosing",
+                                                                   "no primary: promoting",
+                                                                   "no primary",
+                                                                   "server left",
+                                                                   "no fresh position",
+                                                                   "waited for a place",
+                                                                   "refused by estimate",
+                                                                   "server busy",
+                                                                   "server behind",
+                                                                   "server refused",
+                                                                   "server failed",
+                                                                   "unreachable",
+                                                                   "unanswered",
+                                                                   "term changed",
+                                                                   "session closed",
+                                                                   "late: waited here",
+                                                                   "late: at the server",
+                                                                   "late: relayed",
+                                                                   "other"};
     return names.at(static_cast<std::size_t>(cause));
 }
 
--- a/src/daemon/agent.cpp
+++ b/src/daemon/agent.cpp
@@ -81,6 +81,7 @@
     probe_all();
     probe_unreachable();
     pull_positions();
+    answer_awaited();
     timer_.expires_after(tick_interval);
     timer_.async_wait([this](const boost::system::error_code& error) {
         if (!error) {
@@ -225,13 +226,13 @@
         return;
     }
     add_grant(lease_, sent, reply.lease, reply.revision, cluster_.revision);
+    note_current(leave_times_, reply.revision, sent);
     last_reply_seq_ = std::max(last_reply_seq_, reply.seq);
     if (!reply.control_addresses.empty()) {
         control_ = reply.control_addresses;
         // The settings' addresses stay the last resort.
         control_.insert(control_.end(), config_.control_addresses.begin(), config_.control_addresses.end());
     }
-    take_leaving(reply.leaving, reply.revision);
     apply_shares(reply);
     follow_assignment(reply.observe);
     if (reply.revision > cluster_.revision && watch_address_ != leader_) {
@@ -242,22 +243,6 @@
     follow_lease();
 }
 
-// What is new of it is logged: whether this instance knew is the first question about a request that went to
-// a leaving server.
-void agent::take_leaving(const std::vector<server_id>& leaving, revision_number revision) {
-    const auto log_new = [revision](const auto& now_said, const auto& before, bool leaves) {
-        for (const server_id& id : now_said) {
-            if (std::find(before.begin(), before.end(), id) == before.end()) {
-                log_event(severity::info, "leaving_learned",
-                          {{"server", id.value}, {"leaving", leaves}, {"revision", revision}});
-            }
-        }
-    };
-    log_new(leaving, leaving_, true);
-    log_new(leaving_, leaving, false);
-    leaving_ = leaving;
-}
-
 void agent::stop(std::function<void()> done) {
     stopping_ = true;
     drop_lease(lease_);
@@ -309,7 +294,9 @@
 
 void agent::apply_reply(const wire::watch_reply& reply) {
     if (reply.has_full() && reply.full().revision() > cluster_.revision) {
+        const revision_number first_new = cluster_.revision + 1;
         cluster_ = from_wire(reply.full());
+        learn_leaving(first_new);
     }
     for (const auto& m : reply.entries()) {
         const raft::entry e = from_wire(m);
@@ -319,8 +306,33 @@
         const auto c =
             e.command.empty() ? std::optional<command>{std::monostate{}} : decode_command(e.command);
         apply(cluster_, e.index, c.value_or(std::monostate{}));
+        const bool changes_servers =
+            c && (std::holds_alternative<register_server>(*c) || std::holds_alternative<remove_server>(*c));
+        if (changes_servers) {
+            learn_leaving(e.index);
+        }
     }
     confirmed_once_ = true;
+    answer_awaited();
+}
+
+// Whether this instance knew, and from when on, is the first question about a request that went to a leaving
+// server.
+void agent::learn_leaving(revision_number first_new) {
+    for (const server_id& id : follow_leaving(leave_times_, cluster_, first_new)) {
+        const std::optional<time_point> since = leave_times_.since.at(id);
+        const duration ago = since ? now() - *since : config_.leave_time;
+        log_event(severity::info, "leaving_learned",
+                  {{"server", id.value},
+                   {"revision", first_new},
+                   {"acknowledged_ms_ago_at_most",
+                    std::chrono::duration_cast<std::chrono::milliseconds>(ago).count()},
+                   {"over", is_leave_over(id)}});
+    }
+}
+
+bool agent::is_leave_over(const server_id& server) const {
+    return larchpin::is_leave_over(leave_times_, server, config_.leave_time, now());
 }
 
 //-----------------------------------------------------------------------------
@@ -346,7 +358,45 @@
 // [announcements]
 //-----------------------------------------------------------------------------
 
-bool agent::take_announcement(const server_announcement& a) {
+void agent::take_announcement(const server_announcement& a, duration patience,
+                              std::function<void(result_code)> done) {
+    if (!has_lease()) {
+        done(result_code::no_lease);
+    } else if (!note_announcement(a)) {
+        done(result_code::bad_message);
+    } else if (is_agreed(a)) {
+        done(result_code::ok);
+    } else {
+        awaited_.push_back({.announced = a, .until = now() + patience, .done = std::move(done)});
+    }
+}
+
+// A server that leaves ends on the strength of the acknowledgement. Given from this instance's memory it
+// would be worth nothing once this instance is cut off or starts again, or the leader changes: all of them
+// forgot.
+bool agent::is_agreed(const server_announcement& a) const {
+    const auto known = cluster_.servers.find(a.record.id);
+    if (known == cluster_.servers.end()) {
+        return !a.leaving;
+    }
+    return known->second.leaving || !(a.leaving || a.gone);
+}
+
+void agent::answer_awaited() {
+    std::vector<awaited_agreement> open;
+    open.swap(awaited_);
+    for (awaited_agreement& w : open) {
+        if (is_agreed(w.announced)) {
+            w.done(result_code::ok);
+        } else if (now() >= w.until) {
+            w.done(result_code::no_quorum);
+        } else {
+            awaited_.push_back(std::move(w));
+        }
+    }
+}
+
+bool agent::note_announcement(const server_announcement& a) {
     const bool whole = !a.record.id.value.empty() && !a.record.group.value.empty() && a.record.port > 0 &&
                        parse_endpoint(a.record.host + ":1").has_value();
     if (!whole || announced_.size() >= max_announcements) {
@@ -376,10 +426,13 @@
     wire::server_announcement m;
     wire::announcement_reply reply;
     const server_announcement a = m.ParseFromString(body) ? from_wire(m) : server_announcement{};
-    if (!take_announcement(a)) {
+    if (!note_announcement(a)) {
         reply.set_code(static_cast<std::uint32_t>(result_code::bad_message));
         return reply.SerializeAsString();
     }
+    if (!is_agreed(a)) { // its next announcement asks again
+        reply.set_code(static_cast<std::uint32_t>(result_code::no_quorum));
+    }
     const auto group = cluster_.groups.find(a.record.group);
     // Without a lease this copy may be old, and a server that followed it would follow a replaced primary.
     if (!has_lease() || group == cluster_.groups.end()) {
@@ -415,7 +468,8 @@
         server_view s;
         s.id = server.id;
         s.weight = entry.weight;
-        s.leaving = entry.leaving || std::find(leaving_.begin(), leaving_.end(), server.id) != leaving_.end();
+        s.leaving = entry.leaving || server.leaving;
+        s.leave_is_over = is_leave_over(server.id);
         s.silent = is_silent(server);
         s.near = server.domain == config_.domain;
         s.outstanding = health.outstanding;
--- a/src/daemon/agent.hpp
+++ b/src/daemon/agent.hpp
@@ -12,6 +12,7 @@
 #include "core/control.hpp"
 #include "core/health.hpp"
 #include "core/lease.hpp"
+#include "core/leave_times.hpp"
 #include "core/positions.hpp"
 #include "core/reachability.hpp"
 #include "core/routing.hpp"
@@ -73,8 +74,13 @@
     [[nodiscard]] duration usual_latency(const server_id& server) const;
     retry_budget& budget(const group_id& group) { return budgets_[group]; }
 
-    // A server has announced itself; true where it was understood. Passed on with the next renewals.
-    bool take_announcement(const server_announcement& a);
+    // A server has announced itself; passed on with the next renewals. `done` gets ok where it may be
+    // acknowledged: at once, but that a server leaves or is gone only when control has agreed on it. Else
+    // bad_message; no_lease where it could not be passed on; no_quorum after `patience`.
+    void take_announcement(const server_announcement& a, duration patience,
+                           std::function<void(result_code)> done);
+    // The server leaves, and the time is over in which requests may be sent to it.
+    [[nodiscard]] bool is_leave_over(const server_id& server) const;
 
     // Bodies of /v1/announce and /v1/positions, and their answers.
     std::string answer_announcement(const std::string& body);
@@ -109,13 +115,21 @@
         server_announcement last;
         time_point at{};
     };
+    struct awaited_agreement {
+        server_announcement announced;
+        time_point until{};
+        std::function<void(result_code)> done;
+    };
 
     void on_tick();
     void renew_soon();
     void renew();
     void on_renewed(const http_outcome& o, time_point sent);
     renewal make_renewal();
-    void take_leaving(const std::vector<server_id>& leaving, revision_number revision);
+    void learn_leaving(revision_number first_new);
+    bool note_announcement(const server_announcement& a);
+    [[nodiscard]] bool is_agreed(const server_announcement& a) const;
+    void answer_awaited();
     void watch();
     void on_watched(const http_outcome& o, std::uint64_t generation);
     void apply_reply(const wire::watch_reply& reply);
@@ -167,7 +181,8 @@
     // servers
     std::map<server_id, probed_server> probed_;
     std::map<server_id, heard_announcement> announced_;
-    std::vector<server_id> leaving_;
+    std::vector<awaited_agreement> awaited_;
+    leave_times leave_times_;
     std::map<server_id, server_health> health_;
     std::map<server_id, reachability> reach_;
     std::map<group_id, group_positions> positions_;
--- a/src/daemon/agent_servers.cpp
+++ b/src/daemon/agent_servers.cpp
@@ -295,7 +295,7 @@
             continue;
         }
         const auto primary = cluster_.servers.find(group->second.primary);
-        if (primary != cluster_.servers.end() && has_lease()) {
+        if (primary != cluster_.servers.end() && has_lease() && !is_leave_over(primary->first)) {
             ask_primary(id, wanted.service, primary->second);
         }
     }
--- a/src/daemon/control_node.cpp
+++ b/src/daemon/control_node.cpp
@@ -607,8 +607,7 @@
         to_wire(server, *m->mutable_record());
         const server_entry entry = server_settings(core_.cluster.current, id);
         m->set_weight(entry.weight);
-        const auto seen = core_.control.announced.find(id);
-        m->set_leaving(entry.leaving || (seen != core_.control.announced.end() && seen->second.last.leaving));
+        m->set_leaving(entry.leaving || server.leaving);
         for (const auto& [daemon, d] : core_.control.daemons) {
             const auto o = d.observations.find(id);
             if (o != d.observations.end() && o->second.alive) {
--- a/src/daemon/daemon.hpp
+++ b/src/daemon/daemon.hpp
@@ -45,8 +45,11 @@
     [[nodiscard]] bool has_lease() const { return agent_.has_lease(); }
     [[nodiscard]] const cluster_state& cluster() const { return agent_.cluster(); }
 
-    // A backend server has announced itself; false where the announcement makes no sense.
-    bool take_announcement(const server_announcement& a) { return agent_.take_announcement(a); }
+    // A backend server has announced itself: see agent::take_announcement().
+    void take_announcement(const server_announcement& a, duration patience,
+                           const std::function<void(result_code)>& done) {
+        agent_.take_announcement(a, patience, done);
+    }
 
     // Has an edit decided by whoever leads. The outcome's code is ok once a majority holds the edit;
     // table_invalid and revision_conflict are final; with no_quorum nothing is known.
--- a/src/daemon/loans.cpp
+++ b/src/daemon/loans.cpp
@@ -425,6 +425,9 @@
 
 // The same look that the borrower takes; here it is newer by the way and the wait.
 bool connection_loans::may_send(const loan& l) const {
+    if (cluster_.is_leave_over(l.key.server)) {
+        return false;
+    }
     if (!l.on_primary) {
         return true;
     }
--- a/src/daemon/request_path.cpp
+++ b/src/daemon/request_path.cpp
@@ -162,7 +162,9 @@
     case target_kind::refuse: break;
     }
     r.last_refusal = decision.code;
-    if (decision.code == result_code::lost_write || at >= give_up_at()) {
+    const bool is_final =
+        decision.code == result_code::lost_write || decision.code == result_code::server_left;
+    if (is_final || at >= give_up_at()) {
         finish_with_error(decision.code, run_state::not_run, come_back_after);
         return;
     }
@@ -345,7 +347,7 @@
                                 .term = r.term,
                                 .since = r.used_from};
     // It may have waited in the queue for long: what was true when it was routed may not be any more.
-    if (r.on_primary && !term_still_holds()) {
+    if ((r.on_primary && !term_still_holds()) || owner_.cluster.is_leave_over(r.server)) {
         owner_.cluster.note_request_left(r.server);
         release_if_done();
         route();
--- a/src/io/codec.cpp
+++ b/src/io/codec.cpp
@@ -115,7 +115,8 @@
             .group = {m.group()},
             .host = m.host(),
             .port = static_cast<std::uint16_t>(m.port()),
-            .domain = {m.domain()}};
+            .domain = {m.domain()},
+            .leaving = m.leaving()};
 }
 
 void to_wire(const server_record& v, wire::server_record& m) {
@@ -124,6 +125,7 @@
     m.set_host(v.host);
     m.set_port(v.port);
     m.set_domain(v.domain.value);
+    m.set_leaving(v.leaving);
 }
 
 group_record from_wire(const wire::group_record& m) {
@@ -362,9 +364,6 @@
     for (const auto& id : m.observe()) {
         v.observe.push_back({id});
     }
-    for (const auto& id : m.leaving()) {
-        v.leaving.push_back({id});
-    }
     v.control_addresses.assign(m.control_addresses().begin(), m.control_addresses().end());
     return v;
 }
@@ -383,9 +382,6 @@
     for (const server_id& id : v.observe) {
         m.add_observe(id.value);
     }
-    for (const server_id& id : v.leaving) {
-        m.add_leaving(id.value);
-    }
     for (const std::string& address : v.control_addresses) {
         m.add_control_addresses(address);
     }
--- a/tests/control_test.cpp
+++ b/tests/control_test.cpp
@@ -109,6 +109,17 @@
     }
 
     group_record group() { return cluster.groups.at({"g"}); }
+
+    // As every daemon knows them.
+    std::vector<server_id> leaving() const {
+        std::vector<server_id> found;
+        for (const auto& [id, server] : cluster.servers) {
+            if (server.leaving) {
+                found.push_back(id);
+            }
+        }
+        return found;
+    }
 };
 
 server_announcement announce(const std::string& id, bool primary, std::uint64_t sequence) {
@@ -285,8 +296,8 @@
     control_site s = make_site();
     server_announcement bye = announce("s1", true, 2);
     bye.leaving = true;
-    const renewal_reply reply = s.renew("x", {bye}, all_alive());
-    EXPECT_EQ(reply.leaving, std::vector<server_id>{{"s1"}});
+    s.renew("x", {bye}, all_alive());
+    EXPECT_EQ(s.leaving(), std::vector<server_id>{{"s1"}});
     s.tick();
     EXPECT_EQ(s.group().phase, group_phase::fencing);
     s.renew("x", {}, all_alive()); // confirms the fence
@@ -302,7 +313,8 @@
     server_announcement bye = announce("s2", false, 5);
     bye.leaving = true;
     s.renew("x", {bye});
-    EXPECT_EQ(s.renew("x", {announce("s2", false, 4)}).leaving, std::vector<server_id>{{"s2"}});
+    s.renew("x", {announce("s2", false, 4)});
+    EXPECT_EQ(s.leaving(), std::vector<server_id>{{"s2"}});
 }
 
 // Held up by a cut, it arrives after its sender has crashed and another server has come up at its address.
@@ -315,7 +327,8 @@
     ASSERT_TRUE(s.cluster.servers.contains({"n2"}));
     server_announcement late = announce("s2", true, 50);
     late.leaving = true;
-    EXPECT_TRUE(s.renew("x", {late}).leaving.empty());
+    s.renew("x", {late});
+    EXPECT_TRUE(s.leaving().empty());
     const std::vector<server_observation> seen{{.server = {"s1"}, .alive = true},
                                                {.server = {"n2"}, .alive = true}};
     for (std::uint64_t i = 2; i < 40; ++i) {
@@ -346,7 +359,8 @@
     }
     living.leaving = true;
     living.sequence = 20;
-    EXPECT_EQ(s.renew("x", {living}).leaving, std::vector<server_id>{{"n2"}});
+    s.renew("x", {living});
+    EXPECT_EQ(s.leaving(), std::vector<server_id>{{"n2"}});
 }
 
 // An acknowledgement rests on it, so neither silence nor a change of leader may end it.
--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -1,10 +1,11 @@
 // Properties of the smaller parts of the core.
 //
 // Index
-//   [table]  [shares]  [pool]  [lease]  [statements and tokens]  [health]
+//   [table]  [shares]  [pool]  [lease]  [leaving]  [statements and tokens]  [health]
 #include "core/cluster_state.hpp"
 #include "core/health.hpp"
 #include "core/lease.hpp"
+#include "core/leave_times.hpp"
 #include "core/pool.hpp"
 #include "core/rendezvous.hpp"
 #include "core/session.hpp"
@@ -503,6 +504,83 @@
     }));
 }
 
+//-----------------------------------------------------------------------------
+// [leaving]
+//-----------------------------------------------------------------------------
+
+constexpr duration leave_time = std::chrono::seconds{7};
+
+cluster_state with_server(bool leaving) {
+    cluster_state s;
+    server_record server;
+    server.id = {"s1"};
+    server.leaving = leaving;
+    s.servers[server.id] = server;
+    return s;
+}
+
+TEST(leave_times, count_from_the_last_renewal_before_control_agreed) {
+    leave_times t;
+    const time_point start = std::chrono::seconds{100};
+    note_current(t, 4, start);
+    note_current(t, 4, start + std::chrono::seconds{1});
+    note_current(t, 6, start + std::chrono::seconds{2}); // control had agreed by then: it was revision 5
+    EXPECT_EQ(follow_leaving(t, with_server(true), 5), std::vector<server_id>{{"s1"}});
+    EXPECT_TRUE(follow_leaving(t, with_server(true), 7).empty()) << "learned once";
+    const time_point end = start + std::chrono::seconds{1} + leave_time - leave_slack;
+    EXPECT_FALSE(is_leave_over(t, {"s1"}, leave_time, end - duration{1}));
+    EXPECT_TRUE(is_leave_over(t, {"s1"}, leave_time, end));
+    EXPECT_FALSE(is_leave_over(t, {"s2"}, leave_time, end)) << "it does not leave";
+}
+
+TEST(leave_times, are_over_where_nothing_tells_when_they_began) {
+    leave_times t;
+    follow_leaving(t, with_server(true), 1); // an instance that has just started
+    EXPECT_TRUE(is_leave_over(t, {"s1"}, leave_time, std::chrono::seconds{1}));
+    follow_leaving(t, with_server(false), 2);
+    EXPECT_FALSE(is_leave_over(t, {"s1"}, leave_time, std::chrono::seconds{1}))
+        << "the record is another one";
+}
+
+// Renewals and their replies are delayed at will and come in any order, the copy lags behind, control changes
+// other things before and after, and the instance may have been cut off for long.
+TEST(leave_times, never_begin_after_the_acknowledgement) {
+    EXPECT_TRUE(rc::check([] {
+        const auto agreed_at = time_point{std::chrono::milliseconds{*rc::gen::inRange(0, 5'000)}};
+        const auto revision_at = [&](time_point at) {
+            const auto other = static_cast<revision_number>(at / std::chrono::milliseconds{700});
+            return 1 + other + (at >= agreed_at ? 1 : 0);
+        };
+        const revision_number agreed_as = revision_at(agreed_at);
+        struct answered {
+            time_point heard{};
+            time_point sent{};
+            revision_number revision = 0;
+        };
+        std::vector<answered> answers;
+        for (int i = *rc::gen::inRange(0, 30); i > 0; --i) {
+            const auto ms = [](int most) { return std::chrono::milliseconds{*rc::gen::inRange(0, most)}; };
+            const time_point sent = ms(8'000);
+            const time_point reached = sent + ms(1'000);
+            answers.push_back({.heard = reached + ms(1'000), .sent = sent, .revision = revision_at(reached)});
+        }
+        std::sort(answers.begin(), answers.end(),
+                  [](const answered& a, const answered& b) { return a.heard < b.heard; });
+        const time_point learned = agreed_at + std::chrono::milliseconds{*rc::gen::inRange(0, 4'000)};
+        leave_times t;
+        for (const answered& a : answers) {
+            if (a.heard <= learned) {
+                note_current(t, a.revision, a.sent);
+            }
+        }
+        const bool by_whole_state = *rc::gen::arbitrary<bool>();
+        const auto first_new =
+            by_whole_state ? *rc::gen::inRange<revision_number>(1, agreed_as + 1) : agreed_as;
+        follow_leaving(t, with_server(true), first_new);
+        RC_ASSERT(is_leave_over(t, {"s1"}, leave_time, agreed_at + leave_time - leave_slack));
+    }));
+}
+
 //-----------------------------------------------------------------------------
 // [statements and tokens]
 //-----------------------------------------------------------------------------
--- a/tests/routing_test.cpp
+++ b/tests/routing_test.cpp
@@ -1,7 +1,7 @@
 // Which server a read goes to where servers enforce a floor.
 //
 // Index
-//   [a group]  [floors]  [choice]
+//   [a group]  [floors]  [leaving]  [choice]
 #include "core/routing.hpp"
 
 #include <gtest/gtest.h>
@@ -87,6 +87,22 @@
     }));
 }
 
+TEST(leaving, a_primary_serves_until_its_time_is_over_and_is_then_named_in_the_refusal) {
+    routed_group g;
+    g.view.servers[0].leaving = true;
+    EXPECT_EQ(route_write(g.view, true).kind, target_kind::server) << "nobody has taken over yet";
+    g.view.servers[0].leave_is_over = true;
+    EXPECT_EQ(route_write(g.view, true).code, result_code::server_left);
+    g.hear("a", 299);
+    g.hear("b", 299);
+    for (int i = 0; i < 20; ++i) {
+        EXPECT_NE(g.decide().server, server_id{"p"});
+    }
+    g.view.servers[1].leaving = true;
+    g.view.servers[2].leaving = true;
+    EXPECT_EQ(g.decide().code, result_code::server_left);
+}
+
 //-----------------------------------------------------------------------------
 // [choice]
 //-----------------------------------------------------------------------------
