--- /dev/null
+++ b/src/core/announcements.cpp
@@ -0,0 +1,312 @@
+// See announcements.hpp.
+//
+// Index
+//   [records]  [founding]  [addresses]  [starts]  [public functions]
+#include "core/announcements.hpp"
+
+#include "core/failover.hpp"
+
+#include <algorithm>
+#include <limits>
+
+namespace larchpin {
+namespace {
+
+// A look at every server and every daemon; servers are forgotten after 12 s, so half a second more is
+// nothing.
+constexpr duration lost_look_interval = std::chrono::milliseconds{500};
+
+//-----------------------------------------------------------------------------
+// [records]
+//-----------------------------------------------------------------------------
+
+void register_if_new(control_state& c, const cluster_state& s, const server_record& record,
+                     control_actions& actions) {
+    const auto known = s.servers.find(record.id);
+    if (known != s.servers.end() && known->second == record) {
+        return;
+    }
+    const auto proposed = c.proposed_servers.find(record.id);
+    if (proposed != c.proposed_servers.end() && proposed->second == record) {
+        return;
+    }
+    c.proposed_servers[record.id] = record;
+    actions.emplace_back(propose_command{register_server{record}});
+    const bool known_to_leave = known != s.servers.end() && known->second.leaving;
+    if (record.leaving && !known_to_leave) {
+        actions.emplace_back(note_event{.what = "server_leaves", .group = record.group, .server = record.id});
+    }
+}
+
+std::uint64_t next_start_number(control_state& c) {
+    return number_across_leaders(c, ++c.starts_numbered);
+}
+
+// What control has last proposed of a server, or else agreed on.
+const server_record* newest_record(const control_state& c, const cluster_state& s, const server_id& id) {
+    const auto proposed = c.proposed_servers.find(id);
+    if (proposed != c.proposed_servers.end()) {
+        return &proposed->second;
+    }
+    const auto known = s.servers.find(id);
+    return known == s.servers.end() ? nullptr : &known->second;
+}
+
+// The record that an announcement asks for. That a server leaves is told to it as promised, so neither a
+// later word of it, nor silence, nor another leader takes that back: it stands in the log until the record
+// goes.
+// Of a new start nothing of that holds.
+server_record wanted_record(control_state& c, const cluster_state& s, const server_announcement& a,
+                            bool is_new_start) {
+    server_record record = a.record;
+    const server_record* known = is_new_start ? nullptr : newest_record(c, s, record.id);
+    record.leaving = a.leaving || a.gone || (known != nullptr && known->leaving);
+    record.start_number = known != nullptr ? known->start_number : next_start_number(c);
+    return record;
+}
+
+//-----------------------------------------------------------------------------
+// [founding]
+//-----------------------------------------------------------------------------
+
+bool is_being_founded(const control_state& c, const group_id& group) {
+    return std::any_of(c.founding.begin(), c.founding.end(),
+                       [&group](const auto& f) { return f.second.record.group == group; });
+}
+
+// The first primary that announces itself founds the group. Later ones never change a record. One that does
+// not tell its timeline is asked for it first.
+void found_group(control_state& c, const cluster_state& s, const server_announcement& a,
+                 control_actions& actions) {
+    const group_id& group = a.record.group;
+    if (!a.is_primary || s.groups.contains(group) || c.proposed_groups.contains(group)) {
+        return;
+    }
+    if (a.timeline == 0) {
+        if (!is_being_founded(c, group)) {
+            const std::uint64_t operation = c.next_operation++;
+            c.founding[operation] = a;
+            actions.emplace_back(probe_server{.operation = operation, .server = a.record});
+        }
+        return;
+    }
+    group_record record;
+    record.id = group;
+    record.term = 1;
+    record.primary = a.record.id;
+    record.timeline = a.timeline;
+    record.starts = {term_start{.term = 1, .position = 0}};
+    c.proposed_groups.insert(group);
+    actions.emplace_back(propose_command{
+        set_group{.expected_term = 0, .expected_phase = group_phase::serving, .next = record}});
+}
+
+//-----------------------------------------------------------------------------
+// [addresses]
+//-----------------------------------------------------------------------------
+
+// An announcement may be held up on its way until its sender has crashed and another server has come up at
+// the same address. It tells nothing of today then: not the role, not the address, not that the server is
+// leaving.
+// A start that is known to be a later one of its server is nobody that had the address before.
+bool is_replaced(control_state& c, const cluster_state& s, const server_announcement& a, bool is_later_start,
+                 time_point now) {
+    const server_id& id = a.record.id;
+    server_id& holder = c.address_holders[a.record.host + ":" + std::to_string(a.record.port)];
+    const auto heard = c.announced.find(holder);
+    const bool holder_lives =
+        heard != c.announced.end() && now - heard->second.at <= c.config.announcement_age;
+    const bool known = c.announced.contains(id) || s.servers.contains(id) || c.replaced.contains(id);
+    if (holder != id && (is_later_start || !(known && holder_lives))) {
+        if (!holder.value.empty()) {
+            c.replaced.insert(holder);
+        }
+        c.replaced.erase(id);
+        holder = id;
+    }
+    return holder != id && c.replaced.contains(id);
+}
+
+//-----------------------------------------------------------------------------
+// [starts]
+//-----------------------------------------------------------------------------
+
+// How far the newest start that is known of a server has come.
+struct start_mark {
+    std::uint64_t started = 0;
+    std::uint64_t sequence = 0;
+};
+
+std::optional<start_mark> newest_start(const control_state& c, const cluster_state& s, const server_id& id) {
+    const auto heard = c.announced.find(id);
+    if (heard != c.announced.end()) {
+        return start_mark{.started = heard->second.last.record.started,
+                          .sequence = heard->second.last.sequence};
+    }
+    const auto gone = c.said_goodbye.find(id);
+    if (gone != c.said_goodbye.end()) {
+        return start_mark{.started = gone->second, .sequence = std::numeric_limits<std::uint64_t>::max()};
+    }
+    const server_record* known = newest_record(c, s, id);
+    return known == nullptr ? std::nullopt : std::optional{start_mark{.started = known->started}};
+}
+
+// What looks overtaken was held up on its way, and ends; or a clock was set back while its server was down,
+// two starts fell into one millisecond, or the server tells no start. Then it goes on, rising, while nothing
+// is heard of the start that is taken for the later one.
+bool goes_on(control_state& c, const server_announcement& a, time_point now) {
+    doubted_start& d = c.doubted[a.record.id];
+    const bool same = d.started == a.record.started && a.sequence >= d.sequence &&
+                      now - d.last_at <= c.config.announcement_age;
+    if (!same) {
+        d = {.started = a.record.started, .sequence = a.sequence, .first_at = now, .last_at = now};
+        return false;
+    }
+    const bool rises = a.sequence > d.sequence;
+    d.sequence = a.sequence;
+    d.last_at = now;
+    const auto heard = c.announced.find(a.record.id);
+    const bool other_is_silent =
+        heard == c.announced.end() || now - heard->second.at > c.config.announcement_age;
+    return rises && other_is_silent && now - d.first_at >= c.config.announcement_age;
+}
+
+enum class announcement_order : std::uint8_t { overtaken, same_start, new_start };
+
+// A later start goes before any count, within one start the count decides. One that does not tell its start
+// is taken for the known one.
+announcement_order order_of(control_state& c, const cluster_state& s, const server_announcement& a,
+                            time_point now) {
+    const auto newest = newest_start(c, s, a.record.id);
+    if (!newest) {
+        return announcement_order::new_start;
+    }
+    const std::uint64_t started = a.record.started;
+    if (newest->started != 0 && started > newest->started) {
+        return announcement_order::new_start;
+    }
+    const bool same = started == newest->started || newest->started == 0;
+    if (same && a.sequence >= newest->sequence) {
+        return announcement_order::same_start;
+    }
+    return goes_on(c, a, now) ? announcement_order::new_start : announcement_order::overtaken;
+}
+
+log_position highest_seen_position(const control_state& c, const server_id& server) {
+    log_position highest = 0;
+    for (const auto& [id, d] : c.daemons) {
+        const auto seen = d.observations.find(server);
+        highest = std::max(highest, seen == d.observations.end() ? 0 : seen->second.position);
+    }
+    return highest;
+}
+
+// Nothing that was known of an earlier start is believed of this one. As its group's primary it may hold
+// nothing, whatever it says of itself: whoever has the longest log goes on.
+void take_new_start(control_state& c, const cluster_state& s, const server_announcement& a, time_point now,
+                    control_actions& actions) {
+    const server_id& id = a.record.id;
+    const log_position held = highest_seen_position(c, id);
+    c.doubted.erase(id);
+    c.said_goodbye.erase(id);
+    c.proposed_removals.erase(id);
+    for (auto& [daemon, d] : c.daemons) {
+        d.observations.erase(id);
+    }
+    const auto known = s.servers.find(id);
+    if (known == s.servers.end()) {
+        return;
+    }
+    actions.emplace_back(note_event{.what = "server_started_again", .group = a.record.group, .server = id});
+    const auto group = s.groups.find(known->second.group);
+    if (group != s.groups.end()) {
+        take_restart(c, s, group->second, id, held, now, actions);
+    }
+}
+
+} // namespace
+
+//-----------------------------------------------------------------------------
+// [public functions]
+//-----------------------------------------------------------------------------
+
+void take_announcement(control_state& c, const cluster_state& s, const server_announcement& a, time_point now,
+                       control_actions& actions) {
+    const server_id& id = a.record.id;
+    const announcement_order order = order_of(c, s, a, now);
+    if (order == announcement_order::overtaken) {
+        return;
+    }
+    const bool is_new_start = order == announcement_order::new_start;
+    const server_record* known = newest_record(c, s, id);
+    if (!is_new_start && known != nullptr && known->group != a.record.group) {
+        return; // another writer's: a server keeps its group
+    }
+    if (is_replaced(c, s, a, is_new_start && newest_start(c, s, id).has_value(), now)) {
+        return;
+    }
+    if (is_new_start) {
+        take_new_start(c, s, a, now, actions);
+    }
+    c.announced[id] = seen_server{.last = a, .at = now};
+    if (a.gone) {
+        c.said_goodbye[id] = a.record.started; // on_tick() lets go of its record
+        if (!s.servers.contains(id)) {
+            return;
+        }
+    }
+    register_if_new(c, s, wanted_record(c, s, a, is_new_start), actions);
+    if (!a.gone) {
+        found_group(c, s, a, actions);
+    }
+}
+
+void finish_founding(control_state& c, const cluster_state& s, const server_answer& answer,
+                     control_actions& actions) {
+    server_announcement founder = c.founding.at(answer.operation);
+    c.founding.erase(answer.operation);
+    if (!answer.answered || !answer.is_primary) {
+        return; // its next announcement tries again
+    }
+    founder.timeline = answer.timeline;
+    found_group(c, s, founder, actions);
+}
+
+// A server that has ended loses its record, unless a group still needs another primary in its place.
+void remove_if_gone(control_state& c, const cluster_state& s, const server_announcement& a,
+                    control_actions& actions) {
+    const auto group = s.groups.find(a.record.group);
+    const bool needed = group != s.groups.end() && group->second.primary == a.record.id;
+    if (!a.gone || needed || !s.servers.contains(a.record.id)) {
+        return;
+    }
+    if (c.proposed_removals.insert(a.record.id).second) {
+        actions.emplace_back(propose_command{remove_server{a.record.id}});
+    }
+}
+
+// Others announce themselves, but it neither does nor answers: it is gone without a word. Should it come
+// back, it announces itself.
+void forget_lost_servers(control_state& c, const cluster_state& s, time_point now, control_actions& actions) {
+    if (now - c.looked_for_lost_at < lost_look_interval) {
+        return;
+    }
+    c.looked_for_lost_at = now;
+    const bool hears = std::any_of(c.announced.begin(), c.announced.end(), [&](const auto& a) {
+        return now - a.second.at <= c.config.announcement_age;
+    });
+    if (!hears || now - c.leading_since < c.config.forget_after) {
+        return;
+    }
+    for (const auto& [id, server] : s.servers) {
+        const auto heard = c.announced.find(id);
+        const bool silent = heard == c.announced.end() || now - heard->second.at >= c.config.forget_after;
+        const auto group = s.groups.find(server.group);
+        const bool needed = group != s.groups.end() && group->second.primary == id;
+        if (silent && !needed && !looks_alive(c, id, now) && c.proposed_removals.insert(id).second) {
+            actions.emplace_back(propose_command{remove_server{id}});
+        }
+    }
+}
+
+} // namespace larchpin
--- a/src/core/cluster_state.hpp
+++ b/src/core/cluster_state.hpp
@@ -75,13 +75,17 @@
 // [records] what the system itself keeps
 //-----------------------------------------------------------------------------
 
+// A server may start again under its id, and then holds and knows nothing of before. What is known of one
+// start (its position, its role, that it leaves) says nothing of another.
 struct server_record {
     server_id id;
     group_id group;
     std::string host; // IP number
     std::uint16_t port = 0;
     failure_domain domain;
-    bool leaving = false; // agreed before it is acknowledged; stays until the record goes
+    bool leaving = false;           // this start: agreed before it is acknowledged, and never taken back
+    std::uint64_t started = 0;      // Unix milliseconds by the server's own clock; 0: it does not tell
+    std::uint64_t start_number = 0; // by control: another one for every start that it tells apart
     auto operator<=>(const server_record&) const = default;
 };
 
--- a/src/core/control.cpp
+++ b/src/core/control.cpp
@@ -1,9 +1,11 @@
 // Decisions of the leading control instance: see control.hpp.
 //
 // Index
-//   [leases]  [registration]  [shares]  [detection]  [failover]  [public functions]
+//   [leases]  [registration]  [shares]  [observers]  [public functions]
 #include "core/control.hpp"
 
+#include "core/announcements.hpp"
+#include "core/failover.hpp"
 #include "core/lease.hpp"
 #include "core/rendezvous.hpp"
 
@@ -14,9 +16,6 @@
 
 constexpr std::size_t max_unconfirmed_replies = 32;
 constexpr unsigned leader_term_shift = 40; // leaves a leader 2^40 of them
-// A look at every server and every daemon; servers are forgotten after 12 s, so half a second more is
-// nothing.
-constexpr duration lost_look_interval = std::chrono::milliseconds{500};
 
 //-----------------------------------------------------------------------------
 // [leases]
@@ -49,7 +48,6 @@
         return g.revision < revision && g.until > now;
     });
 }
-
 //-----------------------------------------------------------------------------
 // [registration]
 //-----------------------------------------------------------------------------
@@ -65,132 +63,6 @@
     actions.emplace_back(propose_command{register_instance{record}});
 }
 
-void register_if_new(control_state& c, const cluster_state& s, const server_record& record,
-                     control_actions& actions) {
-    const auto known = s.servers.find(record.id);
-    if (known != s.servers.end() && known->second == record) {
-        return;
-    }
-    const auto proposed = c.proposed_servers.find(record.id);
-    if (proposed != c.proposed_servers.end() && proposed->second == record) {
-        return;
-    }
-    c.proposed_servers[record.id] = record;
-    actions.emplace_back(propose_command{register_server{record}});
-    const bool known_to_leave = known != s.servers.end() && known->second.leaving;
-    if (record.leaving && !known_to_leave) {
-        actions.emplace_back(note_event{.what = "server_leaves", .group = record.group, .server = record.id});
-    }
-}
-
-// The record that an announcement asks for. That a server leaves is told to it as promised, so neither a
-// later word of it, nor silence, nor another leader takes that back: it stands in the log until the record
-// goes.
-server_record wanted_record(const control_state& c, const cluster_state& s, const server_announcement& a) {
-    server_record record = a.record;
-    const auto known = s.servers.find(record.id);
-    const auto proposed = c.proposed_servers.find(record.id);
-    record.leaving = a.leaving || a.gone || (known != s.servers.end() && known->second.leaving) ||
-                     (proposed != c.proposed_servers.end() && proposed->second.leaving);
-    return record;
-}
-
-bool is_being_founded(const control_state& c, const group_id& group) {
-    return std::any_of(c.founding.begin(), c.founding.end(),
-                       [&group](const auto& f) { return f.second.record.group == group; });
-}
-
-// The first primary that announces itself founds the group. Later ones never change a record. One that does
-// not tell its timeline is asked for it first.
-void found_group(control_state& c, const cluster_state& s, const server_announcement& a,
-                 control_actions& actions) {
-    const group_id& group = a.record.group;
-    if (!a.is_primary || s.groups.contains(group) || c.proposed_groups.contains(group)) {
-        return;
-    }
-    if (a.timeline == 0) {
-        if (!is_being_founded(c, group)) {
-            const std::uint64_t operation = c.next_operation++;
-            c.founding[operation] = a;
-            actions.emplace_back(probe_server{.operation = operation, .server = a.record});
-        }
-        return;
-    }
-    group_record record;
-    record.id = group;
-    record.term = 1;
-    record.primary = a.record.id;
-    record.timeline = a.timeline;
-    record.starts = {term_start{.term = 1, .position = 0}};
-    c.proposed_groups.insert(group);
-    actions.emplace_back(propose_command{
-        set_group{.expected_term = 0, .expected_phase = group_phase::serving, .next = record}});
-}
-
-void finish_founding(control_state& c, const cluster_state& s, const server_answer& answer,
-                     control_actions& actions) {
-    server_announcement founder = c.founding.at(answer.operation);
-    c.founding.erase(answer.operation);
-    if (!answer.answered || !answer.is_primary) {
-        return; // its next announcement tries again
-    }
-    founder.timeline = answer.timeline;
-    found_group(c, s, founder, actions);
-}
-
-// A server that has ended loses its record, unless a group still needs another primary in its place.
-void remove_if_gone(control_state& c, const cluster_state& s, const server_announcement& a,
-                    control_actions& actions) {
-    const auto group = s.groups.find(a.record.group);
-    const bool needed = group != s.groups.end() && group->second.primary == a.record.id;
-    if (!a.gone || needed || !s.servers.contains(a.record.id)) {
-        return;
-    }
-    if (c.proposed_removals.insert(a.record.id).second) {
-        actions.emplace_back(propose_command{remove_server{a.record.id}});
-    }
-}
-
-// An announcement may be held up on its way until its sender has crashed and another server has come up at
-// the same address. It tells nothing of today then: not the role, not the address, not that the server is
-// leaving.
-bool is_replaced(control_state& c, const cluster_state& s, const server_announcement& a, time_point now) {
-    const server_id& id = a.record.id;
-    server_id& holder = c.address_holders[a.record.host + ":" + std::to_string(a.record.port)];
-    const auto heard = c.announced.find(holder);
-    const bool holder_lives =
-        heard != c.announced.end() && now - heard->second.at <= c.config.announcement_age;
-    const bool known = c.announced.contains(id) || s.servers.contains(id) || c.replaced.contains(id);
-    if (holder != id && !(known && holder_lives)) {
-        if (!holder.value.empty()) {
-            c.replaced.insert(holder);
-        }
-        c.replaced.erase(id);
-        holder = id;
-    }
-    return holder != id && c.replaced.contains(id);
-}
-
-void take_announcement(control_state& c, const cluster_state& s, const server_announcement& a, time_point now,
-                       control_actions& actions) {
-    const auto earlier = c.announced.find(a.record.id);
-    const bool overtaken = earlier != c.announced.end() && earlier->second.last.sequence > a.sequence;
-    if (overtaken || c.said_goodbye.contains(a.record.id) || is_replaced(c, s, a, now)) {
-        return;
-    }
-    c.announced[a.record.id] = seen_server{.last = a, .at = now};
-    if (a.gone) {
-        c.said_goodbye.insert(a.record.id); // on_tick() lets go of its record
-        if (!s.servers.contains(a.record.id)) {
-            return;
-        }
-    }
-    register_if_new(c, s, wanted_record(c, s, a), actions);
-    if (!a.gone) {
-        found_group(c, s, a, actions);
-    }
-}
-
 //-----------------------------------------------------------------------------
 // [shares]
 //-----------------------------------------------------------------------------
@@ -268,15 +140,10 @@
     }
     d.unconfirmed.push_back(std::move(sent));
 }
-
 //-----------------------------------------------------------------------------
-// [detection]
+// [observers]
 //-----------------------------------------------------------------------------
 
-bool reports(const control_state& c, const daemon_state& d, time_point now) {
-    return now - d.seen_at <= c.config.observation_age;
-}
-
 // Chooses one observer a failure domain among the daemons that report. Done anew only when those, or the
 // servers, have changed: every daemon's rank for every server is looked at.
 void assign_observers(control_state& c, const cluster_state& s, time_point now) {
@@ -300,272 +167,6 @@
     c.observer_candidates = std::move(live);
 }
 
-// A majority of the observers must call it dead, so that neither a one-way cut nor one sick observer is
-// taken for a death.
-bool looks_dead(const control_state& c, const server_id& server, time_point now) {
-    const auto observers = c.observers.find(server);
-    if (observers == c.observers.end() || observers->second.empty()) {
-        return false;
-    }
-    std::size_t dead = 0;
-    for (const instance_id& id : observers->second) {
-        const auto d = c.daemons.find(id);
-        if (d == c.daemons.end() || !reports(c, d->second, now)) {
-            continue;
-        }
-        const auto seen = d->second.observations.find(server);
-        dead += (seen != d->second.observations.end() && !seen->second.alive) ? 1 : 0;
-    }
-    return dead >= observers->second.size() / 2 + 1;
-}
-
-bool is_leaving(const cluster_state& s, const server_id& server) {
-    const auto known = s.servers.find(server);
-    return server_settings(s.current, server).leaving || (known != s.servers.end() && known->second.leaving);
-}
-
-bool looks_alive(const control_state& c, const server_id& server, time_point now) {
-    return std::any_of(c.daemons.begin(), c.daemons.end(), [&](const auto& d) {
-        const auto seen = d.second.observations.find(server);
-        return seen != d.second.observations.end() && seen->second.alive &&
-               now - d.second.seen_at <= c.config.observation_age;
-    });
-}
-
-//-----------------------------------------------------------------------------
-// [failover]
-//-----------------------------------------------------------------------------
-
-void note(control_actions& actions, const failover& f, const std::string& what, const group_id& group,
-          const server_id& server, time_point now) {
-    actions.emplace_back(
-        note_event{.what = what, .group = group, .server = server, .since_suspected = now - f.started_at});
-}
-
-void enter(failover& f, failover_step step, time_point now) {
-    f.step = step;
-    f.step_at = now;
-}
-
-void begin_failover(control_state& c, const group_record& group, bool planned, const server_id& target,
-                    time_point now, control_actions& actions) {
-    failover f;
-    f.started_at = now;
-    f.step_at = now;
-    f.planned = planned;
-    if (!target.value.empty()) {
-        f.wanted = target;
-    }
-    group_record next = group;
-    next.phase = group_phase::fencing;
-    actions.emplace_back(propose_command{
-        set_group{.expected_term = group.term, .expected_phase = group_phase::serving, .next = next}});
-    note(actions, f, planned ? "switchover_started" : "primary_suspected", group.id, group.primary, now);
-    c.failovers[group.id] = std::move(f);
-}
-
-void ask_replicas(control_state& c, const cluster_state& s, const group_record& group, failover& f,
-                  time_point now, control_actions& actions) {
-    enter(f, failover_step::probing, now);
-    f.answers.clear();
-    f.open_operations.clear();
-    // The old primary may go on, under the next term, where most observers have it back: its log is whole.
-    const bool primary_is_out = !f.planned && looks_dead(c, group.primary, now);
-    for (const server_record& server : servers_of(s, group.id)) {
-        if ((server.id == group.primary && primary_is_out) || f.failed.contains(server.id)) {
-            continue;
-        }
-        const std::uint64_t operation = c.next_operation++;
-        f.open_operations.insert(operation);
-        actions.emplace_back(probe_server{.operation = operation, .server = server});
-    }
-}
-
-// Prefers the longest log; among equals the operator's wish, then weight, then the name.
-bool better_candidate(const cluster_state& s, const failover& f, const server_answer& a,
-                      const server_answer& b) {
-    if (a.timeline != b.timeline) {
-        return a.timeline > b.timeline;
-    }
-    if (a.position != b.position) {
-        return a.position > b.position;
-    }
-    const bool a_wanted = f.wanted == a.server;
-    const bool b_wanted = f.wanted == b.server;
-    if (a_wanted != b_wanted) {
-        return a_wanted;
-    }
-    const unsigned a_weight = server_settings(s.current, a.server).weight;
-    const unsigned b_weight = server_settings(s.current, b.server).weight;
-    return a_weight != b_weight ? a_weight > b_weight : a.server < b.server;
-}
-
-const server_answer* best_candidate(const cluster_state& s, const group_record& group, const failover& f) {
-    const server_answer* best = nullptr;
-    for (const auto& [id, answer] : f.answers) {
-        if (!answer.answered || is_leaving(s, id) || answer.timeline < group.timeline) {
-            continue;
-        }
-        if (best == nullptr || better_candidate(s, f, answer, *best)) {
-            best = &answer;
-        }
-    }
-    // A planned switch waits for its target to hold everything that the old primary holds.
-    if (best != nullptr && f.planned && f.wanted) {
-        const auto wanted = f.answers.find(*f.wanted);
-        const bool caught_up =
-            wanted != f.answers.end() && wanted->second.answered && wanted->second.position >= best->position;
-        return caught_up ? &wanted->second : nullptr;
-    }
-    return best;
-}
-
-void publish(const group_record& group, failover& f, const server_answer& winner, time_point now,
-             control_actions& actions) {
-    enter(f, failover_step::publishing, now);
-    group_record next = group;
-    next.term = group.term + 1;
-    next.primary = winner.server;
-    next.phase = group_phase::serving;
-    next.timeline = winner.timeline;
-    next.starts.push_back({.term = next.term, .position = winner.position});
-    actions.emplace_back(propose_command{
-        set_group{.expected_term = group.term, .expected_phase = group_phase::fencing, .next = next}});
-    note(actions, f, "promoted", group.id, winner.server, now);
-}
-
-// Each order carries a token above all earlier ones, so that one whose answer was lost cannot be carried out
-// once a later one has been seen.
-void order_promotion(control_state& c, const cluster_state& s, const group_record& group, failover& f,
-                     std::uint64_t timeline, time_point now, control_actions& actions) {
-    const std::uint64_t operation = c.next_operation++;
-    f.open_operations = {operation};
-    f.ordered_timeline = timeline;
-    note(actions, f, "promoting", group.id, *f.candidate, now);
-    actions.emplace_back(promote_server{.operation = operation,
-                                        .server = s.servers.at(*f.candidate),
-                                        .timeline = timeline,
-                                        .token = number_across_leaders(c, operation)});
-}
-
-void promote_best(control_state& c, const cluster_state& s, const group_record& group, failover& f,
-                  time_point now, control_actions& actions) {
-    const server_answer* best = best_candidate(s, group, f);
-    if (best == nullptr) {
-        return;
-    }
-    if (best->is_primary && !c.config.always_promote) {
-        // The old primary was chosen again, or an earlier leader's promotion is found done.
-        publish(group, f, *best, now, actions);
-        return;
-    }
-    enter(f, failover_step::promoting, now);
-    f.candidate = best->server;
-    order_promotion(c, s, group, f, best->timeline, now, actions);
-}
-
-void advance(control_state& c, const cluster_state& s, const group_record& group, failover& f, time_point now,
-             control_actions& actions) {
-    switch (f.step) {
-    case failover_step::fencing:
-    case failover_step::publishing: return; // waits for the log
-    case failover_step::revoking:
-        if (is_in_force(c, s, f.fence_revision, now)) {
-            note(actions, f, "writes_revoked", group.id, group.primary, now);
-            ask_replicas(c, s, group, f, now, actions);
-        }
-        return;
-    case failover_step::probing:
-        if (f.planned && f.wanted && now - f.started_at >= c.config.switchover_wait) {
-            f.wanted.reset(); // gives up: whoever has the longest log goes on, the old primary before all
-        }
-        if (f.open_operations.empty() || now - f.step_at >= c.config.probe_wait) {
-            promote_best(c, s, group, f, now, actions);
-        }
-        if (f.step == failover_step::probing &&
-            now - f.step_at >= c.config.probe_wait + c.config.retry_wait) {
-            f.failed.clear(); // one that failed before may be back
-            ask_replicas(c, s, group, f, now, actions);
-        }
-        return;
-    case failover_step::promoting:
-        if (now - f.step_at >= c.config.promote_wait && f.candidate) {
-            f.failed.insert(*f.candidate);
-            ask_replicas(c, s, group, f, now, actions);
-        }
-        return;
-    }
-}
-
-// Others announce themselves, but it neither does nor answers: it is gone without a word. Should it come
-// back, it announces itself.
-void forget_lost_servers(control_state& c, const cluster_state& s, time_point now, control_actions& actions) {
-    if (now - c.looked_for_lost_at < lost_look_interval) {
-        return;
-    }
-    c.looked_for_lost_at = now;
-    const bool hears = std::any_of(c.announced.begin(), c.announced.end(), [&](const auto& a) {
-        return now - a.second.at <= c.config.announcement_age;
-    });
-    if (!hears || now - c.leading_since < c.config.forget_after) {
-        return;
-    }
-    for (const auto& [id, server] : s.servers) {
-        const auto heard = c.announced.find(id);
-        const bool silent = heard == c.announced.end() || now - heard->second.at >= c.config.forget_after;
-        const auto group = s.groups.find(server.group);
-        const bool needed = group != s.groups.end() && group->second.primary == id;
-        if (silent && !needed && !looks_alive(c, id, now) && c.proposed_removals.insert(id).second) {
-            actions.emplace_back(propose_command{remove_server{id}});
-        }
-    }
-}
-
-// The primary says that it is leaving, and another server of the group can take over. That none can is noted
-// once.
-bool must_leave_primary(control_state& c, const cluster_state& s, const group_record& group, time_point now,
-                        control_actions& actions) {
-    if (!is_leaving(s, group.primary)) {
-        c.without_successor.erase(group.id);
-        return false;
-    }
-    const auto last = c.switched_at.find(group.id);
-    if (last != c.switched_at.end() && now - last->second < c.config.switchover_pause) {
-        return false;
-    }
-    const auto servers = servers_of(s, group.id);
-    const bool succeeded = std::any_of(servers.begin(), servers.end(), [&](const server_record& server) {
-        return server.id != group.primary && !is_leaving(s, server.id) && looks_alive(c, server.id, now);
-    });
-    if (succeeded) {
-        c.without_successor.erase(group.id);
-    } else if (c.without_successor.insert(group.id).second) {
-        actions.emplace_back(note_event{
-            .what = "leaving_primary_has_no_successor", .group = group.id, .server = group.primary});
-    }
-    return succeeded;
-}
-
-// Takes up what the log says: a fence that committed, a finished failover, an earlier leader's open one.
-void follow_record(control_state& c, const group_record& group, revision_number revision, time_point now) {
-    auto found = c.failovers.find(group.id);
-    if (group.phase == group_phase::serving) {
-        if (found != c.failovers.end() && found->second.step != failover_step::fencing) {
-            c.failovers.erase(found);
-        }
-        return;
-    }
-    if (found == c.failovers.end()) {
-        failover f;
-        f.started_at = now;
-        found = c.failovers.emplace(group.id, f).first;
-    }
-    if (found->second.step == failover_step::fencing) {
-        found->second.fence_revision = revision;
-        enter(found->second, failover_step::revoking, now);
-    }
-}
-
 } // namespace
 
 //-----------------------------------------------------------------------------
@@ -733,23 +334,7 @@
         if (group == s.groups.end()) {
             return;
         }
-        if (f.step == failover_step::probing) {
-            f.answers[a.server] = a;
-            advance(c, s, group->second, f, now, actions);
-        } else if (f.step == failover_step::promoting) {
-            const bool new_reign = a.timeline > group->second.timeline;
-            const bool same_reign = c.config.always_promote && a.server == group->second.primary &&
-                                    a.timeline == group->second.timeline;
-            if (a.answered && a.is_primary && (new_reign || same_reign)) {
-                publish(group->second, f, a, now, actions);
-            } else if (a.undecided && s.servers.contains(a.server) &&
-                       now - f.step_at < c.config.promote_wait) {
-                order_promotion(c, s, group->second, f, f.ordered_timeline, now, actions);
-            } else {
-                f.failed.insert(a.server);
-                ask_replicas(c, s, group->second, f, now, actions);
-            }
-        }
+        take_failover_answer(c, s, group->second, f, a, now, actions);
         return;
     }
 }
--- a/src/core/control.hpp
+++ b/src/core/control.hpp
@@ -45,7 +45,7 @@
 
 // A backend server that announced itself to a daemon.
 struct server_announcement {
-    server_record record; // but for `leaving`, which is what control agreed on
+    server_record record; // but for `leaving` and `start_number`, which control agrees on
     bool is_primary = false;
     std::uint64_t timeline = 0; // 0: not told
     log_position position = 0;
@@ -184,6 +184,7 @@
     std::uint64_t ordered_timeline = 0; // that the candidate was seen on
     std::optional<server_id> wanted;    // a switchover's target
     bool planned = false;               // the old primary may be chosen again
+    log_position restarted_at = 0;      // the primary started again, and was seen to hold so much before
 };
 
 struct seen_server {
@@ -191,6 +192,14 @@
     time_point at{};
 };
 
+// Announcements that look overtaken, as long as they go on.
+struct doubted_start {
+    std::uint64_t started = 0;
+    std::uint64_t sequence = 0;
+    time_point first_at{};
+    time_point last_at{};
+};
+
 struct control_state {
     control_settings config;
     bool leading = false;
@@ -208,7 +217,9 @@
     std::set<group_id> proposed_groups;
     std::set<server_id> proposed_removals;
     time_point looked_for_lost_at{};                       // forget_lost_servers()
-    std::set<server_id> said_goodbye;                      // their ids are never used again
+    std::map<server_id, std::uint64_t> said_goodbye;       // which start of theirs
+    std::map<server_id, doubted_start> doubted;            // one that goes on is another start after all
+    std::uint64_t starts_numbered = 0;                     // by this leader
     std::map<std::string, server_id> address_holders;      // by "host:port": who came up there last
     std::set<server_id> replaced;                          // another server came up at their address
     std::map<std::uint64_t, server_announcement> founding; // by operation: asked for its timeline
--- a/src/core/leave_times.cpp
+++ b/src/core/leave_times.cpp
@@ -35,14 +35,15 @@
 }
 
 std::vector<server_id> follow_leaving(leave_times& t, const cluster_state& s, revision_number first_new) {
-    std::erase_if(t.since, [&s](const auto& known) {
+    std::erase_if(t.leaves, [&s](const auto& known) {
         const auto server = s.servers.find(known.first);
-        return server == s.servers.end() || !server->second.leaving;
+        return server == s.servers.end() || !server->second.leaving ||
+               server->second.start_number != known.second.start_number;
     });
     std::vector<server_id> learned;
     for (const auto& [id, server] : s.servers) {
-        if (server.leaving && !t.since.contains(id)) {
-            t.since[id] = last_renewal_before(t, first_new);
+        if (server.leaving && !t.leaves.contains(id)) {
+            t.leaves[id] = {.start_number = server.start_number, .since = last_renewal_before(t, first_new)};
             learned.push_back(id);
         }
     }
@@ -50,11 +51,12 @@
 }
 
 bool is_leave_over(const leave_times& t, const server_id& server, duration leave_time, time_point now) {
-    const auto known = t.since.find(server);
-    if (known == t.since.end()) {
+    const auto known = t.leaves.find(server);
+    if (known == t.leaves.end()) {
         return false;
     }
-    return !known->second || now >= *known->second + leave_time - leave_slack;
+    const std::optional<time_point>& since = known->second.since;
+    return !since || now >= *since + leave_time - leave_slack;
 }
 
 } // namespace larchpin
--- a/src/core/leave_times.hpp
+++ b/src/core/leave_times.hpp
@@ -35,10 +35,16 @@
     auto operator<=>(const current_revision&) const = default;
 };
 
+// One start of a server that leaves.
+struct known_leave {
+    std::uint64_t start_number = 0;
+    std::optional<time_point> since; // not acknowledged before; nothing: may have been at any time
+    auto operator<=>(const known_leave&) const = default;
+};
+
 struct leave_times {
     std::deque<current_revision> renewals; // oldest first, revisions rise
-    // By server that leaves: not acknowledged to it before this moment; nothing: may have been at any time.
-    std::map<server_id, std::optional<time_point>> since;
+    std::map<server_id, known_leave> leaves;
 };
 
 void note_current(leave_times& t, revision_number revision, time_point sent);
--- a/src/daemon/agent.cpp
+++ b/src/daemon/agent.cpp
@@ -296,6 +296,7 @@
     if (reply.has_full() && reply.full().revision() > cluster_.revision) {
         const revision_number first_new = cluster_.revision + 1;
         cluster_ = from_wire(reply.full());
+        follow_starts();
         learn_leaving(first_new);
     }
     for (const auto& m : reply.entries()) {
@@ -309,6 +310,7 @@
         const bool changes_servers =
             c && (std::holds_alternative<register_server>(*c) || std::holds_alternative<remove_server>(*c));
         if (changes_servers) {
+            follow_starts();
             learn_leaving(e.index);
         }
     }
@@ -316,11 +318,53 @@
     answer_awaited();
 }
 
+// A server's process has gone, or another one runs under its id: nothing that was learned of it says anything
+// of the next. Its connections lead to nobody any more; requests that run there end as lost.
+void agent::follow_starts() {
+    for (auto known = starts_.begin(); known != starts_.end();) {
+        const auto server = cluster_.servers.find(known->first);
+        if (server != cluster_.servers.end() && server->second.start_number == known->second) {
+            ++known;
+            continue;
+        }
+        log_event(severity::info, "server_start_over",
+                  {{"server", known->first.value},
+                   {"start", known->second},
+                   {"next_start", server == cluster_.servers.end() ? 0 : server->second.start_number},
+                   {"started", server == cluster_.servers.end() ? 0 : server->second.started}});
+        forget_start(known->first);
+        known = starts_.erase(known);
+    }
+    for (const auto& [id, server] : cluster_.servers) {
+        starts_.try_emplace(id, server.start_number);
+    }
+}
+
+void agent::forget_start(const server_id& id) {
+    for (auto& [group, known] : positions_) {
+        known.servers.erase(id);
+    }
+    health_.erase(id);
+    reach_.erase(id);
+    sources_.erase(id);
+    const auto probed = probed_.find(id);
+    if (probed != probed_.end()) {
+        const auto connection = probed->second.connection;
+        probed->second.connection.reset();
+        probed->second.has_sample = false;
+        probed->second.seen = {.server = id, .alive = true};
+        if (connection) {
+            connection->close();
+        }
+    }
+    pools_.drop_connections(id);
+}
+
 // Whether this instance knew, and from when on, is the first question about a request that went to a leaving
 // server.
 void agent::learn_leaving(revision_number first_new) {
     for (const server_id& id : follow_leaving(leave_times_, cluster_, first_new)) {
-        const std::optional<time_point> since = leave_times_.since.at(id);
+        const std::optional<time_point> since = leave_times_.leaves.at(id).since;
         const duration ago = since ? now() - *since : config_.leave_time;
         log_event(severity::info, "leaving_learned",
                   {{"server", id.value},
@@ -379,7 +423,8 @@
     if (known == cluster_.servers.end()) {
         return !a.leaving;
     }
-    return known->second.leaving || !(a.leaving || a.gone);
+    const bool same_start = known->second.started == a.record.started;
+    return !(a.leaving || a.gone) || (known->second.leaving && same_start);
 }
 
 void agent::answer_awaited() {
@@ -396,17 +441,31 @@
     }
 }
 
+// Of another writer, or of a kind that no server of ours has: it names no server to use. Where servers tell
+// when they started, all of them do.
+bool agent::makes_sense(const server_announcement& a) const {
+    const server_record& r = a.record;
+    const bool whole = !r.id.value.empty() && !r.group.value.empty() && r.port > 0 &&
+                       parse_endpoint(r.host + ":1").has_value();
+    const bool others_tell = std::any_of(cluster_.servers.begin(), cluster_.servers.end(),
+                                         [](const auto& s) { return s.second.started != 0; });
+    const auto known = cluster_.servers.find(r.id);
+    const bool other_group = known != cluster_.servers.end() && known->second.group != r.group &&
+                             known->second.started == r.started;
+    return whole && !other_group && (r.started != 0 || !others_tell);
+}
+
 bool agent::note_announcement(const server_announcement& a) {
-    const bool whole = !a.record.id.value.empty() && !a.record.group.value.empty() && a.record.port > 0 &&
-                       parse_endpoint(a.record.host + ":1").has_value();
-    if (!whole || announced_.size() >= max_announcements) {
+    if (!makes_sense(a) || announced_.size() >= max_announcements) {
         return false;
     }
     heard_announcement& heard = announced_[a.record.id];
     const bool news = heard.last.leaving != a.leaving || heard.last.gone != a.gone ||
                       heard.last.is_primary != a.is_primary || heard.last.record != a.record;
-    if (a.sequence < heard.last.sequence) {
-        return true; // overtaken by a later one
+    const bool overtaken =
+        std::pair(a.record.started, a.sequence) < std::pair(heard.last.record.started, heard.last.sequence);
+    if (overtaken) {
+        return true;
     }
     heard = {.last = a, .at = now()};
     if (news) {
@@ -416,6 +475,7 @@
                    {"primary", a.is_primary},
                    {"leaving", a.leaving},
                    {"gone", a.gone},
+                   {"started", a.record.started},
                    {"sequence", a.sequence}});
         renew_soon();
     }
--- a/src/daemon/agent.hpp
+++ b/src/daemon/agent.hpp
@@ -126,7 +126,10 @@
     void renew();
     void on_renewed(const http_outcome& o, time_point sent);
     renewal make_renewal();
+    void follow_starts();
+    void forget_start(const server_id& id);
     void learn_leaving(revision_number first_new);
+    [[nodiscard]] bool makes_sense(const server_announcement& a) const;
     bool note_announcement(const server_announcement& a);
     [[nodiscard]] bool is_agreed(const server_announcement& a) const;
     void answer_awaited();
@@ -183,6 +186,7 @@
     std::map<server_id, heard_announcement> announced_;
     std::vector<awaited_agreement> awaited_;
     leave_times leave_times_;
+    std::map<server_id, std::uint64_t> starts_; // by control's number, of the servers in the copy
     std::map<server_id, server_health> health_;
     std::map<server_id, reachability> reach_;
     std::map<group_id, group_positions> positions_;
--- a/src/daemon/agent_servers.cpp
+++ b/src/daemon/agent_servers.cpp
@@ -41,12 +41,15 @@
             continue;
         }
         probed_server& p = probed_[id];
-        if (p.record != record->second) {
+        const bool same_process = p.record.host == record->second.host &&
+                                  p.record.port == record->second.port &&
+                                  p.record.start_number == record->second.start_number;
+        p.record = record->second;
+        if (!same_process) {
             if (p.connection) {
                 p.connection->close();
                 p.connection.reset();
             }
-            p.record = record->second;
             p.seen.server = id;
             p.answered_at = now(); // gets the whole detection time
             p.seen.alive = true;
--- a/src/daemon/pools.cpp
+++ b/src/daemon/pools.cpp
@@ -111,6 +111,22 @@
     }
 }
 
+void backend_pools::drop_connections(const server_id& server) {
+    std::vector<std::shared_ptr<backend_connection>> open;
+    for (auto& [key, p] : pools_) {
+        if (key.server != server) {
+            continue;
+        }
+        p.state.limit = {}; // learned of the process that is gone
+        for (const auto& [number, connection] : p.connections) {
+            open.push_back(connection);
+        }
+    }
+    for (const auto& connection : open) {
+        connection->close(); // the pool learns of it as of any connection that ends
+    }
+}
+
 void backend_pools::set_share(const share_key& key, unsigned share) {
     pool_actions actions;
     larchpin::set_share(find_or_make(key).state, share, now(), next_connection_, actions);
--- a/src/daemon/pools.hpp
+++ b/src/daemon/pools.hpp
@@ -51,6 +51,10 @@
     void note_statement_ended(const share_key& key, connection_number number, const statement_end& end);
     void note_statement_begun(const share_key& key, connection_number number);
 
+    // The server's process is gone: closes every connection to it. Statements that run there are reported as
+    // not answered.
+    void drop_connections(const server_id& server);
+
     void set_share(const share_key& key, unsigned share);
     void revoke_share(const share_key& key, unsigned share);
     [[nodiscard]] std::vector<share_claim> claims();
--- a/src/io/codec.cpp
+++ b/src/io/codec.cpp
@@ -116,7 +116,9 @@
             .host = m.host(),
             .port = static_cast<std::uint16_t>(m.port()),
             .domain = {m.domain()},
-            .leaving = m.leaving()};
+            .leaving = m.leaving(),
+            .started = m.started(),
+            .start_number = m.start_number()};
 }
 
 void to_wire(const server_record& v, wire::server_record& m) {
@@ -126,6 +128,8 @@
     m.set_port(v.port);
     m.set_domain(v.domain.value);
     m.set_leaving(v.leaving);
+    m.set_started(v.started);
+    m.set_start_number(v.start_number);
 }
 
 group_record from_wire(const wire::group_record& m) {
--- a/tests/control_test.cpp
+++ b/tests/control_test.cpp
@@ -1,7 +1,7 @@
 // What the leading control instance decides, one decision at a time and without I/O.
 //
 // Index
-//   [a site]  [founding]  [edits]  [leaving]  [promotion]  [a new leader]  [members]  [shares]
+//   [a site]  [founding]  [edits]  [leaving]  [starts]  [promotion]  [a new leader]  [members]  [shares]
 #include "core/control_core.hpp"
 #include "daemon/watch_replies.hpp"
 #include "generated/larchpin.pb.h"
@@ -430,6 +430,121 @@
     EXPECT_EQ(s.cluster.servers.size(), 3U);
 }
 
+//-----------------------------------------------------------------------------
+// [starts]
+//-----------------------------------------------------------------------------
+
+server_announcement announce_start(const std::string& id, bool primary, std::uint64_t started,
+                                   std::uint64_t sequence) {
+    server_announcement a = announce(id, primary, sequence);
+    a.record.started = started;
+    return a;
+}
+
+// A founded group whose servers tell when they started; s1 is the primary, all were heard 40 times.
+control_site make_site_with_starts() {
+    control_site s;
+    s.renew("x",
+            {announce_start("s1", true, 1'000, 40), announce_start("s2", false, 1'000, 40),
+             announce_start("s3", false, 1'000, 40)},
+            all_alive());
+    s.answer_probes({"s1"}, 10);
+    return s;
+}
+
+// Its count starts anew, so it counted as overtaken until the count had caught up, or as gone for good.
+TEST(starts, a_server_that_starts_again_under_its_id_is_heard_at_once_and_nothing_of_before_holds) {
+    for (const bool gone : {false, true}) {
+        control_site s = make_site_with_starts();
+        server_announcement bye = announce_start("s2", false, 1'000, 41);
+        (gone ? bye.gone : bye.leaving) = true;
+        s.renew("x", {bye}, all_alive());
+        s.tick();
+        server_announcement again = announce_start("s2", false, 2'000, 1);
+        again.record.port = 6000;
+        s.renew("x", {again}, all_alive());
+        ASSERT_TRUE(s.cluster.servers.contains({"s2"})) << "gone: " << gone;
+        const server_record record = s.cluster.servers.at({"s2"});
+        EXPECT_EQ(record.port, 6000) << "gone: " << gone;
+        EXPECT_EQ(record.started, 2'000U);
+        EXPECT_FALSE(record.leaving);
+    }
+}
+
+TEST(starts, an_earlier_start_changes_nothing_however_far_it_had_counted) {
+    control_site s = make_site_with_starts();
+    s.renew("x", {announce_start("s2", false, 2'000, 1)}, all_alive());
+    const server_record before = s.cluster.servers.at({"s2"});
+    for (const bool new_leader : {false, true}) {
+        if (new_leader) {
+            start_leading(s.control, 4, s.now);
+        }
+        server_announcement late = announce_start("s2", true, 1'000, 99);
+        late.leaving = true;
+        late.record.port = 6000;
+        s.renew("x", {late}, all_alive());
+        late.gone = true;
+        s.renew("x", {late}, all_alive());
+        s.tick();
+        ASSERT_TRUE(s.cluster.servers.contains({"s2"}));
+        EXPECT_EQ(s.cluster.servers.at({"s2"}), before) << "new leader: " << new_leader;
+    }
+    EXPECT_EQ(s.group().primary, server_id{"s1"});
+}
+
+// It holds nothing, whatever it says of itself; where another server holds the log, that one goes on.
+TEST(starts, a_primary_that_starts_again_before_it_was_missed_is_no_primary_until_it_is_promoted) {
+    control_site s = make_site_with_starts();
+    s.renew("x", {}, {{.server = {"s1"}, .alive = true, .is_primary = true, .timeline = 1, .position = 20}});
+    s.renew("x", {announce_start("s1", true, 2'000, 1)}, all_alive());
+    s.tick();
+    EXPECT_EQ(s.group().phase, group_phase::fencing);
+    s.renew("x", {}, all_alive()); // confirms the fence
+    s.tick();
+    while (const auto probe = s.take_open<probe_server>()) {
+        const bool restarted = probe->server.id == server_id{"s1"};
+        s.answer({.operation = probe->operation,
+                  .server = probe->server.id,
+                  .answered = true,
+                  .is_primary = restarted,
+                  .timeline = 1,
+                  .position = restarted ? 0U : 20U});
+    }
+    const auto order = s.take_open<promote_server>();
+    ASSERT_TRUE(order.has_value());
+    EXPECT_NE(order->server.id, server_id{"s1"});
+}
+
+// The server's clock was set back while it was down, or two starts fell into one millisecond, or it tells no
+// start at all: its word looks late. But late words end, and this one goes on while the other start is
+// silent.
+TEST(starts, one_that_looks_earlier_is_believed_when_it_goes_on_and_the_later_one_is_silent) {
+    for (const std::uint64_t started : {500, 1'000, 0}) {
+        control_site s = make_site_with_starts();
+        const std::uint64_t first_number = s.cluster.servers.at({"s2"}).start_number;
+        for (std::uint64_t i = 1; i <= 5; ++i) {
+            s.renew("x", {announce_start("s2", false, started, i)}, all_alive());
+            EXPECT_EQ(s.cluster.servers.at({"s2"}).start_number, first_number) << "too early: " << i;
+            s.now += milliseconds{600};
+        }
+        for (std::uint64_t i = 6; i <= 12; ++i) {
+            s.renew("x", {announce_start("s2", false, started, i)}, all_alive());
+            s.now += milliseconds{600};
+        }
+        EXPECT_NE(s.cluster.servers.at({"s2"}).start_number, first_number) << "started " << started;
+    }
+}
+
+// Within one start a server keeps its group: another group is another writer's word.
+TEST(starts, a_server_does_not_change_its_group) {
+    control_site s = make_site_with_starts();
+    server_announcement other = announce_start("s2", true, 1'000, 41);
+    other.record.group = {"other"};
+    s.renew("x", {other}, all_alive());
+    EXPECT_EQ(s.cluster.servers.at({"s2"}).group, group_id{"g"});
+    EXPECT_FALSE(s.cluster.groups.contains({"other"}));
+}
+
 //-----------------------------------------------------------------------------
 // [promotion]
 //-----------------------------------------------------------------------------
--- a/tests/platform_site.cpp
+++ b/tests/platform_site.cpp
@@ -524,7 +524,8 @@
                              s.zone + R"(","version":"v1","capacity":3,"state":")" +
                              (s.leaves ? "draining" : "ready") + R"(","warmup_remaining_ms":0,)" +
                              R"("database_role":")" + (s.is_primary ? "primary" : "replica") +
-                             R"(","sequence_number":)" + std::to_string(next_beat_++) + "}";
+                             R"(","sequence_number":)" + std::to_string(next_beat_++) +
+                             (s.started == 0 ? "" : R"(,"born":)" + std::to_string(s.started)) + "}";
     return post(d.control_port, "/larchpin/instances/" + s.id + "/heartbeat", body);
 }
 
--- a/tests/platform_site.hpp
+++ b/tests/platform_site.hpp
@@ -55,6 +55,7 @@
     std::uint64_t applied = 0;     // number of the last commit
     bool follows = true;           // gets the primary's commits at once
     bool leaves = false;           // reports that it will end
+    std::uint64_t started = 0;     // Unix milliseconds that it reports; 0: it reports none
     bool silent = false;           // runs statements and answers nothing
     unsigned refusals_as_busy = 0; // refuses so many statements more
     unsigned answers_to_lose = 0;  // runs so many statements more without answering them
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -100,6 +100,70 @@
     }));
 }
 
+constexpr const char* good_heartbeat =
+    R"({"service":"svc","address":"10.0.0.9:8080","zone":"z1","version":"v1","capacity":3,"state":"ready",)"
+    R"("warmup_remaining_ms":0,"database_role":"replica","sequence_number":4,"born":1780000000000})";
+
+bool is_read(const std::string& heartbeat) {
+    std::string why;
+    return platform::parse_heartbeat("i", heartbeat, why).has_value();
+}
+
+TEST(bodies, a_heartbeat_tells_the_start_that_it_is_of) {
+    std::string why;
+    const auto a = platform::parse_heartbeat("i", good_heartbeat, why);
+    ASSERT_TRUE(a.has_value()) << why;
+    EXPECT_EQ(a->record.started, 1'780'000'000'000U);
+    EXPECT_EQ(a->sequence, 4U);
+    EXPECT_FALSE(a->leaving);
+    EXPECT_EQ(platform::parse_farewell(R"({"born":17})", why), 17U);
+    EXPECT_EQ(platform::parse_farewell("", why), 0U);
+    EXPECT_EQ(platform::parse_farewell(R"({"born":"17"})", why), std::nullopt);
+}
+
+// It names no server to use: a server that is half understood would be used by what it never said.
+TEST(bodies, a_heartbeat_of_another_writer_is_not_read) {
+    const std::string good = good_heartbeat;
+    for (const char* born :
+         {R"("born":"1780000000000")", R"("born":1.5)", R"("born":1.78e12)", R"("born":-1)", R"("born":null)",
+          R"("born":99999999999999999999)", R"("born":true)"}) {
+        EXPECT_FALSE(is_read(replace(good, R"("born":1780000000000)", born))) << born;
+    }
+    EXPECT_FALSE(is_read(replace(good, R"("state":"ready")", R"("state":"resting")")));
+    EXPECT_FALSE(is_read(replace(good, R"("state":"ready")", R"("state":1)")));
+    EXPECT_FALSE(is_read(replace(good, R"("database_role":"replica")", R"("database_role":"witness")")));
+    EXPECT_FALSE(is_read(replace(good, R"("capacity":3)", R"("capacity":"3")")));
+    EXPECT_FALSE(is_read(replace(good, R"("sequence_number":4)", R"("sequence_number":-4)")));
+    EXPECT_FALSE(is_read(replace(good, R"("sequence_number":4)", R"("sequence_number":4e99)")));
+    EXPECT_FALSE(is_read(replace(good, "10.0.0.9:8080", "10.0.0.9:80800")));
+    EXPECT_FALSE(is_read(replace(good, "10.0.0.9:8080", "10.0.0.9")));
+    EXPECT_FALSE(is_read(good.substr(0, good.size() - 1)));
+    EXPECT_FALSE(is_read(good + "}"));
+    EXPECT_FALSE(is_read("[" + good + "]"));
+    EXPECT_FALSE(is_read("\xff\xfe"));
+}
+
+// Real heartbeats with a field taken out, or given a value of another type.
+TEST(bodies, a_heartbeat_is_read_whole_or_not_at_all) {
+    EXPECT_TRUE(rc::check([] {
+        const std::vector<std::string> names{"service",        "address",       "zone",
+                                             "version",        "capacity",      "state",
+                                             "born",           "database_role", "warmup_remaining_ms",
+                                             "sequence_number"};
+        const std::vector<std::string> values{"null", "true", "[]", "{}", "-1", "1.5", "[1]", R"({"a":1})"};
+        const std::string name = *rc::gen::elementOf(names);
+        const std::string good = good_heartbeat;
+        const auto at = good.find("\"" + name + "\":");
+        const auto colon = good.find(':', at);
+        const auto end = good.find_first_of(",}", colon + (name == "address" ? 20 : 1));
+        const bool taken_out = name != "born" && *rc::gen::arbitrary<bool>();
+        const std::string mutated =
+            taken_out ? good.substr(0, at) + R"("x":0)" + good.substr(end)
+                      : good.substr(0, colon + 1) + *rc::gen::elementOf(values) + good.substr(end);
+        RC_ASSERT(!is_read(mutated));
+    }));
+}
+
 TEST(bodies, an_invalid_table_is_refused_with_a_reason) {
     const std::string good = platform_site::table_body(5);
     EXPECT_EQ(why_refused(good), "good");
@@ -163,6 +227,47 @@
     EXPECT_TRUE(s.run_until([&] { return !s.daemons.front().core->cluster().servers.contains({"s3"}); }));
 }
 
+// Where databases tell when they started, a heartbeat or goodbye without that is another writer's, or of
+// nobody knows which start.
+TEST(heartbeats, that_tell_no_start_where_others_do_change_nothing) {
+    platform_site s;
+    s.start();
+    for (fake_server& server : s.group.servers) {
+        server.started = 1'780'000'000'000;
+    }
+    s.beat();
+    const auto& servers = s.daemons.front().core->cluster().servers;
+    ASSERT_TRUE(s.run_until([&] { return servers.at({"s2"}).started != 0; }));
+    const unsigned port = s.daemons.front().control_port;
+    s.server("s2").started = 0;
+    EXPECT_EQ(s.beat_at(s.daemons.front(), s.server("s2")).status, 400);
+    EXPECT_EQ(s.post(port, "/larchpin/instances/s2/deregister", "").status, 400);
+    EXPECT_EQ(s.post(port, "/larchpin/instances/s2/deregister", R"({"born":"x"})").status, 400);
+    EXPECT_EQ(s.post(port, "/larchpin/instances/s2/deregister", R"({"born":1780000000000})").status, 200);
+    EXPECT_TRUE(s.run_until([&] { return !servers.contains({"s2"}); }));
+}
+
+// A primary that is back at once, empty, before anyone missed it: its process is another one.
+TEST(heartbeats, of_a_primary_that_has_started_again_move_the_lead_to_who_holds_the_log) {
+    platform_site s;
+    s.start();
+    for (fake_server& server : s.group.servers) {
+        server.started = 1'780'000'000'000;
+    }
+    s.beat();
+    line_caller c = s.connect("shop");
+    EXPECT_FALSE(c.ask("w1", "STORE k v").done.empty());
+    s.drop_connections("s1");
+    s.server("s1").started += 5'000;
+    s.server("s1").applied = 0;
+    s.beat();
+    const auto& groups = s.daemons.front().core->cluster().groups;
+    EXPECT_TRUE(s.run_until([&] {
+        return groups.at({"svc"}).phase == group_phase::serving &&
+               groups.at({"svc"}).primary != server_id{"s1"};
+    }));
+}
+
 //-----------------------------------------------------------------------------
 // [sessions]
 //-----------------------------------------------------------------------------
--- a/tools/standin/main.cpp
+++ b/tools/standin/main.cpp
@@ -55,6 +55,13 @@
     bool leave = false;
 };
 
+// Tells one start of this server from the next.
+std::uint64_t unix_milliseconds() {
+    const auto since_epoch = std::chrono::system_clock::now().time_since_epoch();
+    return static_cast<std::uint64_t>(
+        std::chrono::duration_cast<std::chrono::milliseconds>(since_epoch).count());
+}
+
 struct server;
 
 //-----------------------------------------------------------------------------
@@ -138,6 +145,7 @@
     tcp::acceptor acceptor;
     asio::steady_timer tick;
     asio::steady_timer announce_timer;
+    const std::uint64_t started = unix_milliseconds();
     std::map<std::uint64_t, std::weak_ptr<session>> sessions;
     std::uint64_t next_session = 1;
     unsigned connection_count = 0;
@@ -656,6 +664,7 @@
     m.mutable_record()->set_domain(opt.domain);
     m.mutable_record()->set_host(opt.host);
     m.mutable_record()->set_port(opt.announce_port == 0 ? opt.port : opt.announce_port);
+    m.mutable_record()->set_started(started);
     m.set_is_primary(data.is_primary);
     m.set_timeline(data.timeline);
     m.set_position(position_of(data));
