A connection leads to the start that is meant: PostgreSQL's is asked, and a primary's log never goes back

Cause: a server that is back at once answers under the same address and name. Change: a PostgreSQL connection asks for the process's start (one statement a connection) and is not used where the record names another. Where the greeting carries a position, a connection to the true primary that opens further back than that primary was seen in its own reign is not used; observers that see it call the server dead for its role, so a holder of the log takes over. Positions told by other daemons name the start that they are of. Not covered: an instance that has never heard of the primary's position and is told no start.

--- a/src/daemon/agent.cpp
+++ b/src/daemon/agent.cpp
@@ -64,6 +64,7 @@
     };
     pools_.on_opening = [this](const server_id& id) { note_asked(id); };
     pools_.on_opened = [this](const server_id& id) { note_answered(id); };
+    pools_.least_mark = [this](const server_id& id) { return least_mark(id); };
     pools_.on_open_failed = [this](const server_id& id) { note_failed(health_[id], now()); };
     on_tick();
 }
--- a/src/daemon/agent.hpp
+++ b/src/daemon/agent.hpp
@@ -108,9 +108,15 @@
         server_observation seen;
         position_sample sample;
         bool has_sample = false;
+        std::optional<log_mark> least_when_asked; // see least_mark()
         std::vector<std::function<void()>> waiting_for_fresh;
         std::vector<std::function<void()>> answering_fresh;
     };
+    // How far the primary of a term has been seen.
+    struct reign {
+        term_number term = 0;
+        log_mark highest;
+    };
     struct heard_announcement {
         server_announcement last;
         time_point at{};
@@ -148,6 +154,8 @@
     void connect_probe(const server_id& id);
     void on_probed(const server_id& id, const backend_outcome& outcome, time_point asked_at);
     void set_alive(probed_server& p, bool alive);
+    [[nodiscard]] std::optional<log_mark> least_mark(const server_id& id) const;
+    void note_reign(const group_record& group, const position_sample& sample);
     void take_sample(const server_id& id, bool is_primary, const position_sample& sample);
     void pull_positions();
     void probe_unreachable();
@@ -190,6 +198,7 @@
     std::map<server_id, server_health> health_;
     std::map<server_id, reachability> reach_;
     std::map<group_id, group_positions> positions_;
+    std::map<group_id, reign> reigns_;
     std::map<group_id, time_point> used_at_;
     struct position_wish {
         time_point since{};
--- a/src/daemon/agent_servers.cpp
+++ b/src/daemon/agent_servers.cpp
@@ -145,6 +145,7 @@
     }
     p.asking = true;
     p.asked_at = now();
+    p.least_when_asked = least_mark(id);
     p.next_at = p.asked_at + config_.probe_interval;
     p.answering_fresh.swap(p.waiting_for_fresh);
     backend_sink sink;
@@ -163,7 +164,16 @@
     probed_server& p = found->second;
     p.asking = false;
     const auto result = driver_.read_position(outcome);
-    if (result) {
+    const bool went_back = result && p.least_when_asked && *result < *p.least_when_asked;
+    if (went_back) {
+        // Dead, as far as the primary goes: it neither holds what it held nor will it again.
+        set_alive(p, false);
+        log_event(severity::warning, "server_log_went_back",
+                  {{"server", id.value},
+                   {"timeline", result->timeline},
+                   {"position", result->position},
+                   {"known_position", p.least_when_asked->position}});
+    } else if (result) {
         const auto role = driver_.position_probe_tells_role ? driver_.read_role(outcome) : std::nullopt;
         const auto group = cluster_.groups.find(p.record.group);
         const bool recorded = group != cluster_.groups.end() && group->second.primary == id;
@@ -189,6 +199,33 @@
 // [positions]
 //-----------------------------------------------------------------------------
 
+// The log of the true primary grows for as long as it is that. One that stands further back than it was seen,
+// on the timeline of its own reign, is another process that came up under its name and holds nothing of what
+// was acknowledged since: believed, it would read acknowledged writes back as absent. Replicas may be rolled
+// back.
+std::optional<log_mark> agent::least_mark(const server_id& id) const {
+    const auto server = cluster_.servers.find(id);
+    if (server == cluster_.servers.end()) {
+        return std::nullopt;
+    }
+    const auto group = cluster_.groups.find(server->second.group);
+    const auto known = reigns_.find(server->second.group);
+    const bool reigns = group != cluster_.groups.end() && known != reigns_.end() &&
+                        group->second.primary == id && group->second.term == known->second.term;
+    return reigns ? std::optional{known->second.highest} : std::nullopt;
+}
+
+void agent::note_reign(const group_record& group, const position_sample& sample) {
+    if (sample.timeline != group.timeline) {
+        return;
+    }
+    reign& known = reigns_[group.id];
+    if (known.term != group.term) {
+        known = {.term = group.term, .highest = {.timeline = sample.timeline, .position = sample.position}};
+    }
+    known.highest.position = std::max(known.highest.position, sample.position);
+}
+
 void agent::take_sample(const server_id& id, bool is_primary, const position_sample& sample) {
     const auto server = cluster_.servers.find(id);
     if (server == cluster_.servers.end()) {
@@ -201,6 +238,9 @@
     }
     group_positions& known = positions_[group_name];
     add_server_sample(known, id, sample, now());
+    if (group->second.primary == id) {
+        note_reign(group->second, sample);
+    }
     bool awaited = !driver_.servers_enforce_floor; // then every sample may let a read go on
     const group_record& record = group->second;
     const bool is_true_primary = is_primary && record.primary == id && record.phase == group_phase::serving &&
@@ -277,6 +317,10 @@
                     return;
                 }
                 for (const auto& e : reply.entries()) {
+                    const auto server = cluster_.servers.find({e.server()});
+                    if (server == cluster_.servers.end() || server->second.start_number != e.start_number()) {
+                        continue; // it tells of another start
+                    }
                     sources_[{e.server()}] = {.address = key, .answered_at = now()};
                     // Its age was told after we asked, so the sample is at most that
                     // much older than our question.
@@ -379,6 +423,7 @@
             e->set_is_primary(p->second.seen.is_primary);
             e->set_timeline(p->second.sample.timeline);
             e->set_position(p->second.sample.position);
+            e->set_start_number(p->second.record.start_number);
         }
         respond({.status = 200, .body = reply.SerializeAsString()});
     };
--- a/src/daemon/pools.cpp
+++ b/src/daemon/pools.cpp
@@ -222,7 +222,20 @@
     if (on_opening) {
         on_opening(key.server);
     }
-    connection->connect([this, key, number](connect_result result) {
+    // Marks that come while it opens may be newer than the one that it opens with.
+    const std::optional<log_mark> least = least_mark ? least_mark(key.server) : std::nullopt;
+    connection->connect([this, key, number, least, opening = connection.get()](connect_result opened) {
+        const bool went_back = opened == connect_result::connected && least && opening->opened_at &&
+                               *opening->opened_at < *least;
+        if (went_back) {
+            log_event(severity::warning, "server_log_went_back",
+                      {{"server", key.server.value},
+                       {"timeline", opening->opened_at->timeline},
+                       {"position", opening->opened_at->position},
+                       {"known_position", least->position}});
+            opening->close();
+        }
+        const connect_result result = went_back ? connect_result::failed : opened;
         if (on_opened && result != connect_result::failed) {
             on_opened(key.server);
         }
--- a/src/daemon/pools.hpp
+++ b/src/daemon/pools.hpp
@@ -70,6 +70,9 @@
     // A connection is being opened to the server; it has answered.
     std::function<void(const server_id&)> on_opening;
     std::function<void(const server_id&)> on_opened;
+    // What the server's log cannot be behind; nothing where that is not known. A connection that opens
+    // further back leads to another process under the same name, and is not used.
+    std::function<std::optional<log_mark>(const server_id&)> least_mark;
     // The server takes no new connections from here (told of by the failure callback).
     std::function<void(const server_id&)> on_open_failed;
 
--- a/src/io/backend_connection.hpp
+++ b/src/io/backend_connection.hpp
@@ -104,8 +104,9 @@
     std::function<bool()> is_open;
     std::function<bool()> is_running;
 
-    std::string applied_settings; // of the pool's last user, as text (PostgreSQL sessions)
-    connection_context held;      // of the pool's last users, where steps are taken
+    std::string applied_settings;      // of the pool's last user, as text (PostgreSQL sessions)
+    connection_context held;           // of the pool's last users, where steps are taken
+    std::optional<log_mark> opened_at; // the server's when it opened; where its greeting carries it
     bool is_lent = false; // by another instance, which knows what the connection holds and plans the steps
 };
 
--- a/src/io/backend_sql.hpp
+++ b/src/io/backend_sql.hpp
@@ -26,6 +26,10 @@
 
 #undef LARCHPIN_TIMELINE_SQL
 
+// One row: when the server process started, in Unix milliseconds, as its announcements tell.
+constexpr std::string_view start_sql =
+    "/* larchpin start */ select (extract(epoch from pg_postmaster_start_time()) * 1000)::bigint";
+
 // The row that makes a request with an idempotency key run at most once: it is written in the request's own
 // transaction, so it lives and dies with the write, also over a failover.
 //   create table larchpin_request (key text primary key, value text)
--- a/src/io/pg_driver.cpp
+++ b/src/io/pg_driver.cpp
@@ -1,6 +1,7 @@
 #include "io/pg_driver.hpp"
 
 #include "io/backend_sql.hpp"
+#include "io/log.hpp"
 #include "io/pg_connection.hpp"
 
 #include <charconv>
@@ -58,6 +59,50 @@
     });
 }
 
+// A server that has started again answers at the same address, under the same name, and may hold nothing.
+// Until control has registered that start nothing is asked of it, so a connection is used only where it leads
+// to the start that the record names. One statement a connection (a round trip; opening takes several).
+void check_start(const std::shared_ptr<backend_connection>& connection, const server_record& server,
+                 const connect_callback& done) {
+    backend_request request;
+    request.text = start_sql;
+    backend_sink sink;
+    sink.keep_first_row = true;
+    sink.on_done = [connection, server, done](const backend_outcome& outcome) {
+        if (outcome.answered && !outcome.failed && outcome.first_value == std::to_string(server.started)) {
+            done(connect_result::connected);
+            return;
+        }
+        log_event(severity::warning, "server_of_another_start",
+                  {{"server", server.id.value}, {"started", server.started}, {"found", outcome.first_value}});
+        connection->close();
+        done(connect_result::failed);
+    };
+    connection->run(request, sink);
+}
+
+std::shared_ptr<backend_connection> make_checked_connection(boost::asio::io_context& io,
+                                                            const settings& config,
+                                                            const server_record& server,
+                                                            const std::string& user) {
+    auto connection = make_pg_connection(io, make_target(config, server, user));
+    if (server.started == 0) {
+        return connection;
+    }
+    connection->connect = [open = connection->connect, weak = std::weak_ptr(connection),
+                           server](const connect_callback& done) {
+        open([weak, server, done](connect_result result) {
+            const auto self = weak.lock();
+            if (result != connect_result::connected || !self) {
+                done(result);
+                return;
+            }
+            check_start(self, server, done);
+        });
+    };
+    return connection;
+}
+
 } // namespace
 
 std::optional<probe_result> parse_probe_row(const backend_outcome& outcome) {
@@ -78,10 +123,10 @@
 backend_driver make_pg_driver(boost::asio::io_context& io, const settings& config) {
     backend_driver d;
     d.make_connection = [&io, &config](const server_record& server, const service_id& service) {
-        return make_pg_connection(io, make_target(config, server, service.value));
+        return make_checked_connection(io, config, server, service.value);
     };
     d.make_probe_connection = [&io, &config](const server_record& server) {
-        return make_pg_connection(io, make_target(config, server, default_probe_user));
+        return make_checked_connection(io, config, server, default_probe_user);
     };
     d.role_probe.text = probe_sql;
     d.position_probe.text = probe_sql;
--- a/tests/fault_test.cpp
+++ b/tests/fault_test.cpp
@@ -149,6 +149,31 @@
     EXPECT_EQ(s.connect_server("g0-s0").run("select pg_is_in_recovery()").value, "t");
 }
 
+// Leases and terms know nothing of what a server holds. It was believed: reads found nothing of what had been
+// acknowledged, and writes landed on it that were lost with the next primary.
+TEST(fault_test, a_primary_that_is_back_empty_before_it_was_missed_is_not_believed) {
+    site s({.lag_ms = 0});
+    ASSERT_TRUE(s.start());
+    ASSERT_TRUE(s.connect(0, "shop", "g0").run("insert into w (key, value) values ('kept', 'v')").ok);
+    ASSERT_TRUE(wait_until([&] { return rows_of(s, "g0-s1", "w").contains("kept"); }));
+    ASSERT_TRUE(wait_until([&] { return rows_of(s, "g0-s2", "w").contains("kept"); }));
+    s.stop_server("g0-s0", SIGKILL);
+    s.start_server("g0-s0");
+    background_writer writer(s, 1, "b");
+    ASSERT_TRUE(wait_until([&] {
+        const outcome read = s.connect(0, "shop", "g0").run("select value from w where key = 'kept'");
+        EXPECT_TRUE(!read.ok || read.value == "v") << "an acknowledged write is read back as absent";
+        return s.term_of("g0") >= 2U && writer.count() > 50;
+    }));
+    writer.stop();
+    const auto rows = rows_of(s, s.primary_of("g0"), "w");
+    EXPECT_TRUE(rows.contains("kept"));
+    for (const std::string& key : writer.log.acknowledged) {
+        EXPECT_TRUE(rows.contains(key)) << key;
+    }
+    expect_none_of(writer.log.not_run, rows, "was called not-run and ran");
+}
+
 TEST(fault_test, a_session_learns_that_its_write_was_lost) {
     site s({.lag_ms = 3000});
     ASSERT_TRUE(s.start());
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -565,6 +565,29 @@
     EXPECT_EQ(c.ask("r", "FETCH k").rows.size(), 1U);
 }
 
+// It tells no start and is back before anyone missed it, but its log has gone back: it is nobody's primary.
+TEST(failover, a_primary_whose_log_has_gone_back_reads_nothing_back_as_absent) {
+    platform_site s;
+    s.start();
+    line_caller c = s.connect("strict");
+    for (int i = 0; i < 5; ++i) {
+        EXPECT_FALSE(c.ask("w" + std::to_string(i), "STORE k v").done.empty());
+    }
+    s.server("s1").applied = 0; // comes back empty
+    s.drop_connections("s1");
+    const auto& groups = s.daemons.front().core->cluster().groups;
+    int tries = 0;
+    while (tries < 100 && groups.at({"svc"}).primary == server_id{"s1"}) {
+        const std::string id = "r" + std::to_string(++tries);
+        c.ask(id, "FETCH k");
+        for (const seen_statement& seen : s.statements_with(id)) {
+            EXPECT_NE(seen.server, "s1") << id;
+        }
+        s.run_for(milliseconds{20});
+    }
+    EXPECT_NE(groups.at({"svc"}).primary, server_id{"s1"});
+}
+
 // After a loss of power a server counts the lost connections for seconds and has no room for new ones.
 TEST(failover, a_primary_that_turns_connections_away_is_not_dead) {
     platform_site s;
--- a/tools/standin/main.cpp
+++ b/tools/standin/main.cpp
@@ -145,7 +145,6 @@
     tcp::acceptor acceptor;
     asio::steady_timer tick;
     asio::steady_timer announce_timer;
-    const std::uint64_t started = unix_milliseconds();
     std::map<std::uint64_t, std::weak_ptr<session>> sessions;
     std::uint64_t next_session = 1;
     unsigned connection_count = 0;
@@ -396,7 +395,7 @@
     }
     host.push_to_replicas();
     host.wake_blocked();
-    const bool is_probe = text.starts_with("/* larchpin probe");
+    const bool is_probe = text.starts_with("/* larchpin"); // no work of a caller
     const double delay_ms = r.sleep_seconds * 1000 + (is_probe ? 0 : host.opt.service_ms);
     if (delay_ms <= 0) {
         emit(r, describe);
@@ -664,7 +663,7 @@
     m.mutable_record()->set_domain(opt.domain);
     m.mutable_record()->set_host(opt.host);
     m.mutable_record()->set_port(opt.announce_port == 0 ? opt.port : opt.announce_port);
-    m.mutable_record()->set_started(started);
+    m.mutable_record()->set_started(data.started);
     m.set_is_primary(data.is_primary);
     m.set_timeline(data.timeline);
     m.set_position(position_of(data));
@@ -706,6 +705,7 @@
 }
 
 void server::start() {
+    data.started = unix_milliseconds();
     data.is_primary = opt.upstream.empty();
     upstream = opt.upstream;
     std::string key;
--- a/tools/standin/store.cpp
+++ b/tools/standin/store.cpp
@@ -256,6 +256,14 @@
     return r;
 }
 
+sql_result run_start(const store& s) {
+    sql_result r;
+    r.columns = {"started"};
+    r.rows = {{std::to_string(s.started)}};
+    r.tag = "SELECT 1";
+    return r;
+}
+
 sql_result run_table_select(const store& s, const transaction& t, const std::vector<word>& words,
                             std::size_t from) {
     const std::string table = at(words, from + 1);
@@ -346,6 +354,9 @@
     if (text.starts_with("/* larchpin probe */")) {
         return run_probe(s);
     }
+    if (text.starts_with("/* larchpin start */")) {
+        return run_start(s);
+    }
     if (first == "begin" || first == "start" || first == "commit" || first == "end" || first == "rollback") {
         return run_transaction_word(s, t, words);
     }
@@ -488,6 +499,9 @@
     if (text.starts_with("/* larchpin probe */")) {
         return {"pg_is_in_recovery", "timeline", "position"};
     }
+    if (text.starts_with("/* larchpin start */")) {
+        return {"started"};
+    }
     if (first == "show") {
         return {at(words, 1)};
     }
--- a/tools/standin/store.hpp
+++ b/tools/standin/store.hpp
@@ -27,6 +27,7 @@
 using keyed_table = std::map<std::string, std::string>;
 
 struct store {
+    std::uint64_t started = 0; // Unix milliseconds; tells one start of this server from the next
     bool is_primary = false;
     std::uint64_t timeline = 1;
     std::vector<commit_record> log;
