A leaving server goes on where nobody else holds the log; the model plays leaving and new starts; a rewound stand-in is another start

Where the only holder of the newest log leaves, nobody could take over and nobody could follow: no primary for good. Change: it is chosen where no other candidate is left, in a planned switch only after switchover_wait; nothing is sent to it after its time all the same.

--- a/src/core/failover.cpp
+++ b/src/core/failover.cpp
@@ -43,22 +43,39 @@
     return a_weight != b_weight ? a_weight > b_weight : a.server < b.server;
 }
 
-const server_answer* best_candidate(const cluster_state& s, const group_record& group, const failover& f) {
+bool may_lead(const cluster_state& s, const group_record& group, const failover& f,
+              const server_answer& answer) {
+    if (!answer.answered || answer.timeline < group.timeline) {
+        return false;
+    }
+    // It started again and has lost a part of its log. As long as another server may hold that, waiting is
+    // better than going on without it; one that is lost for good loses its record.
+    const bool lost_log = answer.server == group.primary && answer.position < f.restarted_at;
+    return !lost_log || servers_of(s, group.id).size() <= 1;
+}
+
+const server_answer* longest_log(const cluster_state& s, const group_record& group, const failover& f,
+                                 bool of_leaving) {
     const server_answer* best = nullptr;
     for (const auto& [id, answer] : f.answers) {
-        if (!answer.answered || is_leaving(s, id) || answer.timeline < group.timeline) {
-            continue;
-        }
-        // It started again and has lost a part of its log. As long as another server may hold that, waiting
-        // is better than going on without it; one that is lost for good loses its record.
-        const bool lost_log = id == group.primary && answer.position < f.restarted_at;
-        if (lost_log && servers_of(s, group.id).size() > 1) {
+        if (!may_lead(s, group, f, answer) || is_leaving(s, id) != of_leaving) {
             continue;
         }
         if (best == nullptr || better_candidate(s, f, answer, *best)) {
             best = &answer;
         }
     }
+    return best;
+}
+
+// A server that leaves goes on only where nobody else holds the log: the others can follow it then, and one
+// of them takes over when it has caught up. A planned switch has tried to do without for a while before that.
+const server_answer* best_candidate(const control_state& c, const cluster_state& s, const group_record& group,
+                                    const failover& f, time_point now) {
+    const server_answer* best = longest_log(s, group, f, false);
+    if (best == nullptr && (!f.planned || now - f.started_at >= c.config.switchover_wait)) {
+        best = longest_log(s, group, f, true);
+    }
     // A planned switch waits for its target to hold everything that the old primary holds.
     if (best != nullptr && f.planned && f.wanted) {
         const auto wanted = f.answers.find(*f.wanted);
@@ -120,7 +137,7 @@
 
 void promote_best(control_state& c, const cluster_state& s, const group_record& group, failover& f,
                   time_point now, control_actions& actions) {
-    const server_answer* best = best_candidate(s, group, f);
+    const server_answer* best = best_candidate(c, s, group, f, now);
     if (best == nullptr) {
         return;
     }
--- a/tests/cluster_fuzz_test.cpp
+++ b/tests/cluster_fuzz_test.cpp
@@ -31,6 +31,7 @@
     std::uint64_t failovers = 0;
     std::uint64_t acknowledged = 0;
     std::uint64_t in_force = 0;
+    std::uint64_t left = 0;
     const bool held = rc::check(what, [&] {
         const auto seed = *rc::gen::arbitrary<std::uint32_t>();
         cluster_model model(seed, rates, {});
@@ -41,12 +42,14 @@
         failovers += model.failovers;
         acknowledged += model.acknowledged;
         in_force += model.edits_in_force;
+        left += model.leaves_acked;
     });
     EXPECT_TRUE(held);
     EXPECT_GT(acknowledged, 0U);
     EXPECT_GT(in_force, 0U);
+    EXPECT_EQ(left > 0, rates.leave > 0);
     std::cout << what << ": " << failovers << " promotions, " << acknowledged << " writes acknowledged, "
-              << in_force << " edits in force\n";
+              << in_force << " edits in force, " << left << " servers left\n";
 }
 
 // Breaks one rule and expects the model to notice within some seeds.
@@ -113,8 +116,33 @@
     expect_no_violation(rates, "one standing by");
 }
 
+// Servers leave, end and start again under their id, while leaders change and announcements are late.
+TEST(cluster_fuzz, holds_when_servers_leave_and_start_again) {
+    fault_rates rates = all_faults();
+    rates.leave = 0.01;
+    rates.cut = 0.002;
+    expect_no_violation(rates, "servers leave");
+}
+
+// The only holder of the newest log was leaving: it was no candidate, and nobody could catch up without it.
+TEST(cluster_fuzz, heals_where_the_only_holder_of_the_log_leaves) {
+    fault_rates rates = all_faults();
+    rates.leave = 0.01;
+    rates.cut = 0.002;
+    cluster_model model(8914, rates, {});
+    EXPECT_EQ(model.run(steps), "");
+    EXPECT_EQ(model.run_until_healthy(), "");
+}
+
 // The rules, broken one by one: each must be noticed, or the checks above prove nothing.
 
+TEST(cluster_fuzz, notices_leaving_that_was_acknowledged_from_memory) {
+    fault_rates rates = all_faults();
+    rates.leave = 0.01;
+    rates.cut = 0.002;
+    expect_violation(rates, {.leaving_acked_from_memory = true});
+}
+
 TEST(cluster_fuzz, notices_acknowledgements_without_a_lease) {
     fault_rates rates = all_faults();
     rates.server_freeze = 0.004;
--- a/tests/cluster_model.cpp
+++ b/tests/cluster_model.cpp
@@ -24,6 +24,9 @@
                               .encode_state = encode_state,
                               .decode_state = decode_state};
 
+// Long enough for a leader to be replaced meanwhile, several times in a run.
+constexpr duration leave_time = std::chrono::seconds{3};
+
 duration ms(int n) {
     return std::chrono::milliseconds{n};
 }
@@ -251,13 +254,17 @@
     }
     const bool has_all = !from.recent.empty() && from.recent.front().index <= d.copy.revision + 1;
     if (!has_all) {
+        const revision_number first_new = d.copy.revision + 1;
         d.copy = from.cluster;
+        follow_leaving(d.leaves, d.copy, first_new);
     }
     for (const raft::entry& e : from.recent) {
         if (e.index == d.copy.revision + 1) {
             apply(d.copy, e.index, decode_command(e.command).value_or(std::monostate{}));
+            follow_leaving(d.leaves, d.copy, e.index);
         }
     }
+    acknowledge_leaving(d);
     note_applied(d.lease, d.copy.revision);
     d.next_renewal = now_;
 }
@@ -320,7 +327,8 @@
             r.announcements.push_back({.record = s.record,
                                        .is_primary = s.is_primary,
                                        .timeline = s.timeline,
-                                       .position = s.writes.size()});
+                                       .position = s.writes.size(),
+                                       .leaving = s.leaves});
         }
     }
     return r;
@@ -371,6 +379,7 @@
             }
             const revision_number counts_from = broken_.grant_counts_at_once ? 0 : reply->revision;
             add_grant(self.lease, sent, reply->lease, counts_from, self.copy.revision);
+            note_current(self.leaves, reply->revision, sent);
         });
     });
 }
@@ -538,6 +547,73 @@
 // [checks]
 //-----------------------------------------------------------------------------
 
+//-----------------------------------------------------------------------------
+// [leaving]
+//-----------------------------------------------------------------------------
+
+// One server at a time. It ends when its time is over and another one leads, and starts again under its id.
+void cluster_model::begin_or_end_leaving() {
+    const auto leaving =
+        std::find_if(servers_.begin(), servers_.end(), [](const model_server& s) { return s.leaves; });
+    if (leaving == servers_.end()) {
+        if (chance(rates_.leave)) {
+            servers_[static_cast<std::size_t>(number(static_cast<int>(servers_.size()) - 1))].leaves = true;
+        }
+        return;
+    }
+    const bool over = leaving->leave_acked_at && now_ > *leaving->leave_acked_at + leave_time * 2;
+    if (over && !leaving->is_primary && runs(*leaving)) {
+        leaving->leaves = false;
+        leaving->leave_acked_at.reset();
+        leaving->record.started += 1'000;
+        leaving->writes.clear(); // it holds nothing of before
+        leaving->timeline = 1;
+    }
+}
+
+// The daemon whose copy shows it has the announcement's answer to give.
+void cluster_model::acknowledge_leaving(const model_daemon& d) {
+    for (model_server& s : servers_) {
+        const auto known = d.copy.servers.find(s.record.id);
+        const bool agreed = known != d.copy.servers.end() && known->second.leaving &&
+                            known->second.started == s.record.started;
+        const bool answers =
+            lease_is_live(d.lease, clock_of(d)) && (agreed || broken_.leaving_acked_from_memory);
+        if (s.leaves && !s.leave_acked_at && answers) {
+            s.leave_acked_at = now_;
+            s.leave_acked_by = d.copy.revision;
+            ++leaves_acked;
+        }
+    }
+}
+
+// Nobody who may send requests sends any to a server whose time is over, and nobody forgets that it leaves.
+void cluster_model::check_leaving() {
+    for (const model_server& s : servers_) {
+        if (!s.leave_acked_at) {
+            continue;
+        }
+        const auto known = agreed_.servers.find(s.record.id);
+        const bool same_start = known != agreed_.servers.end() && known->second.started == s.record.started;
+        // What the model has gathered of the log may be behind: whoever committed last may be down.
+        const bool gathered = agreed_.revision >= s.leave_acked_by;
+        if (gathered && same_start && !known->second.leaving) {
+            violate("it was acknowledged to " + s.record.id.value + " that it leaves, and is forgotten");
+        }
+        if (now_ < *s.leave_acked_at + leave_time) {
+            continue;
+        }
+        for (const model_daemon& d : daemons_) {
+            const bool sends = runs(d) && lease_is_live(d.lease, clock_of(d)) &&
+                               d.copy.servers.contains(s.record.id) &&
+                               !is_leave_over(d.leaves, s.record.id, leave_time, clock_of(d));
+            if (sends) {
+                violate("a request may reach " + s.record.id.value + " after its time");
+            }
+        }
+    }
+}
+
 void cluster_model::check_removals() {
     // Once a disk, give or take changes that a deposed leader proposed in vain.
     if (members_removed > disks_lost * 3) {
@@ -591,6 +667,7 @@
         apply(agreed_, e.index, decode_command(e.command).value_or(std::monostate{}));
     }
     check_removals();
+    check_leaving();
     if (leaders > 1) {
         violate("two control instances may lead at once");
     }
@@ -656,8 +733,9 @@
         servers_[i].record = {.id = {"s" + std::to_string(i)},
                               .group = the_group,
                               .host = "127.0.0.1",
-                              .port = 1,
-                              .domain = domain_of(i)};
+                              .port = static_cast<std::uint16_t>(1 + i),
+                              .domain = domain_of(i),
+                              .started = 1'000};
         servers_[i].is_primary = i == 0;
     }
 }
@@ -676,6 +754,7 @@
         run_daemon(i);
     }
     replicate();
+    begin_or_end_leaving();
     inject_faults();
     check();
 }
@@ -730,6 +809,14 @@
             return c.name + " knows too few voters after the faults have ended";
         }
     }
+    // The end may fall into a switchover, which an operator or a leaving primary may bring at any time.
+    const auto all_accept = [this] {
+        return std::all_of(daemons_.begin(), daemons_.end(),
+                           [this](const model_daemon& d) { return accepts_acknowledgements(d); });
+    };
+    for (int more = 0; more < 10 && !all_accept() && violation_.empty(); ++more) {
+        run(50);
+    }
     for (const model_daemon& d : daemons_) {
         if (!accepts_acknowledgements(d)) {
             return d.id.value + " takes no writes after the faults have ended";
--- a/tests/cluster_model.hpp
+++ b/tests/cluster_model.hpp
@@ -7,6 +7,7 @@
 
 #include "core/control_core.hpp"
 #include "core/lease.hpp"
+#include "core/leave_times.hpp"
 
 #include <functional>
 #include <map>
@@ -33,16 +34,18 @@
     double peer_cut = 0.0; // of one control instance from the other ones only
     double edit = 0.02;
     double switchover = 0.002;
+    double leave = 0.0; // of a server, while none leaves; it ends later and starts again under its id
 };
 
 // Rules of the core that a test may break on purpose, to see that the model notices.
 struct broken_rules {
-    bool ack_without_lease = false;        // daemons acknowledge by their copy of the record alone
-    bool grant_counts_at_once = false;     // a lease counts before its revision is applied
-    bool leader_without_lease = false;     // a leader acts although it may have been replaced
-    bool forget_votes = false;             // a restarted control instance has lost its last vote
-    bool lost_disk_keeps_identity = false; // and votes again
-    bool share_before_confirmed = false;   // a smaller share counts before the daemon has confirmed it
+    bool ack_without_lease = false;         // daemons acknowledge by their copy of the record alone
+    bool grant_counts_at_once = false;      // a lease counts before its revision is applied
+    bool leader_without_lease = false;      // a leader acts although it may have been replaced
+    bool forget_votes = false;              // a restarted control instance has lost its last vote
+    bool lost_disk_keeps_identity = false;  // and votes again
+    bool leaving_acked_from_memory = false; // before control has agreed that the server leaves
+    bool share_before_confirmed = false;    // a smaller share counts before the daemon has confirmed it
 };
 
 struct model_control {
@@ -68,6 +71,7 @@
     std::uint64_t incarnation = 0;
     cluster_state copy;
     lease_state lease;
+    leave_times leaves;
     std::uint64_t last_seq = 0;
     unsigned share = 0;
     unsigned open = 0; // connections
@@ -86,6 +90,9 @@
     std::uint64_t timeline = 1;
     std::vector<std::uint64_t> writes; // the log; its size is the position
     time_point frozen_until{};
+    bool leaves = false;
+    std::optional<time_point> leave_acked_at;
+    revision_number leave_acked_by = 0; // of the copy that it was acknowledged by
 };
 
 class cluster_model {
@@ -99,6 +106,7 @@
     std::uint64_t failovers = 0;
     std::uint64_t acknowledged = 0;
     std::uint64_t edits_in_force = 0;
+    std::uint64_t leaves_acked = 0;
     std::uint64_t refused_edits = 0;
     std::uint64_t disks_lost = 0;
     std::uint64_t members_removed = 0; // lost identities
@@ -128,6 +136,9 @@
     void propose_random_edit();
     void check();
     void check_removals();
+    void begin_or_end_leaving();
+    void acknowledge_leaving(const model_daemon& d);
+    void check_leaving();
     void violate(const std::string& what);
     bool chance(double p);
     int number(int highest);
--- a/tests/control_test.cpp
+++ b/tests/control_test.cpp
@@ -389,6 +389,38 @@
     }
 }
 
+// Nobody could follow anyone otherwise, and the group would stay without a primary for good.
+TEST(leaving, a_server_that_leaves_is_chosen_where_nobody_else_holds_the_log) {
+    control_site s = make_site();
+    server_announcement bye = announce("s1", true, 2);
+    bye.leaving = true;
+    s.renew("x", {bye}, all_alive());
+    s.tick();
+    s.renew("x", {}, all_alive()); // confirms the fence
+    s.tick();
+    const auto answer_all = [&s] {
+        while (const auto probe = s.take_open<probe_server>()) {
+            const bool holds = probe->server.id == server_id{"s1"};
+            s.answer({.operation = probe->operation,
+                      .server = probe->server.id,
+                      .answered = true,
+                      .is_primary = holds,
+                      .timeline = holds ? 1U : 0U,
+                      .position = holds ? 20U : 0U});
+        }
+    };
+    answer_all();
+    EXPECT_EQ(s.group().phase, group_phase::fencing) << "the others may catch up";
+    for (int i = 0; i < 10; ++i) {
+        s.now += milliseconds{500};
+        s.renew("x", {}, all_alive());
+        s.tick();
+        answer_all();
+    }
+    EXPECT_EQ(s.group().primary, server_id{"s1"});
+    EXPECT_GE(s.group().term, 2U);
+}
+
 TEST(leaving, a_server_that_is_gone_loses_its_record_but_not_while_it_is_the_primary) {
     control_site s = make_site();
     server_announcement gone = announce("s2", false, 9);
--- a/tools/standin/main.cpp
+++ b/tools/standin/main.cpp
@@ -137,6 +137,8 @@
     void on_upstream(const pg_message& m);
     void set_option(const std::string& name, const std::string& value);
     void announce();
+    void rewind();
+    void end_callers();
     void on_announced(const wire::announcement_reply& reply);
 
     asio::io_context& io;
@@ -622,13 +624,32 @@
     pending.push_back(p);
 }
 
+// A replica whose log has parted from its primary's is rewound, and that takes a restart of the process:
+// nobody who is connected to it stays so, and what comes up is another start.
+void server::rewind() {
+    if (!data.log.empty()) {
+        data.started = unix_milliseconds();
+        end_callers();
+    }
+    clear_store(data);
+}
+
+void server::end_callers() {
+    for (auto& [id, weak] : sessions) {
+        if (auto s = weak.lock(); s && !s->is_replica) {
+            boost::system::error_code ignored;
+            s->socket.close(ignored);
+        }
+    }
+}
+
 void server::apply_due() {
     const time_point at = now();
     while (!pending.empty() && pending.front().due <= at) {
         const pending_record p = pending.front();
         pending.pop_front();
         if (p.reset) {
-            clear_store(data);
+            rewind();
         } else if (p.timeline != 0) {
             data.timeline = p.timeline;
         } else {
@@ -694,12 +715,7 @@
     if (data.is_primary) {
         data.is_primary = false; // replaced while away
         data.locks.clear();
-        for (auto& [id, weak] : sessions) {
-            if (auto s = weak.lock(); s && !s->is_replica) {
-                boost::system::error_code ignored;
-                s->socket.close(ignored);
-            }
-        }
+        end_callers();
     }
     follow(reply.primary().host() + ":" + std::to_string(reply.primary().port()));
 }
