A removed server's open proposal goes with it; comments stand once, in the header

Cause: a proposal that was overtaken by the record's removal stayed in the leader's list, and an equal announcement later was taken for proposed already.

--- a/src/core/announcements.cpp
+++ b/src/core/announcements.cpp
@@ -52,10 +52,9 @@
     return known == s.servers.end() ? nullptr : &known->second;
 }
 
-// The record that an announcement asks for. That a server leaves is told to it as promised, so neither a
-// later word of it, nor silence, nor another leader takes that back: it stands in the log until the record
-// goes.
-// Of a new start nothing of that holds.
+// The record that an announcement asks for. A server that leaves was promised that nothing reaches it, so
+// neither a later word of it, nor silence, nor another leader takes its leaving back. Nothing of it holds for
+// a new start.
 server_record wanted_record(control_state& c, const cluster_state& s, const server_announcement& a,
                             bool is_new_start) {
     server_record record = a.record;
@@ -272,7 +271,6 @@
     found_group(c, s, founder, actions);
 }
 
-// A server that has ended loses its record, unless a group still needs another primary in its place.
 void remove_if_gone(control_state& c, const cluster_state& s, const server_announcement& a,
                     control_actions& actions) {
     const auto group = s.groups.find(a.record.group);
@@ -285,8 +283,6 @@
     }
 }
 
-// Others announce themselves, but it neither does nor answers: it is gone without a word. Should it come
-// back, it announces itself.
 void forget_lost_servers(control_state& c, const cluster_state& s, time_point now, control_actions& actions) {
     if (now - c.looked_for_lost_at < lost_look_interval) {
         return;
--- a/src/core/control.cpp
+++ b/src/core/control.cpp
@@ -285,6 +285,7 @@
     for (const server_id& id : c.proposed_removals) {
         if (!s.servers.contains(id)) {
             c.announced.erase(id); // whoever comes back starts anew
+            c.proposed_servers.erase(id);
         }
     }
     std::erase_if(c.proposed_removals, [&s](const server_id& id) { return !s.servers.contains(id); });
--- a/src/core/failover.cpp
+++ b/src/core/failover.cpp
@@ -161,8 +161,6 @@
     return now - d.seen_at <= c.config.observation_age;
 }
 
-// A majority of the observers must call it dead, so that neither a one-way cut nor one sick observer is
-// taken for a death.
 bool looks_dead(const control_state& c, const server_id& server, time_point now) {
     const auto observers = c.observers.find(server);
     if (observers == c.observers.end() || observers->second.empty()) {
@@ -193,8 +191,6 @@
     return server_settings(s.current, server).leaving || (known != s.servers.end() && known->second.leaving);
 }
 
-// The primary says that it is leaving, and another server of the group can take over. That none can is noted
-// once.
 bool must_leave_primary(control_state& c, const cluster_state& s, const group_record& group, time_point now,
                         control_actions& actions) {
     if (!is_leaving(s, group.primary)) {
@@ -239,7 +235,6 @@
     c.failovers[group.id] = std::move(f);
 }
 
-// Takes up what the log says: a fence that committed, a finished failover, an earlier leader's open one.
 void follow_record(control_state& c, const group_record& group, revision_number revision, time_point now) {
     auto found = c.failovers.find(group.id);
     if (group.phase == group_phase::serving) {
--- a/tests/control_test.cpp
+++ b/tests/control_test.cpp
@@ -551,7 +551,7 @@
 // start at all: its word looks late. But late words end, and this one goes on while the other start is
 // silent.
 TEST(starts, one_that_looks_earlier_is_believed_when_it_goes_on_and_the_later_one_is_silent) {
-    for (const std::uint64_t started : {500, 1'000, 0}) {
+    for (const std::uint64_t started : {500U, 1'000U, 0U}) {
         control_site s = make_site_with_starts();
         const std::uint64_t first_number = s.cluster.servers.at({"s2"}).start_number;
         for (std::uint64_t i = 1; i <= 5; ++i) {
