Which start of a server was made primary stands in the log; a group whose servers all came back empty gets a primary again

Cause: only the leader that took the announcement knew that the primary had started again; had it gone before the fence committed, the next one would have believed the new start. And where all servers of a group come back empty nobody is on the newest timeline, so nobody was ever a candidate. Both read in the code. Change: group_record.primary_start, compared on every tick.

--- a/src/core/announcements.cpp
+++ b/src/core/announcements.cpp
@@ -93,6 +93,8 @@
     record.id = group;
     record.term = 1;
     record.primary = a.record.id;
+    const server_record* founder = newest_record(c, s, a.record.id);
+    record.primary_start = founder == nullptr ? 0 : founder->start_number;
     record.timeline = a.timeline;
     record.starts = {term_start{.term = 1, .position = 0}};
     c.proposed_groups.insert(group);
--- a/src/core/cluster_state.cpp
+++ b/src/core/cluster_state.cpp
@@ -227,6 +227,12 @@
     return defaults;
 }
 
+bool has_primary_restarted(const cluster_state& s, const group_record& group) {
+    const auto primary = s.servers.find(group.primary);
+    return group.primary_start != 0 && primary != s.servers.end() &&
+           primary->second.start_number != group.primary_start;
+}
+
 std::vector<server_record> servers_of(const cluster_state& s, const group_id& group) {
     std::vector<server_record> found;
     for (const auto& [id, record] : s.servers) {
--- a/src/core/cluster_state.hpp
+++ b/src/core/cluster_state.hpp
@@ -114,6 +114,7 @@
     group_id id;
     term_number term = 0;
     server_id primary;
+    std::uint64_t primary_start = 0; // the start of it that was made the primary; 0: not known
     group_phase phase = group_phase::serving;
     std::uint64_t timeline = 0;     // the primary's own count of promotions
     std::vector<term_start> starts; // oldest first, the last max_term_starts
@@ -213,6 +214,9 @@
 // The operators' entry, or the defaults where there is none.
 server_entry server_settings(const table& t, const server_id& id);
 
+// The process that was made the primary has ended, and another one runs under its name.
+bool has_primary_restarted(const cluster_state& s, const group_record& group);
+
 std::vector<server_record> servers_of(const cluster_state& s, const group_id& group);
 
 // The largest position of `term` that later terms still hold; nothing where the term is unknown.
--- a/src/core/control.cpp
+++ b/src/core/control.cpp
@@ -307,7 +307,7 @@
             advance(c, s, group, running->second, now, actions);
         } else if (group.phase == group_phase::fencing) {
             follow_record(c, group, s.revision, now);
-        } else if (looks_dead(c, group.primary, now)) {
+        } else if (looks_dead(c, group.primary, now) || has_primary_restarted(s, group)) {
             begin_failover(c, group, false, {}, now, actions);
         } else if (must_leave_primary(c, s, group, now, actions)) {
             c.switched_at[id] = now;
--- a/src/core/failover.cpp
+++ b/src/core/failover.cpp
@@ -43,22 +43,39 @@
     return a_weight != b_weight ? a_weight > b_weight : a.server < b.server;
 }
 
-bool may_lead(const cluster_state& s, const group_record& group, const failover& f,
+// The primary's process is gone with what it held, and every server of the group has answered: none holds the
+// newest timeline, and none will. Then the longest log there is goes on, under an authority that counts
+// terms.
+bool is_timeline_lost(const control_state& c, const cluster_state& s, const group_record& group,
+                      const failover& f) {
+    const auto servers = servers_of(s, group.id);
+    return c.config.always_promote && has_primary_restarted(s, group) &&
+           std::all_of(servers.begin(), servers.end(), [&f, &group](const server_record& server) {
+               const auto answer = f.answers.find(server.id);
+               return answer != f.answers.end() && answer->second.answered &&
+                      answer->second.timeline < group.timeline;
+           });
+}
+
+bool may_lead(const control_state& c, const cluster_state& s, const group_record& group, const failover& f,
               const server_answer& answer) {
-    if (!answer.answered || answer.timeline < group.timeline) {
+    if (!answer.answered) {
         return false;
     }
+    if (answer.timeline < group.timeline) {
+        return is_timeline_lost(c, s, group, f);
+    }
     // It started again and has lost a part of its log. As long as another server may hold that, waiting is
     // better than going on without it; one that is lost for good loses its record.
     const bool lost_log = answer.server == group.primary && answer.position < f.restarted_at;
     return !lost_log || servers_of(s, group.id).size() <= 1;
 }
 
-const server_answer* longest_log(const cluster_state& s, const group_record& group, const failover& f,
-                                 bool of_leaving) {
+const server_answer* longest_log(const control_state& c, const cluster_state& s, const group_record& group,
+                                 const failover& f, bool of_leaving) {
     const server_answer* best = nullptr;
     for (const auto& [id, answer] : f.answers) {
-        if (!may_lead(s, group, f, answer) || is_leaving(s, id) != of_leaving) {
+        if (!may_lead(c, s, group, f, answer) || is_leaving(s, id) != of_leaving) {
             continue;
         }
         if (best == nullptr || better_candidate(s, f, answer, *best)) {
@@ -72,9 +89,9 @@
 // of them takes over when it has caught up. A planned switch has tried to do without for a while before that.
 const server_answer* best_candidate(const control_state& c, const cluster_state& s, const group_record& group,
                                     const failover& f, time_point now) {
-    const server_answer* best = longest_log(s, group, f, false);
+    const server_answer* best = longest_log(c, s, group, f, false);
     if (best == nullptr && (!f.planned || now - f.started_at >= c.config.switchover_wait)) {
-        best = longest_log(s, group, f, true);
+        best = longest_log(c, s, group, f, true);
     }
     // A planned switch waits for its target to hold everything that the old primary holds.
     if (best != nullptr && f.planned && f.wanted) {
@@ -107,12 +124,14 @@
     }
 }
 
-void publish(const group_record& group, failover& f, const server_answer& winner, time_point now,
-             control_actions& actions) {
+void publish(const cluster_state& s, const group_record& group, failover& f, const server_answer& winner,
+             time_point now, control_actions& actions) {
     enter(f, failover_step::publishing, now);
     group_record next = group;
     next.term = group.term + 1;
     next.primary = winner.server;
+    const auto record = s.servers.find(winner.server);
+    next.primary_start = record == s.servers.end() ? 0 : record->second.start_number;
     next.phase = group_phase::serving;
     next.timeline = winner.timeline;
     next.starts.push_back({.term = next.term, .position = winner.position});
@@ -143,7 +162,7 @@
     }
     if (best->is_primary && !c.config.always_promote) {
         // The old primary was chosen again, or an earlier leader's promotion is found done.
-        publish(group, f, *best, now, actions);
+        publish(s, group, f, *best, now, actions);
         return;
     }
     enter(f, failover_step::promoting, now);
@@ -319,7 +338,7 @@
         const bool same_reign =
             c.config.always_promote && a.server == group.primary && a.timeline == group.timeline;
         if (a.answered && a.is_primary && (new_reign || same_reign)) {
-            publish(group, f, a, now, actions);
+            publish(s, group, f, a, now, actions);
         } else if (a.undecided && s.servers.contains(a.server) && now - f.step_at < c.config.promote_wait) {
             order_promotion(c, s, group, f, f.ordered_timeline, now, actions);
         } else {
--- a/src/io/codec.cpp
+++ b/src/io/codec.cpp
@@ -137,6 +137,7 @@
     v.id = {m.id()};
     v.term = m.term();
     v.primary = {m.primary()};
+    v.primary_start = m.primary_start();
     v.phase = m.phase() == 0 ? group_phase::serving : group_phase::fencing;
     v.timeline = m.timeline();
     for (const auto& start : m.starts()) {
@@ -149,6 +150,7 @@
     m.set_id(v.id.value);
     m.set_term(v.term);
     m.set_primary(v.primary.value);
+    m.set_primary_start(v.primary_start);
     m.set_phase(static_cast<std::uint32_t>(v.phase));
     m.set_timeline(v.timeline);
     for (const term_start& start : v.starts) {
--- a/tests/control_test.cpp
+++ b/tests/control_test.cpp
@@ -547,6 +547,44 @@
     EXPECT_NE(order->server.id, server_id{"s1"});
 }
 
+// The leader that registered the new start may be gone before it has fenced the group.
+TEST(starts, a_new_leader_sees_that_the_primary_has_started_again) {
+    control_site s = make_site_with_starts();
+    server_record again = s.cluster.servers.at({"s1"});
+    again.started = 2'000;
+    again.start_number += 1'000;
+    apply(s.cluster, s.cluster.revision + 1, register_server{again});
+    start_leading(s.control, 4, s.now);
+    s.now += std::chrono::seconds{3};
+    s.renew("x", {}, all_alive());
+    s.tick();
+    EXPECT_EQ(s.group().phase, group_phase::fencing);
+}
+
+// All servers of the group have come back empty: nobody holds the newest timeline any more, and nobody will.
+TEST(starts, a_group_whose_servers_all_lost_their_logs_gets_a_primary_again) {
+    for (const bool one_is_silent : {true, false}) {
+        control_site s = make_site_with_starts();
+        s.control.config.always_promote = true;
+        s.renew("x",
+                {announce_start("s1", false, 2'000, 1), announce_start("s2", false, 2'000, 1),
+                 announce_start("s3", false, 2'000, 1)},
+                all_alive());
+        s.tick();
+        s.renew("x", {}, all_alive()); // confirms the fence
+        s.tick();
+        while (const auto probe = s.take_open<probe_server>()) {
+            s.answer({.operation = probe->operation,
+                      .server = probe->server.id,
+                      .answered = !one_is_silent || probe->server.id != server_id{"s3"},
+                      .timeline = 0});
+        }
+        s.now += milliseconds{400};
+        s.tick();
+        EXPECT_EQ(s.take_open<promote_server>().has_value(), !one_is_silent);
+    }
+}
+
 // The server's clock was set back while it was down, or two starts fell into one millisecond, or it tells no
 // start at all: its word looks late. But late words end, and this one goes on while the other start is
 // silent.
