--- a/src/core/announcements.hpp
+++ b/src/core/announcements.hpp
@@ -11,6 +11,7 @@
 
 namespace larchpin {
 
+// An announcement has come with a daemon's renewal; the same one may come several times, by several daemons.
 void take_announcement(control_state& c, const cluster_state& s, const server_announcement& a, time_point now,
                        control_actions& actions);
 
