A name that stands twice in a body is refused, with its numbered code

Cause: of two fields of one name the last one counted; another reader may take the first, so nobody knows what the writer meant. Ruled out: keeping the last one and noting it: a heartbeat with two states would begin or not begin a server's leave by the order of its fields. Before: accepted (state twice: the last). After: 400, {"code":2007,"error":"state stands twice"}; bodies.a_name_that_stands_twice_is_refused. Conclusion: nothing of a refused body is taken up.

--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -164,6 +164,24 @@
     }));
 }
 
+// Readers differ in which of the two counts, so nobody knows what the writer meant.
+TEST(bodies, a_name_that_stands_twice_is_refused) {
+    const std::string good = good_heartbeat;
+    const std::string twice = replace(good, R"("state":)", R"("state":"draining","state":)");
+    std::string why;
+    EXPECT_FALSE(platform::parse_heartbeat("s1", twice, why).has_value());
+    EXPECT_EQ(why, "state stands twice");
+    EXPECT_FALSE(platform::parse_farewell(R"({"born":1,"born":2})", why).has_value());
+    EXPECT_TRUE(platform::parse_farewell(R"({"born":1,"x":{"born":2}})", why).has_value())
+        << "in another object";
+    const std::string table = platform_site::table_body(5);
+    EXPECT_EQ(why_refused(replace(table, R"("version":5)", R"("version":5,"version":6)")),
+              "version stands twice");
+    const std::string route_twice =
+        replace(table, R"("timeout_ms":800)", R"("timeout_ms":800,"timeout_ms":80)");
+    EXPECT_EQ(why_refused(route_twice), "timeout_ms stands twice");
+}
+
 TEST(bodies, an_invalid_table_is_refused_with_a_reason) {
     const std::string good = platform_site::table_body(5);
     EXPECT_EQ(why_refused(good), "good");
@@ -221,7 +239,9 @@
     platform_site s;
     s.start();
     const unsigned port = s.daemons.front().control_port;
-    EXPECT_EQ(s.post(port, "/larchpin/instances/x/heartbeat", "{}").status, 400);
+    const auto refused = s.post(port, "/larchpin/instances/x/heartbeat", "{}");
+    EXPECT_EQ(refused.status, 400);
+    EXPECT_EQ(refused.body, R"({"code":2007,"error":"service is missing"})");
     EXPECT_EQ(s.post(port, "/larchpin/instances//heartbeat", "{}").status, 404);
     EXPECT_EQ(s.post(port, "/larchpin/instances/s3/deregister", "").status, 200);
     EXPECT_TRUE(s.run_until([&] { return !s.daemons.front().core->cluster().servers.contains({"s3"}); }));
