One bad entry among the control addresses leaves the others in force

Cause: a list that somebody else renders had to be right as a whole, or an instance refused all of its settings, also at a reload. Ruled out: the same for founders: their first entry is made of the whole list, and two founders with different lists would begin two logs. They refuse to start with a part of it. Before: 1004, no start, no reload. After: settings.a_bad_control_address_leaves_the_others_in_force and two more.

--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -142,6 +142,8 @@
             BOOST_LEAF_ASSIGN(const settings next, parse_settings(settings_text_, settings_file_));
             const bool moved = next.control_addresses != config_.control_addresses;
             config_.control_addresses = next.control_addresses;
+            config_.ignored_addresses = next.ignored_addresses;
+            log_ignored_addresses(next);
             config_.log_level = next.log_level;
             set_log_level(next.log_level);
             if (control_) {
--- a/src/daemon/program.cpp
+++ b/src/daemon/program.cpp
@@ -52,12 +52,17 @@
 
 leaf::result<int> run(const daemon_program& program, const std::string& file, bool check_only) {
     BOOST_LEAF_ASSIGN(const settings s, load_settings(file));
+    BOOST_LEAF_CHECK(check_for_start(s, file));
     BOOST_LEAF_ASSIGN(const shared_keys keys, read_keys(s));
     if (check_only) {
+        for (const std::string& line : s.ignored_addresses) {
+            std::cout << line << "\n";
+        }
         std::cout << file << ": good\n";
         return 0;
     }
     start_log(s.log_level, s.id.value, s.domain.value);
+    log_ignored_addresses(s);
     boost::asio::io_context io(1);
     BOOST_LEAF_ASSIGN(const std::shared_ptr<daemon> running, program.make(io, s, keys, file));
     running->follow_settings(file);
--- a/src/io/settings.hpp
+++ b/src/io/settings.hpp
@@ -40,6 +40,9 @@
     // [control]
     bool control_member = false;                // keeps a copy of the control log; needs data_folder
     std::vector<std::string> control_addresses; // peer listeners of the control instances
+    // Entries of control_addresses that are none, a line for a person each. The others are in force: one slip
+    // of whoever renders the list must not keep an instance from control.
+    std::vector<std::string> ignored_addresses;
     unsigned control_port = 0; // replaces the port of each of them, where they name another listener; 0: none
     bool founds_cluster = false; // first start of all: the instances of control_addresses found the cluster
     std::string data_folder;
@@ -75,6 +78,13 @@
 
 boost::leaf::result<settings> load_settings(const std::string& file);
 
+// Whether a process may start by them; a running one takes up less than the whole list, too. Founders must all
+// have the same list, since the cluster's first entry is made of it.
+boost::leaf::result<void> check_for_start(const settings& s, const std::string& file);
+
+// A line in the log for each entry that is ignored.
+void log_ignored_addresses(const settings& s);
+
 // The same from text, for tests and fuzzing.
 boost::leaf::result<settings> parse_settings(const std::string& text, const std::string& file);
 
--- a/tests/io_test.cpp
+++ b/tests/io_test.cpp
@@ -360,6 +360,59 @@
     EXPECT_NE(problem_of("x = 1\n").find("[1002"), std::string::npos);
 }
 
+settings settings_of(const std::string& text) {
+    return boost::leaf::try_handle_all([&] { return parse_settings(text, "f.toml"); },
+                                       [] { return settings{}; });
+}
+
+// A list that somebody else renders: one bad entry must not keep an instance from control.
+TEST(settings, a_bad_control_address_leaves_the_others_in_force) {
+    const std::string file = "[instance]\nid = \"a\"\nfailure_domain = \"d\"\n[peer]\nkey_file = \"k\"\n"
+                             "[control]\naddresses = [\"127.0.0.1:1\", \"nowhere\", 7, \"127.0.0.1:2\"]\n";
+    const settings s = settings_of(file);
+    EXPECT_EQ(s.control_addresses, (std::vector<std::string>{"127.0.0.1:1", "127.0.0.1:2"}));
+    ASSERT_EQ(s.ignored_addresses.size(), 2U);
+    EXPECT_EQ(s.ignored_addresses[0], "f.toml:7: control.addresses: ignored, takes \"ip:port\": nowhere "
+                                      "[1004 settings_out_of_range]");
+    const std::string all_bad = file.substr(0, file.find("addresses")) + "addresses = [\"nowhere\"]\n";
+    EXPECT_EQ(problem_of(all_bad), "f.toml:7: control.addresses: takes \"ip:port\", and no entry is one "
+                                   "[1004 settings_out_of_range]");
+}
+
+// Two founders with different lists would begin two different logs.
+TEST(settings, a_founder_does_not_start_with_a_part_of_the_list) {
+    settings s = settings_of(good_settings);
+    const auto may_start = [&s] {
+        return boost::leaf::try_handle_all(
+            [&]() -> boost::leaf::result<bool> {
+                BOOST_LEAF_CHECK(check_for_start(s, "f.toml"));
+                return true;
+            },
+            [] { return false; });
+    };
+    s.founds_cluster = true;
+    EXPECT_TRUE(may_start());
+    s.ignored_addresses = {"a line"};
+    EXPECT_FALSE(may_start());
+    s.founds_cluster = false;
+    EXPECT_TRUE(may_start());
+}
+
+// However many there are, and however long.
+TEST(settings, what_is_told_of_bad_addresses_is_bounded) {
+    std::string list = "\"127.0.0.1:1\"";
+    for (int i = 0; i < 100; ++i) {
+        list += ", \"" + std::string(1000, 'x') + "\"";
+    }
+    const settings s =
+        settings_of("[instance]\nid = \"a\"\nfailure_domain = \"d\"\n[peer]\nkey_file = \"k\"\n"
+                    "[control]\naddresses = [" +
+                    list + "]\n");
+    EXPECT_EQ(s.control_addresses.size(), 1U);
+    ASSERT_LE(s.ignored_addresses.size(), 8U);
+    EXPECT_LT(s.ignored_addresses[0].size(), 200U);
+}
+
 TEST(settings, any_text_is_read_without_harm) {
     EXPECT_TRUE(rc::check([](const std::string& text) {
         problem_of(text);
