Soak: servers leave, end and start again; a stand-in does not follow a server on an earlier timeline

Traced in the logs: the primary of timeline 2 came back empty on timeline 1, before it was missed; the stand-in replica that held the log of timeline 2 connected to it, was told to reset itself, and threw its log away. Nobody held the newest timeline any more. Ruled out: the product's choice: it waits for a holder of the newest timeline, as documented. PostgreSQL's replicas refuse a primary whose timeline is behind theirs, and the platform's follow by promotions only. Change: a stand-in tells its timeline first, and who is on a later one leaves it.

--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -6,12 +6,16 @@
 //   build/soak --seed 7 --seconds 20        one run; ends with 1 where a promise was broken
 //   build/soak --seed 100 --runs 50         one after the other, from this seed on
 //   build/soak --regressions tests/soak/seeds.txt
+//   build/soak --seed 100 --runs 20 --leaves                servers leave as well, and start again
+//   build/soak --seed 100 --runs 20 --leaves --no-faults    nothing but that: no acknowledged write may be
+//   lost
 //
 // Checked
 //   not-run     a statement that was called not-run is on no server at the end
 //   once        no statement ran twice: a second run of an insert fails with a duplicate key
 //   own writes  a session reads what it wrote, also after it moved to another daemon with its token
-//   kept        without a failover, every acknowledged write is on the primary at the end
+//   kept        without a failover, every acknowledged write is on the primary at the end; planned switches
+//               away from leaving servers are none
 //   edits       an acknowledged edit of the table is in force at the end
 //   heals       once the faults are over, writes land through every daemon within the time of heal_time
 //
@@ -49,6 +53,8 @@
 constexpr std::chrono::seconds heal_time{60}; // a sound run heals within 5 s; a loaded machine is slow
 constexpr unsigned first_connections = 20;    // an edit raises it by one
 constexpr std::size_t shown_breaks = 20;
+constexpr milliseconds longest_leave{15'000};  // a server ends some time after it said so, whoever leads
+constexpr milliseconds time_to_refill{1'500};  // of a server that started again empty
 constexpr milliseconds pause_after_refusal{5}; // without a lease 80,000 refusals a second were seen
 
 std::string server_name(std::size_t i) {
@@ -62,6 +68,8 @@
     unsigned seconds = 20;
     int daemons = 5;
     int callers = 2; // a daemon
+    bool leaves = false;
+    bool faults = true;
 };
 
 //-----------------------------------------------------------------------------
@@ -82,7 +90,9 @@
     link_silenced,
     link_delayed,
     link_reset,
+    server_left, // says that it leaves, ends once another one leads, starts again empty
 };
+// Of the plans that seeds stand for; leaving servers are planned apart.
 constexpr std::array kinds{
     fault_kind::daemon_killed,    fault_kind::daemon_stopped, fault_kind::daemon_frozen,
     fault_kind::daemon_disk_lost, fault_kind::control_killed, fault_kind::server_killed,
@@ -90,10 +100,10 @@
     fault_kind::link_held_back,   fault_kind::link_silenced,  fault_kind::link_delayed,
     fault_kind::link_reset,
 };
-constexpr std::array<const char*, kinds.size()> kind_names{
+constexpr std::array<const char*, kinds.size() + 1> kind_names{
     "daemon_killed", "daemon_stopped", "daemon_frozen", "daemon_disk_lost",  "control_killed",
     "server_killed", "server_frozen",  "link_held",     "link_held_towards", "link_held_back",
-    "link_silenced", "link_delayed",   "link_reset",
+    "link_silenced", "link_delayed",   "link_reset",    "server_left",
 };
 
 struct planned_fault {
@@ -129,6 +139,37 @@
     return plan;
 }
 
+// A random series of its own, so that a seed's other faults stay the same.
+std::vector<planned_fault> plan_leaves(const soak_options& o) {
+    std::mt19937_64 random(~o.seed);
+    const auto number = [&random](std::int64_t least, std::int64_t most) {
+        return std::uniform_int_distribution<std::int64_t>(least, most)(random);
+    };
+    std::vector<planned_fault> plan;
+    const milliseconds end = std::chrono::seconds{o.seconds};
+    for (milliseconds at{1000}; at < end; at += milliseconds{number(2500, 5000)}) {
+        plan.push_back({.at = at,
+                        .lasts = std::min(milliseconds{number(500, 2000)}, end - at),
+                        .kind = fault_kind::server_left,
+                        .target = static_cast<std::size_t>(number(0, 1000))});
+    }
+    return plan;
+}
+
+std::vector<planned_fault> plan_all(const soak_options& o) {
+    std::vector<planned_fault> plan;
+    if (o.faults) {
+        plan = make_plan(o);
+    }
+    if (o.leaves) {
+        const std::vector<planned_fault> leaves = plan_leaves(o);
+        plan.insert(plan.end(), leaves.begin(), leaves.end());
+    }
+    std::stable_sort(plan.begin(), plan.end(),
+                     [](const planned_fault& a, const planned_fault& b) { return a.at < b.at; });
+    return plan;
+}
+
 //-----------------------------------------------------------------------------
 // [callers]
 //-----------------------------------------------------------------------------
@@ -334,6 +375,7 @@
         case fault_kind::link_silenced: harm_link(f, {.silences_open = true}); return;
         case fault_kind::link_delayed: harm_link(f, {.delay = milliseconds{50}}); return;
         case fault_kind::link_reset: harm_link(f, {.resets_open = true}); return;
+        case fault_kind::server_left: let_server_leave(f); return;
         }
     }
 
@@ -364,14 +406,58 @@
         });
     }
 
-    void harm_server(const planned_fault& f, int signal) {
-        const std::string name = server_name(f.target % servers);
-        // A server that comes back is empty, so the others must hold the data meanwhile.
+    // A server that comes back is empty, so the others must hold the data meanwhile.
+    bool take_server(const std::string& name) {
         if (std::any_of(in_trouble_.begin(), in_trouble_.end(),
                         [](const std::string& what) { return what.starts_with(group_name); })) {
-            return;
+            return false;
         }
         in_trouble_.insert(name);
+        return true;
+    }
+
+    // A sound site has another primary within two seconds. A server ends a while after its time, whoever
+    // leads.
+    void let_server_leave(const planned_fault& f) {
+        const std::string name = server_name(f.target % servers);
+        if (!take_server(name)) {
+            return;
+        }
+        site_.connect_server(name).run("standin set leave = on");
+        end_leaving(name, f.at + f.lasts, f.at + f.lasts + longest_leave);
+    }
+
+    // Asked of the servers themselves, which no other fault touches meanwhile: control may be out of reach
+    // for as long as this thread waits, which would end that.
+    bool another_leads(const std::string& leaving) {
+        for (std::size_t i = 0; i < servers; ++i) {
+            const std::string name = server_name(i);
+            if (name != leaving &&
+                site_.connect_server(name).run("select pg_is_in_recovery()").value == "f") {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    // Asks now and then, so that the ends of other faults are not held up.
+    void end_leaving(const std::string& name, milliseconds at, milliseconds at_latest) {
+        ends_.emplace(at, [this, name, at, at_latest] {
+            if (!another_leads(name) && at < at_latest) {
+                end_leaving(name, at + milliseconds{100}, at_latest);
+                return;
+            }
+            site_.stop_server(name, SIGKILL);
+            site_.start_server(name);
+            ends_.emplace(at + time_to_refill, [this, name] { in_trouble_.erase(name); });
+        });
+    }
+
+    void harm_server(const planned_fault& f, int signal) {
+        const std::string name = server_name(f.target % servers);
+        if (!take_server(name)) {
+            return;
+        }
         if (signal == SIGKILL) {
             site_.stop_server(name, SIGKILL);
         } else {
@@ -428,7 +514,7 @@
         heal_time);
 }
 
-void check_end(const site& s, told_outcomes& told, const soak_operator& edits) {
+void check_end(const site& s, told_outcomes& told, const soak_operator& edits, bool only_planned) {
     std::string primary;
     std::optional<unsigned> in_force;
     if (!wait_until([&] { return !(primary = s.primary_of(group_name)).empty(); }) ||
@@ -449,12 +535,12 @@
                 told.note_break(text.append(key).append(" is on ").append(server));
             }
         }
-        if (server != primary || s.term_of(group_name) != 1) {
+        if (server != primary || (s.term_of(group_name) != 1 && !only_planned)) {
             continue;
         }
         for (const std::string& key : told.acknowledged()) {
             if (!rows.contains(key)) {
-                told.note_break("kept: " + key + " is not on the primary, which never changed");
+                told.note_break("kept: " + key + " is not on the primary, and nothing failed");
             }
         }
     }
@@ -466,6 +552,7 @@
     fault_links links;
     site s({.daemons = o.daemons,
             .servers = servers,
+            .lag_ms = o.faults ? 20U : 200U, // what a careless switch would lose
             .max_connections = first_connections,
             .deadline_ms = 2000,
             .drain_ms = 500,
@@ -479,7 +566,7 @@
     for (int i = 0; i < o.daemons * o.callers; ++i) {
         callers.push_back(std::make_unique<soak_caller>(s, told, i, o.seed * 1000 + std::uint64_t(i)));
     }
-    fault_player(s, links).play(make_plan(o));
+    fault_player(s, links).play(plan_all(o));
     const bool healed = heals(s);
     for (const auto& c : callers) {
         c->stop();
@@ -489,7 +576,7 @@
     if (!healed) {
         told.note_break("heals: writes do not land through every daemon");
     }
-    check_end(s, told, edits);
+    check_end(s, told, edits, !o.faults);
     std::cout << "  acknowledged " << told.acknowledged().size() << ", not run " << told.not_run().size()
               << ", unknown " << told.unknown() << ", edits " << edits.count() << ", term "
               << s.term_of(group_name) << ", broken " << told.breaks().size() << "\n";
@@ -541,12 +628,15 @@
         "daemons", "3 or more; the first three keep the control log",
         cxxopts::value(o.daemons)->default_value("5"))("callers", "a daemon",
                                                        cxxopts::value(o.callers)->default_value("2"))(
-        "regressions", "a file of seeds to run as well", cxxopts::value(regressions)->default_value(""));
+        "regressions", "a file of seeds to run as well", cxxopts::value(regressions)->default_value(""))(
+        "leaves", "servers leave and start again", cxxopts::value(o.leaves))("no-faults",
+                                                                             "none but the leaving servers");
     const auto given = arguments.parse(argc, argv);
     if (given.count("help") != 0) {
         std::cout << arguments.help();
         return 0;
     }
+    o.faults = given.count("no-faults") == 0;
     std::vector<std::uint64_t> seeds =
         regressions.empty() ? std::vector<std::uint64_t>{} : read_seeds(regressions);
     for (std::uint64_t i = 0; i < runs; ++i) {
--- a/tools/standin/main.cpp
+++ b/tools/standin/main.cpp
@@ -89,6 +89,7 @@
     void generate_rows();
     void send(bool then_read);
     void fail_extended(const sql_result& r);
+    void send_timeline();
     void replicate();
     char status() const { return t.failed ? 'E' : t.open ? 'T' : 'I'; }
 
@@ -138,6 +139,7 @@
     void set_option(const std::string& name, const std::string& value);
     void announce();
     void rewind();
+    void leave_upstream();
     void end_callers();
     void on_announced(const wire::announcement_reply& reply);
 
@@ -287,6 +289,7 @@
         const std::string position = read_text(r);
         const std::string hash = read_text(r);
         const auto next = find_successor(host.data, std::stoull(position), std::stoull(hash));
+        send_timeline(); // first: whoever is on a later one does not follow
         if (!next) {
             put_message(out, 'x', "");
         }
@@ -495,14 +498,19 @@
 // [replication]
 //-----------------------------------------------------------------------------
 
+void session::send_timeline() {
+    if (sent_timeline == host.data.timeline) {
+        return;
+    }
+    sent_timeline = host.data.timeline;
+    std::string body;
+    put_text(body, std::to_string(sent_timeline));
+    put_message(out, 't', body);
+}
+
 void session::replicate() {
     constexpr std::size_t batch = 2000;
-    if (sent_timeline != host.data.timeline) {
-        sent_timeline = host.data.timeline;
-        std::string body;
-        put_text(body, std::to_string(sent_timeline));
-        put_message(out, 't', body);
-    }
+    send_timeline();
     for (std::size_t n = 0; sent_records < host.data.log.size() && n < batch; ++n) {
         put_message(out, 'w', encode_commit(host.data.log[sent_records++]));
     }
@@ -605,6 +613,9 @@
             upstream_in.bytes.append(upstream_buffer.data(), length);
             while (const auto m = next_message(upstream_in)) {
                 on_upstream(*m);
+                if (generation != upstream_generation) {
+                    return; // left
+                }
             }
             apply_due();
             read_upstream();
@@ -618,12 +629,26 @@
         p.reset = true;
     } else if (m.type == 't') {
         p.timeline = std::stoull(m.body);
+        if (p.timeline < data.timeline) {
+            leave_upstream();
+            return;
+        }
     } else if (const auto r = decode_commit(m.body)) {
         p.record = *r;
     }
     pending.push_back(p);
 }
 
+// A server that came back empty is on an earlier timeline than those that followed it. Following it again
+// would throw away the log that it has lost itself.
+void server::leave_upstream() {
+    upstream_connected = false;
+    ++upstream_generation;
+    boost::system::error_code ignored;
+    upstream_socket.close(ignored);
+    upstream_retry_at = now() + std::chrono::milliseconds(100);
+}
+
 // A replica whose log has parted from its primary's is rewound, and that takes a restart of the process:
 // nobody who is connected to it stays so, and what comes up is another start.
 void server::rewind() {
