--- a/tests/site.cpp
+++ b/tests/site.cpp
@@ -313,6 +313,9 @@
         arguments.insert(arguments.end(),
                          {"--follow", std::string(host) + ":" + std::to_string(servers_.at(first).port)});
     }
+    if (options_.keeps_data) {
+        arguments.insert(arguments.end(), {"--data", folder_ + "/" + name + ".data"});
+    }
     for (int i = 0; i < options_.daemons && i < 3; ++i) {
         arguments.insert(arguments.end(), {"--announce-to", peer_address(i)});
     }
--- a/tests/site.hpp
+++ b/tests/site.hpp
@@ -68,8 +68,9 @@
 struct site_options {
     int daemons = 3; // the first three are control members too
     int groups = 1;
-    int servers = 3;      // of each group
-    unsigned lag_ms = 20; // of the replicas
+    int servers = 3;         // of each group
+    unsigned lag_ms = 20;    // of the replicas
+    bool keeps_data = false; // servers that start again have what they had; else they are empty
     unsigned service_ms = 0;
     unsigned max_connections = 20; // the service's limit at one server
     unsigned server_limit = 200;   // the servers' own
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -7,8 +7,8 @@
 //   build/soak --seed 100 --runs 50         one after the other, from this seed on
 //   build/soak --regressions tests/soak/seeds.txt
 //   build/soak --seed 100 --runs 20 --leaves                servers leave as well, and start again
-//   build/soak --seed 100 --runs 20 --leaves --no-faults    nothing but that: no acknowledged write may be
-//   lost
+//   build/soak --seed 100 --runs 20 --leaves --no-faults    nothing else: all acknowledged writes are kept
+//   build/soak --seed 100 --runs 20 --keeps-data --late-words
 //
 // Checked
 //   not-run     a statement that was called not-run is on no server at the end
@@ -70,6 +70,8 @@
     int callers = 2; // a daemon
     bool leaves = false;
     bool faults = true;
+    bool keeps_data = false;
+    bool late_words = false;
 };
 
 //-----------------------------------------------------------------------------
@@ -131,7 +133,7 @@
         if (f.kind == fault_kind::daemon_disk_lost && std::exchange(lost_disk, true)) {
             f.kind = fault_kind::daemon_killed;
         }
-        // A stand-in comes back empty, also before it was missed (detection takes 400 ms).
+        // A stand-in comes back, empty or not, also before it was missed (detection takes 400 ms).
         f.lasts = std::min(f.lasts, end - at);
         plan.push_back(f);
         at += milliseconds{number(0, 1500)}; // shorter than most faults last, so they overlap
@@ -156,6 +158,27 @@
     return plan;
 }
 
+// What servers announce is held up on its way to one daemon, and another instance leads when it arrives.
+std::vector<planned_fault> plan_late_words(const soak_options& o) {
+    std::mt19937_64 random(o.seed * 2 + 1);
+    const auto number = [&random](std::int64_t least, std::int64_t most) {
+        return std::uniform_int_distribution<std::int64_t>(least, most)(random);
+    };
+    std::vector<planned_fault> plan;
+    const milliseconds end = std::chrono::seconds{o.seconds};
+    for (milliseconds at{1500}; at + milliseconds{2500} < end; at += milliseconds{number(3000, 5000)}) {
+        // Relays stand in the order of daemons, then servers; the three first daemons hear announcements.
+        plan.push_back({.at = at,
+                        .lasts = milliseconds{2000},
+                        .kind = fault_kind::link_held_towards,
+                        .target = static_cast<std::size_t>(number(0, control_instances - 1))});
+        plan.push_back({.at = at + milliseconds{number(0, 500)},
+                        .lasts = milliseconds{number(200, 1000)},
+                        .kind = fault_kind::control_killed});
+    }
+    return plan;
+}
+
 std::vector<planned_fault> plan_all(const soak_options& o) {
     std::vector<planned_fault> plan;
     if (o.faults) {
@@ -165,6 +188,10 @@
         const std::vector<planned_fault> leaves = plan_leaves(o);
         plan.insert(plan.end(), leaves.begin(), leaves.end());
     }
+    if (o.late_words) {
+        const std::vector<planned_fault> late = plan_late_words(o);
+        plan.insert(plan.end(), late.begin(), late.end());
+    }
     std::stable_sort(plan.begin(), plan.end(),
                      [](const planned_fault& a, const planned_fault& b) { return a.at < b.at; });
     return plan;
@@ -427,23 +454,17 @@
         end_leaving(name, f.at + f.lasts, f.at + f.lasts + longest_leave);
     }
 
-    // Asked of the servers themselves, which no other fault touches meanwhile: control may be out of reach
-    // for as long as this thread waits, which would end that.
-    bool another_leads(const std::string& leaving) {
-        for (std::size_t i = 0; i < servers; ++i) {
-            const std::string name = server_name(i);
-            if (name != leaving &&
-                site_.connect_server(name).run("select pg_is_in_recovery()").value == "f") {
-                return true;
-            }
-        }
-        return false;
+    // Asked of the server itself: it goes on until it was told that another one leads. Control may be out of
+    // reach for as long as this thread waits, which would end that; and an older primary may not know yet
+    // that it is one.
+    bool still_leads(const std::string& name) {
+        return site_.connect_server(name).run("select pg_is_in_recovery()").value == "f";
     }
 
     // Asks now and then, so that the ends of other faults are not held up.
     void end_leaving(const std::string& name, milliseconds at, milliseconds at_latest) {
         ends_.emplace(at, [this, name, at, at_latest] {
-            if (!another_leads(name) && at < at_latest) {
+            if (still_leads(name) && at < at_latest) {
                 end_leaving(name, at + milliseconds{100}, at_latest);
                 return;
             }
@@ -553,6 +574,7 @@
     site s({.daemons = o.daemons,
             .servers = servers,
             .lag_ms = o.faults ? 20U : 200U, // what a careless switch would lose
+            .keeps_data = o.keeps_data,
             .max_connections = first_connections,
             .deadline_ms = 2000,
             .drain_ms = 500,
@@ -629,8 +651,10 @@
         cxxopts::value(o.daemons)->default_value("5"))("callers", "a daemon",
                                                        cxxopts::value(o.callers)->default_value("2"))(
         "regressions", "a file of seeds to run as well", cxxopts::value(regressions)->default_value(""))(
-        "leaves", "servers leave and start again", cxxopts::value(o.leaves))("no-faults",
-                                                                             "none but the leaving servers");
+        "leaves", "servers leave and start again",
+        cxxopts::value(o.leaves))("no-faults", "none but those that are asked for")(
+        "keeps-data", "servers that start again have what they had", cxxopts::value(o.keeps_data))(
+        "late-words", "announcements arrive when another instance leads", cxxopts::value(o.late_words));
     const auto given = arguments.parse(argc, argv);
     if (given.count("help") != 0) {
         std::cout << arguments.help();
--- a/tools/standin/main.cpp
+++ b/tools/standin/main.cpp
@@ -5,7 +5,7 @@
 // names the primary: a replica follows it, a primary that was replaced steps down and takes over its log.
 //
 // Faults, by SQL: "standin set lag_ms = 500" (replica), service_ms, connect_ms, max_connections, leave.
-// Others from outside: SIGSTOP freezes it, SIGKILL crashes it (its data is in memory only).
+// Others from outside: SIGSTOP freezes it, SIGKILL crashes it (its data is gone unless --data keeps it).
 //
 // Index
 //   [options]  [sessions]  [replication]  [announcing]  [main]
@@ -53,6 +53,7 @@
     unsigned max_connections = 100;
     unsigned announce_ms = 200;
     bool leave = false;
+    std::string data_file; // keeps log and timeline over a crash; empty: memory only
 };
 
 // Tells one start of this server from the next.
@@ -145,6 +146,7 @@
 
     asio::io_context& io;
     options opt;
+    std::ofstream disk; // of `data`
     store data;
     tcp::acceptor acceptor;
     asio::steady_timer tick;
@@ -544,7 +546,7 @@
 
 void server::promote() {
     data.is_primary = true;
-    ++data.timeline;
+    set_timeline(data, data.timeline + 1);
     pending.clear(); // received but not applied: as if it had not come yet
     upstream.clear();
     ++upstream_generation;
@@ -676,7 +678,7 @@
         if (p.reset) {
             rewind();
         } else if (p.timeline != 0) {
-            data.timeline = p.timeline;
+            set_timeline(data, p.timeline);
         } else {
             apply_record(data, p.record);
         }
@@ -747,6 +749,9 @@
 
 void server::start() {
     data.started = unix_milliseconds();
+    if (!opt.data_file.empty() && !open_disk(data, opt.data_file, disk)) {
+        throw std::runtime_error(opt.data_file + " cannot be written");
+    }
     data.is_primary = opt.upstream.empty();
     upstream = opt.upstream;
     std::string key;
@@ -810,7 +815,8 @@
                                                                  cxxopts::value(opt.service_ms))(
         "connect-ms", "time a new connection takes", cxxopts::value(opt.connect_ms))(
         "max-connections", "limit", cxxopts::value(opt.max_connections))("announce-ms", "interval",
-                                                                         cxxopts::value(opt.announce_ms));
+                                                                         cxxopts::value(opt.announce_ms))(
+        "data", "file that keeps the data over a crash", cxxopts::value(opt.data_file));
     try {
         const auto given = arguments.parse(argc, argv);
         if (given.count("help") != 0) {
--- a/tools/standin/store.cpp
+++ b/tools/standin/store.cpp
@@ -395,6 +395,37 @@
     return fail("42601", "the stand-in does not know this statement");
 }
 
+//-----------------------------------------------------------------------------
+// [the disk]
+//-----------------------------------------------------------------------------
+
+constexpr char kept_commit = 'w';
+constexpr char kept_timeline = 't';
+constexpr char kept_end_of_log = 'x'; // what came before counts no more
+
+struct kept_entry {
+    char kind = kept_commit;
+    std::string body;
+};
+
+// In one write each, which a killed process has left to the system as a whole.
+void keep(store& s, char kind, const std::string& body) {
+    if (s.disk != nullptr) {
+        *s.disk << kind << body.size() << '\n' << body << std::flush;
+    }
+}
+
+std::optional<kept_entry> read_kept(std::istream& in) {
+    kept_entry e;
+    std::size_t length = 0;
+    if (!in.get(e.kind) || !(in >> length) || in.get() != '\n') {
+        return std::nullopt;
+    }
+    e.body.resize(length);
+    in.read(e.body.data(), static_cast<std::streamsize>(length));
+    return in ? std::optional(e) : std::nullopt;
+}
+
 } // namespace
 
 //-----------------------------------------------------------------------------
@@ -405,7 +436,31 @@
     return s.log.empty() ? first_position : s.log.back().position;
 }
 
+bool open_disk(store& s, const std::string& file, std::ofstream& disk) {
+    std::ifstream before(file, std::ios::binary);
+    while (const auto kept = read_kept(before)) {
+        if (kept->kind == kept_commit) {
+            if (const auto r = decode_commit(kept->body)) {
+                apply_record(s, *r);
+            }
+        } else if (kept->kind == kept_timeline) {
+            s.timeline = std::stoull(kept->body);
+        } else {
+            clear_store(s);
+        }
+    }
+    disk.open(file, std::ios::binary | std::ios::app);
+    s.disk = &disk;
+    return disk.is_open();
+}
+
+void set_timeline(store& s, std::uint64_t timeline) {
+    s.timeline = timeline;
+    keep(s, kept_timeline, std::to_string(timeline));
+}
+
 void apply_record(store& s, const commit_record& r) {
+    keep(s, kept_commit, encode_commit(r));
     for (const change& c : r.changes) {
         if (c.value) {
             s.tables[c.table][c.key] = *c.value;
@@ -425,6 +480,7 @@
 }
 
 void clear_store(store& s) {
+    keep(s, kept_end_of_log, "");
     s.log.clear();
     s.tables.clear();
     s.locks.clear();
--- a/tools/standin/store.hpp
+++ b/tools/standin/store.hpp
@@ -5,6 +5,7 @@
 #pragma once
 
 #include <cstdint>
+#include <fstream>
 #include <map>
 #include <optional>
 #include <string>
@@ -33,8 +34,14 @@
     std::vector<commit_record> log;
     std::map<std::string, keyed_table> tables;
     std::map<std::string, std::uint64_t> locks; // "table\0key" to the session that holds it
+    std::ofstream* disk = nullptr; // keeps log and timeline over a crash of the process; none: nothing
 };
 
+// Reads back what an earlier process with this file held, and keeps there what follows. `disk` stays the
+// caller's, and must outlive the store. False where the file cannot be written.
+bool open_disk(store& s, const std::string& file, std::ofstream& disk);
+void set_timeline(store& s, std::uint64_t timeline);
+
 std::uint64_t position_of(const store& s);
 void append_commit(store& s, const std::vector<change>& changes);
 void apply_record(store& s, const commit_record& r);
