--- a/src/core/control.cpp
+++ b/src/core/control.cpp
@@ -77,8 +77,8 @@
 }
 
 // The daemon has acted upon a reply of this leader, so it acts upon none of an earlier one any more, and what
-// it claims is all that it holds. Its first word may have been on its way since before an earlier leader's
-// last grant.
+// it claims is all that it holds. The first renewal that arrives may have been sent before an earlier
+// leader's last grant, and claim less.
 bool follows_this_leader(const control_state& c, const instance_id& daemon) {
     const auto d = c.daemons.find(daemon);
     return d != c.daemons.end() && leader_of_number(d->second.last_reply_seq) == c.leader_term;
--- a/src/core/control.hpp
+++ b/src/core/control.hpp
@@ -173,8 +173,7 @@
     failure_domain domain;
     revision_number confirmed = 0;
     std::deque<granted_lease> leases; // one per revision, the longest
-    std::uint64_t last_reply_seq =
-        0; // the newest that it has named; renewals that name an older one are late
+    std::uint64_t last_reply_seq = 0; // the newest that its renewals have named
     time_point seen_at{};
     std::map<server_id, server_observation> observations;
     std::uint64_t replies = 0;           // sent to it by this leader
--- a/src/core/failover.cpp
+++ b/src/core/failover.cpp
@@ -119,7 +119,8 @@
     return found != f.answers.end() && found->second.answered ? &found->second : nullptr;
 }
 
-// Writes are closed for no longer than the approach took, and a bit.
+// Writes are closed for no longer than the approach took, which is about the replication lag, and
+// switchover_wait.
 bool has_waited_long(const control_state& c, const failover& f, time_point now) {
     const duration approach = f.fence_wanted_at - f.started_at;
     return now - f.fence_wanted_at >= approach + c.config.switchover_wait;
@@ -257,7 +258,8 @@
     order_promotion(c, s, group, f, group.timeline, now, actions);
 }
 
-// Writes go on meanwhile.
+// Before the fence, with writes going on: fences once a successor holds what the primary held at the start. A
+// replica that lags evenly needs as long for the rest, so writes are closed no longer than has been waited.
 void approach(control_state& c, const cluster_state& s, const group_record& group, failover& f,
               time_point now, control_actions& actions) {
     const server_answer* primary = answer_of_primary(group, f);
@@ -277,6 +279,7 @@
     }
 }
 
+// Behind the fence: promotes as soon as the answers allow it, and asks again until then.
 void probe_replicas(control_state& c, const cluster_state& s, const group_record& group, failover& f,
                     time_point now, control_actions& actions) {
     if (f.planned && looks_dead(c, group.primary, now)) {
