--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -573,7 +573,7 @@
     fault_links links;
     site s({.daemons = o.daemons,
             .servers = servers,
-            .lag_ms = o.faults ? 20U : 200U, // what a careless switch would lose
+            .lag_ms = o.faults ? 20U : 700U, // longer than the fence takes: what a careless switch would lose
             .keeps_data = o.keeps_data,
             .max_connections = first_connections,
             .deadline_ms = 2000,
