--- a/src/io/settings.hpp
+++ b/src/io/settings.hpp
@@ -78,8 +78,8 @@
 
 boost::leaf::result<settings> load_settings(const std::string& file);
 
-// Whether a process may start by them; a running one takes up less than the whole list, too. Founders must all
-// have the same list, since the cluster's first entry is made of it.
+// Whether a process may start by them; a running one takes up less than the whole list, too. Founders must
+// all have the same list, since the cluster's first entry is made of it.
 boost::leaf::result<void> check_for_start(const settings& s, const std::string& file);
 
 // A line in the log for each entry that is ignored.
