A share of connections is claimed for every workspace that asked in the last ten seconds

Cause: claims followed what was busy at one moment (a few), so a home gave connections back that another workspace's next statement had to open again; of 25 connections to a server about 9 were in use. Change: take_peak_demand() is at least the number of workspaces that asked lately. The test fails without the change: 1 claimed, 40 asked.

--- a/src/core/pool.cpp
+++ b/src/core/pool.cpp
@@ -12,8 +12,10 @@
 constexpr duration expected_open_time = std::chrono::milliseconds{15};
 constexpr duration lost_share_pause = std::chrono::milliseconds{500};
 constexpr duration demand_memory = std::chrono::seconds{5}; // half of a usual wave of load
-constexpr duration demand_step = std::chrono::seconds{1};   // from one connection given back to the next
-constexpr int smoothing = 8;                                // a new service time counts one eighth
+// A workspace that asks less often than that finds its connection closed for another one anyway.
+constexpr duration workspace_memory = std::chrono::seconds{10};
+constexpr duration demand_step = std::chrono::seconds{1}; // from one connection given back to the next
+constexpr int smoothing = 8;                              // a new service time counts one eighth
 
 std::deque<pool_waiter>& queue_of(pool_state& p, request_class klass) {
     return p.waiting.at(static_cast<std::size_t>(klass));
@@ -298,6 +300,9 @@
     }
     pool_waiter waiter = w;
     waiter.since = now;
+    if (!w.any_workspace) {
+        p.asked_at[w.workspace] = now;
+    }
     put_in_queue(p, waiter);
     note_demand(p, now);
     settle(p, now, next_connection, actions);
@@ -437,7 +442,8 @@
         --p.peak_demand; // gives back one connection at a time
         p.peak_at = now - demand_memory + demand_step;
     }
-    return p.peak_demand;
+    std::erase_if(p.asked_at, [now](const auto& a) { return now - a.second > workspace_memory; });
+    return std::max(p.peak_demand, static_cast<unsigned>(p.asked_at.size()));
 }
 
 } // namespace larchpin
--- a/src/core/pool.hpp
+++ b/src/core/pool.hpp
@@ -79,9 +79,10 @@
     std::map<waiter_kind, time_point> starved_until;      // kinds of which one waited in vain a moment ago
     duration service_time = std::chrono::milliseconds{2}; // smoothed time a request keeps one
     time_point open_retry_at{};                           // no attempt to open before
-    unsigned turned_away = 0; // attempts in a row for which the server had no room
-    unsigned peak_demand = 0; // of the last demand_memory, or above
-    time_point peak_at{};     // when it was reached last
+    unsigned turned_away = 0;                    // attempts in a row for which the server had no room
+    std::map<workspace_id, time_point> asked_at; // of those that asked lately, the last time
+    unsigned peak_demand = 0;                    // of the last demand_memory, or above
+    time_point peak_at{};                        // when it was reached last
 };
 
 struct open_connection {
@@ -167,8 +168,9 @@
 unsigned open_count(const pool_state& p);
 unsigned waiting_count(const pool_state& p);
 
-// What the load of the last seconds could have used; for the claim on a share. A share that followed each
-// moment's load would close connections that are opened again a moment later.
+// What the load of the last seconds could have used; for the claim on a share: one connection at least for
+// every workspace that asked, since each opening costs the server a slot (12 ms) and the request its wait. A
+// share that followed each moment's load would close connections that are opened again a moment later.
 unsigned take_peak_demand(pool_state& p, time_point now);
 
 } // namespace larchpin
--- a/tests/workspace_test.cpp
+++ b/tests/workspace_test.cpp
@@ -6,6 +6,7 @@
 #include "core/admission.hpp"
 #include "core/pool.hpp"
 #include "core/rate_limits.hpp"
+#include "core/rendezvous.hpp"
 #include "io/auth.hpp"
 
 #include <gtest/gtest.h>
@@ -74,8 +75,7 @@
     EXPECT_EQ(admit(t, route, digest_key("acme"), true).verdict, admission_verdict::refused);
     EXPECT_EQ(admit(t, route, digest_key("acme"), false).verdict, admission_verdict::not_known)
         << "the key may be a new one";
-    EXPECT_EQ(admit(t, route, "acme-1", true).verdict, admission_verdict::refused)
-        << "a name is no digest";
+    EXPECT_EQ(admit(t, route, "acme-1", true).verdict, admission_verdict::refused) << "a name is no digest";
 }
 
 TEST(admission, of_a_public_route_needs_no_key_and_knows_one) {
@@ -201,12 +201,70 @@
     EXPECT_EQ(s.opened_count, 1U);
 }
 
+// A share of connections follows the workspaces that ask, and not only what is busy at one moment: of forty
+// that ask in turn each would otherwise close another one's connection.
+TEST(connections, are_claimed_for_every_workspace_that_asked_lately) {
+    small_pool s(25);
+    for (int i = 0; i < 40; ++i) {
+        s.give_back(s.ask("w" + std::to_string(i)));
+        s.now += milliseconds{20};
+    }
+    EXPECT_EQ(take_peak_demand(s.p, s.now), 40U);
+    EXPECT_EQ(take_peak_demand(s.p, s.now + seconds{11}), 0U) << "nobody has asked for long";
+}
+
+// Seventy entries, three failure domains, 25 connections to a server.
+struct many_entries {
+    cluster_state state;
+    server_record server{.id = {"s1"}, .group = {"g"}, .host = "10.0.0.9", .port = 1, .domain = {"z1"}};
+
+    many_entries() {
+        for (int i = 0; i < 70; ++i) {
+            const std::string id = "e" + std::to_string(i);
+            state.instances[{id}] = {.id = {id},
+                                     .domain = {"z" + std::to_string(i % 3)},
+                                     .address = "10.0.0." + std::to_string(i) + ":1",
+                                     .takes_callers = true};
+        }
+    }
+};
+
+TEST(workspace_homes, are_in_the_servers_own_domain_with_one_of_each_other_behind_them) {
+    const many_entries e;
+    const auto homes = workspace_homes(e.state, e.server, 25);
+    ASSERT_EQ(homes.size(), 5U);
+    for (std::size_t i = 0; i < homes.size(); ++i) {
+        EXPECT_EQ(e.state.instances.at(homes[i]).domain == e.server.domain, i < 3);
+    }
+    EXPECT_TRUE(workspace_homes(e.state, e.server, 140).empty()) << "enough for everyone";
+}
+
+TEST(workspace_homes, divide_the_workspaces_and_keep_them_when_one_is_lost) {
+    const std::vector<std::string> addresses{"10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1"};
+    const auto first_of = [](const workspace_id& w, const std::vector<std::string>& of) {
+        return *std::min_element(of.begin(), of.end(), [&w](const auto& a, const auto& b) {
+            return rank_for_workspace(w, a) < rank_for_workspace(w, b);
+        });
+    };
+    std::map<std::string, int> counts;
+    for (int i = 0; i < 300; ++i) {
+        const workspace_id w{"w" + std::to_string(i)};
+        const std::string home = first_of(w, addresses);
+        ++counts[home];
+        const std::string without_last = first_of(w, {addresses[0], addresses[1]});
+        EXPECT_TRUE(home == addresses[2] || home == without_last);
+    }
+    for (const std::string& a : addresses) {
+        EXPECT_GT(counts[a], 60) << "about a third each";
+    }
+}
+
 //-----------------------------------------------------------------------------
 // [rate limits]
 //-----------------------------------------------------------------------------
 
-// Some daemons and control, whose messages are lost and delayed at random; leaders change, daemons freeze, are
-// cut off and start again. Every operation that a daemon lets through is noted.
+// Some daemons and control, whose messages are lost and delayed at random; leaders change, daemons freeze,
+// are cut off and start again. Every operation that a daemon lets through is noted.
 class rate_model {
 public:
     rate_model(std::uint64_t seed, unsigned rate, unsigned burst, rate_bounds bounds)
@@ -320,7 +378,8 @@
     void deliver(const message& m) {
         daemon_side& d = daemons_[m.daemon];
         if (!m.grant) {
-            const auto grants = answer_rates(ledger_, t_, {.bounds = bounds_, .knows_all = false}, m.request, now_);
+            const auto grants =
+                answer_rates(ledger_, t_, {.bounds = bounds_, .knows_all = false}, m.request, now_);
             if (!grants.empty()) {
                 message back = m;
                 back.at = arrival();
@@ -392,18 +451,15 @@
             if (asked && !waits) {
                 end_operation(daemons[i], true, now);
             }
-            const auto claim = waits || tick % 10 == 0
-                                   ? make_claim(daemons[i], {"acme"}, waits ? 1 : 0, now)
-                                   : std::nullopt;
+            const auto claim =
+                waits || tick % 10 == 0 ? make_claim(daemons[i], {"acme"}, waits ? 1 : 0, now) : std::nullopt;
             if (!claim) {
                 continue;
             }
-            const auto grants = answer_rates(ledger, t, {.bounds = bounds},
-                                             {.instance = {std::to_string(i)},
-                                              .incarnation = 1,
-                                              .seq = ++seqs[i],
-                                              .claims = {*claim}},
-                                             now);
+            const auto grants = answer_rates(
+                ledger, t, {.bounds = bounds},
+                {.instance = {std::to_string(i)}, .incarnation = 1, .seq = ++seqs[i], .claims = {*claim}},
+                now);
             take_grant(daemons[i], grants.at(0), now);
             if (waits) {
                 const bool served = take_operation(daemons[i], now);
