A workspace's reads prefer one replica, until another one is twice as quick

Cause: reads went to either replica, so each of them opened a connection for nearly every workspace. Change: route_read() takes the workspace's replica by rendezvous, where it may take reads, is likely to hold the floor and is not slower than the quickest one by more than a factor of two, the failure domain apart. Reads without a workspace are routed as before.

--- a/src/core/routing.cpp
+++ b/src/core/routing.cpp
@@ -1,5 +1,7 @@
 #include "core/routing.hpp"
 
+#include "core/rendezvous.hpp"
+
 #include <algorithm>
 
 namespace larchpin {
@@ -78,6 +80,21 @@
     return expected_delay(*second, settings) < expected_delay(*first, settings) ? *second : *first;
 }
 
+// The replica that a workspace prefers, the same one on every instance; nothing where that is clearly slower
+// than another one.
+const server_view* prefer(const std::vector<const server_view*>& fit, const workspace_id& workspace,
+                          const routing_settings& settings) {
+    const auto rank = [&](const server_view* s) { return stable_hash(workspace.value, s->id.value); };
+    const server_view* preferred = *std::min_element(
+        fit.begin(), fit.end(), [&](const auto* a, const auto* b) { return rank(a) < rank(b); });
+    const auto delay = [&](const server_view* s) {
+        return expected_delay(*s, settings) / (s->near ? 1.0 : settings.far_penalty);
+    };
+    const server_view* quickest = *std::min_element(
+        fit.begin(), fit.end(), [&](const auto* a, const auto* b) { return delay(a) < delay(b); });
+    return delay(preferred) <= settings.workspace_loyalty * delay(quickest) ? preferred : nullptr;
+}
+
 bool is_avoided(const read_wish& wish, const server_id& id) {
     return std::find(wish.avoid.begin(), wish.avoid.end(), id) != wish.avoid.end();
 }
@@ -117,7 +134,8 @@
     if (fit.empty()) {
         return route_write(g, wish.lease_live);
     }
-    const server_view& chosen = choose(fit, settings, random);
+    const server_view* preferred = s.workspace.value.empty() ? nullptr : prefer(fit, s.workspace, settings);
+    const server_view& chosen = preferred != nullptr ? *preferred : choose(fit, settings, random);
     if (is_primary_far_better(g, chosen, wish, settings)) {
         return route_write(g, wish.lease_live);
     }
--- a/src/core/routing.hpp
+++ b/src/core/routing.hpp
@@ -3,7 +3,8 @@
 // A write goes to the primary of the current term, under a live lease, or is refused. A read goes to a
 // replica that provably gives what the session is owed; among those, of two drawn by weight the one with
 // the smaller expected delay is taken. Where no replica qualifies yet, the read waits for one briefly if
-// that is likely to be enough, and else goes to the primary.
+// that is likely to be enough, and else goes to the primary. Reads of a workspace, whose connections serve
+// nobody else, prefer one replica each.
 //
 // Index
 //   [data]  [functions]
@@ -76,6 +77,9 @@
     // Times that a replica's expected delay must exceed the primary's before the primary takes a read over.
     double primary_reluctance = 3.0;
     double far_penalty = 2.0; // factor on the delay of another failure domain
+    // A workspace's reads stay with one replica, where its connections are open, until another one is quicker
+    // by this factor: two take the same time within that on most days.
+    double workspace_loyalty = 2.0;
 };
 
 //-----------------------------------------------------------------------------
--- a/tests/routing_test.cpp
+++ b/tests/routing_test.cpp
@@ -155,5 +155,31 @@
     EXPECT_LE(longest_wait(result_code::no_lease, milliseconds{10}), milliseconds{10});
 }
 
+// Many workspaces, each of which asks seldom: a read that went to either replica would find a connection of
+// its workspace half as often.
+TEST(choice, of_a_workspaces_replica_is_the_same_as_long_as_it_is_not_clearly_slower) {
+    routed_group g;
+    g.hear("a", 290);
+    g.hear("b", 290);
+    std::map<server_id, int> firsts;
+    for (int w = 0; w < 100; ++w) {
+        g.session.workspace = {"w" + std::to_string(w)};
+        const server_id first = g.decide().server;
+        ++firsts[first];
+        for (int i = 0; i < 10; ++i) {
+            EXPECT_EQ(g.decide().server, first);
+        }
+    }
+    EXPECT_GT(firsts[{"a"}], 30);
+    EXPECT_GT(firsts[{"b"}], 30);
+    for (server_view& s : g.view.servers) {
+        s.latency = s.id.value == "a" ? milliseconds{50} : milliseconds{10};
+    }
+    for (int w = 0; w < 100; ++w) {
+        g.session.workspace = {"w" + std::to_string(w)};
+        EXPECT_NE(g.decide().server.value, "a") << "five times as slow";
+    }
+}
+
 } // namespace
 } // namespace larchpin
