--- a/src/core/rate_limits.cpp
+++ b/src/core/rate_limits.cpp
@@ -23,7 +23,7 @@
 constexpr duration longest_retry = std::chrono::seconds{1};
 // A claim is renewed so long before its end that one lost answer does no harm.
 constexpr duration renew_before_end = holding_time * 6 / 10;
-constexpr double smoothing = 0.5;                                   // of the demand, from claim to claim
+constexpr double smoothing = 0.5;                                    // of the demand, from claim to claim
 constexpr duration demand_interval = std::chrono::milliseconds{200}; // measured over at least
 
 // A bucket that holds no whole operation would never give one.
@@ -73,8 +73,8 @@
     a.level -= grant.operations;
     if (grant.operations < claim.needed) {
         const double missing = std::max(0.0, 1 - a.level) / w.rate;
-        grant.retry_after = std::min(longest_retry, std::chrono::duration_cast<duration>(
-                                                        std::chrono::duration<double>(missing)));
+        grant.retry_after = std::min(
+            longest_retry, std::chrono::duration_cast<duration>(std::chrono::duration<double>(missing)));
         grant.retry_after = std::max(grant.retry_after, duration{1});
     }
     const unsigned more = claim.wanted > claim.held ? claim.wanted - claim.held : 0;
@@ -100,8 +100,8 @@
                                      const rate_request& r, time_point now) {
     std::vector<rate_grant> grants;
     rate_caller& caller = l.callers[r.instance];
-    const bool overtaken = r.incarnation < caller.incarnation ||
-                           (r.incarnation == caller.incarnation && r.seq <= caller.seq);
+    const bool overtaken =
+        r.incarnation < caller.incarnation || (r.incarnation == caller.incarnation && r.seq <= caller.seq);
     if (overtaken) {
         return grants;
     }
--- a/src/core/rate_limits.hpp
+++ b/src/core/rate_limits.hpp
@@ -8,8 +8,8 @@
 // ahead of need, the other half is for a new leader, which does not know yet what its predecessor gave out.
 //
 // What a daemon holds is good for holding_time after its last word to control, and ends at the first word of
-// another leader. One that is cut off, frozen or gone keeps nothing beyond that, and control counts it as given
-// out till then.
+// another leader. One that is cut off, frozen or gone keeps nothing beyond that, and control counts it as
+// given out till then.
 //
 // Weighed against equal parts for all: a key is seen at two of five daemons, at each of them less than once a
 // second, so a fixed part would refuse most of what is within the limit. Against asking for every operation:
@@ -64,8 +64,8 @@
 
 struct rate_grant {
     workspace_id workspace;
-    unsigned operations = 0;  // beside those that it held
-    duration retry_after{0};  // some were needed and not given: the next one can be had in this time
+    unsigned operations = 0; // beside those that it held
+    duration retry_after{0}; // some were needed and not given: the next one can be had in this time
     auto operator<=>(const rate_grant&) const = default;
 };
 
--- a/src/daemon/rate_limiter.hpp
+++ b/src/daemon/rate_limiter.hpp
@@ -29,7 +29,8 @@
 
 class rate_limiter {
 public:
-    rate_limiter(boost::asio::io_context& io, const settings& config, const shared_keys& keys, agent& cluster);
+    rate_limiter(boost::asio::io_context& io, const settings& config, const shared_keys& keys,
+                 agent& cluster);
 
     // An operation of this workspace wants to run, and may wait for control's word until then.
     void admit(const workspace_id& workspace, time_point until, rate_callback done);
@@ -64,7 +65,7 @@
     http2_clients clients_;
     std::mt19937_64 random_;
     std::map<workspace_id, limited_workspace> workspaces_; // those with a limit that were in use here
-    std::uint64_t leader_term_ = 0; // of whoever gave out what is held
+    std::uint64_t leader_term_ = 0;                        // of whoever gave out what is held
     std::uint64_t seq_ = 0;
     bool asking_ = false;
     bool ask_posted_ = false;
--- a/tests/workspace_site_test.cpp
+++ b/tests/workspace_site_test.cpp
@@ -58,8 +58,9 @@
         return c;
     }
     std::string why_refused(const std::string& workspaces) {
-        return site.post(site.daemons.front().control_port, "/larchpin/config/replace",
-                         body_with(version + 1, workspaces))
+        return site
+            .post(site.daemons.front().control_port, "/larchpin/config/replace",
+                  body_with(version + 1, workspaces))
             .body;
     }
     answer last;
