--- a/src/ctl/table_file.cpp
+++ b/src/ctl/table_file.cpp
@@ -1,11 +1,14 @@
 #include "ctl/table_file.hpp"
 
+#include "io/auth.hpp"
+
 #include <boost/leaf/error.hpp>
 
 #include <toml++/toml.h>
 
 #include <algorithm>
 #include <array>
+#include <charconv>
 #include <set>
 #include <sstream>
 
@@ -44,7 +47,43 @@
         << "statement_timeout_ms = " << to_ms(r.statement_timeout) << "\n"
         << "objective_ms = " << to_ms(r.objective) << "\n"
         << "priority = " << r.priority << "\n"
-        << "max_attempts = " << r.max_attempts << "\n";
+        << "max_attempts = " << r.max_attempts << "\n"
+        << "public = " << (r.is_public ? "true" : "false") << "\n";
+    return out.str();
+}
+
+// A workspace with its keys, as one section of the file.
+struct workspace_section {
+    workspace_entry entry;
+    std::vector<std::string> digests;
+    auto operator<=>(const workspace_section&) const = default;
+};
+
+std::vector<workspace_section> sections_of(const table& t) {
+    std::vector<workspace_section> sections;
+    for (const workspace_entry& w : t.workspaces) {
+        workspace_section section{.entry = w, .digests = {}};
+        for (const workspace_key& k : t.keys) {
+            if (k.workspace == w.id) {
+                section.digests.push_back(k.digest);
+            }
+        }
+        sections.push_back(std::move(section));
+    }
+    return sections;
+}
+
+std::string format_workspace(const workspace_section& w) {
+    std::ostringstream out;
+    out << "[workspace.\"" << w.entry.id.value << "\"]\n"
+        << "priority = " << w.entry.priority << "\n"
+        << "rate = " << w.entry.rate << "\n"
+        << "burst = " << w.entry.burst << "\n"
+        << "key_digests = [";
+    for (std::size_t i = 0; i < w.digests.size(); ++i) {
+        out << (i == 0 ? "\"" : ", \"") << to_hex(w.digests[i]) << "\"";
+    }
+    out << "]\n";
     return out.str();
 }
 
@@ -157,6 +196,8 @@
     } else if (name == "priority") {
         BOOST_LEAF_ASSIGN(const auto v, read_number(file, key, node, 0, 1000));
         r.priority = static_cast<unsigned>(v);
+    } else if (name == "public") {
+        BOOST_LEAF_ASSIGN(r.is_public, read_flag(file, key, node));
     } else if (name == "max_attempts") {
         BOOST_LEAF_ASSIGN(const auto v, read_number(file, key, node, 1, 10));
         r.max_attempts = static_cast<unsigned>(v);
@@ -166,6 +207,65 @@
     return {};
 }
 
+// SHA-256 in 64 hexadecimal digits; empty where the text is none.
+std::string from_hex(const std::string& text) {
+    constexpr int base = 16;
+    std::string bytes;
+    for (std::size_t i = 0; i + 1 < text.size(); i += 2) {
+        unsigned byte = 0;
+        const char* end = text.data() + i + 2;
+        const auto result = std::from_chars(text.data() + i, end, byte, base);
+        if (result.ec != std::errc{} || result.ptr != end) {
+            return {};
+        }
+        bytes.push_back(static_cast<char>(byte));
+    }
+    return text.size() == 2 * key_digest_bytes ? bytes : std::string{};
+}
+
+// Errors never show a key: whoever reads them may not know it.
+leaf::result<void> read_keys(const std::string& file, const std::string& key, const toml::node& node,
+                             bool as_digests, workspace_section& w) {
+    const toml::array* list = node.as_array();
+    if (list == nullptr) {
+        return problem(file, node, result_code::settings_wrong_type, key, "takes a list of texts");
+    }
+    for (const toml::node& item : *list) {
+        BOOST_LEAF_ASSIGN(const std::string text, read_text(file, key, item));
+        const std::string digest = as_digests ? from_hex(text) : digest_key(text);
+        if (text.empty() || digest.empty()) {
+            return problem(file, item, result_code::settings_out_of_range, key,
+                           as_digests ? "takes SHA-256 digests, 64 hexadecimal digits each"
+                                      : "takes keys of one character or more");
+        }
+        w.digests.push_back(digest);
+    }
+    return {};
+}
+
+leaf::result<void> read_workspace_key(const std::string& file, const std::string& key,
+                                      const std::string& name, const toml::node& node, workspace_section& w) {
+    constexpr std::int64_t most = 1'000'000;
+    if (name == "priority") {
+        BOOST_LEAF_ASSIGN(const auto v, read_number(file, key, node, 0, 1000));
+        w.entry.priority = static_cast<unsigned>(v);
+    } else if (name == "rate") {
+        BOOST_LEAF_ASSIGN(const auto v, read_number(file, key, node, 0, most));
+        w.entry.rate = static_cast<unsigned>(v);
+    } else if (name == "burst") {
+        BOOST_LEAF_ASSIGN(const auto v, read_number(file, key, node, 0, most));
+        w.entry.burst = static_cast<unsigned>(v);
+    } else if (name == "key_digests" || name == "keys") {
+        BOOST_LEAF_CHECK(read_keys(file, key, node, name == "key_digests", w));
+    } else {
+        return problem(file, node, result_code::settings_unknown_key, key, "no such key");
+    }
+    return {};
+}
+
+void set_name(workspace_section& w, std::string_view name) {
+    w.entry.id.value = name;
+}
 void set_name(service_entry& s, std::string_view name) {
     s.id.value = name;
 }
@@ -203,6 +303,20 @@
     return {};
 }
 
+leaf::result<void> read_workspaces(const std::string& file, const std::string& section,
+                                   const toml::node& node, table& t) {
+    std::vector<workspace_section> sections;
+    BOOST_LEAF_CHECK(read_entries(file, section, node, sections, read_workspace_key));
+    for (const workspace_section& w : sections) {
+        t.workspaces.push_back(w.entry);
+        for (const std::string& digest : w.digests) {
+            t.keys.push_back({.digest = digest, .workspace = w.entry.id});
+        }
+    }
+    std::sort(t.keys.begin(), t.keys.end());
+    return {};
+}
+
 std::set<std::string> entry_lines(const table& t) {
     std::set<std::string> lines;
     const auto add = [&lines](const std::string& text) {
@@ -224,6 +338,9 @@
     for (const route_entry& r : t.routes) {
         add(format_route(r));
     }
+    for (const workspace_section& w : sections_of(t)) {
+        add(format_workspace(w));
+    }
     return lines;
 }
 
@@ -231,7 +348,8 @@
 
 std::string format_table(const table_file& t) {
     std::string text = "revision = " + std::to_string(t.revision) + " # of the table that this edits\n" +
-                       "transaction_idle_ms = " + std::to_string(to_ms(t.content.transaction_idle)) + "\n";
+                       "transaction_idle_ms = " + std::to_string(to_ms(t.content.transaction_idle)) + "\n" +
+                       "needs_key = " + (t.content.needs_key ? "true" : "false") + "\n";
     for (const service_entry& s : t.content.services) {
         text += "\n" + format_service(s);
     }
@@ -241,6 +359,9 @@
     for (const route_entry& r : t.content.routes) {
         text += "\n" + format_route(r);
     }
+    for (const workspace_section& w : sections_of(t.content)) {
+        text += "\n" + format_workspace(w);
+    }
     return text;
 }
 
@@ -266,6 +387,10 @@
             BOOST_LEAF_CHECK(read_entries(file, section, node, t.content.servers, read_server_key));
         } else if (section == "route") {
             BOOST_LEAF_CHECK(read_entries(file, section, node, t.content.routes, read_route_key));
+        } else if (section == "workspace") {
+            BOOST_LEAF_CHECK(read_workspaces(file, section, node, t.content));
+        } else if (section == "needs_key") {
+            BOOST_LEAF_ASSIGN(t.content.needs_key, read_flag(file, section, node));
         } else if (section == "transaction_idle_ms") {
             BOOST_LEAF_ASSIGN(const auto v, read_number(file, section, node, 0, longest_ms));
             t.content.transaction_idle = std::chrono::milliseconds{v};
--- a/src/io/auth.cpp
+++ b/src/io/auth.cpp
@@ -14,18 +14,6 @@
 
 constexpr std::size_t nonce_bytes = 12;
 
-std::string to_hex(std::string_view bytes) {
-    constexpr std::string_view digits = "0123456789abcdef";
-    std::string text;
-    text.reserve(bytes.size() * 2);
-    for (const char c : bytes) {
-        const auto b = static_cast<unsigned char>(c);
-        text.push_back(digits[b >> 4U]);
-        text.push_back(digits[b & 0xfU]);
-    }
-    return text;
-}
-
 std::string mac(const std::string& key, std::string_view first, std::string_view second,
                 std::string_view third) {
     // Lengths in front keep ("ab", "c") and ("a", "bc") apart.
@@ -52,6 +40,18 @@
     return digest;
 }
 
+std::string to_hex(std::string_view bytes) {
+    constexpr std::string_view digits = "0123456789abcdef";
+    std::string text;
+    text.reserve(bytes.size() * 2);
+    for (const char c : bytes) {
+        const auto b = static_cast<unsigned char>(c);
+        text.push_back(digits[b >> 4U]);
+        text.push_back(digits[b & 0xfU]);
+    }
+    return text;
+}
+
 std::string random_hex(std::size_t bytes) {
     std::string raw(bytes, '\0');
     auto* to = reinterpret_cast<unsigned char*>(raw.data()); // NOLINT(*-reinterpret-cast): OpenSSL's bytes
--- a/src/io/auth.hpp
+++ b/src/io/auth.hpp
@@ -35,6 +35,8 @@
 // the digest needs no salt; comparing digests tells nothing of a key by its timing.
 std::string digest_key(std::string_view key);
 
+std::string to_hex(std::string_view bytes);
+
 // Hexadecimal text of `bytes` random bytes.
 std::string random_hex(std::size_t bytes);
 
--- a/tests/io_test.cpp
+++ b/tests/io_test.cpp
@@ -433,7 +433,14 @@
                              .statement_timeout = std::chrono::milliseconds{weight + 1},
                              .objective = std::chrono::milliseconds{connections},
                              .priority = weight,
-                             .max_attempts = weight % 10U + 1}};
+                             .max_attempts = weight % 10U + 1,
+                             .is_public = leaving}};
+        t.content.needs_key = leaving;
+        t.content.workspaces = {{.id = {"acme"}, .priority = weight, .rate = connections, .burst = weight},
+                                {.id = {"bell"}}};
+        t.content.keys = {{.digest = digest_key("one"), .workspace = {"acme"}},
+                          {.digest = digest_key("two"), .workspace = {"acme"}}};
+        std::sort(t.content.keys.begin(), t.content.keys.end());
         t.content.services = {{.id = {"shop"}, .max_connections = connections + 1U}};
         t.content.servers = {{.id = {"pg-1"}, .weight = weight, .leaving = leaving}};
         const auto back = parse_table(format_table(t), "t.toml");
@@ -442,6 +449,52 @@
     }));
 }
 
+TEST(settings, a_table_file_takes_keys_and_shows_their_digests_only) {
+    const auto t =
+        parse_table("needs_key = true\n[workspace.acme]\nrate = 5\nkeys = [\"secret-1\"]\n", "t.toml");
+    ASSERT_TRUE(t.has_value());
+    ASSERT_NE(find_key(t.value().content, digest_key("secret-1")), nullptr);
+    EXPECT_EQ(format_table(t.value()).find("secret"), std::string::npos);
+    EXPECT_NE(diff_tables({}, t.value().content).find("rate = 5"), std::string::npos);
+    for (const char* bad : {"key_digests = [\"secret-1\"]", "key_digests = [\"zz\"]", "keys = [\"\"]",
+                            "keys = \"secret-1\"", "rate = -1", "speed = 1"}) {
+        const std::string text = std::string("[workspace.acme]\n") + bad + "\n";
+        std::string told;
+        leaf::try_handle_all(
+            [&]() -> leaf::result<void> {
+                BOOST_LEAF_CHECK(parse_table(text, "t.toml"));
+                return {};
+            },
+            [&](const settings_problem& p) { told = to_string(p); }, [&] { told = "?"; });
+        EXPECT_NE(told.find("t.toml:2"), std::string::npos) << bad << ": " << told;
+        EXPECT_EQ(told.find("secret"), std::string::npos) << told;
+    }
+}
+
+TEST(codec, carries_workspaces_and_claims_on_their_rates) {
+    edit_table edit;
+    edit.change_id = "c";
+    edit.document = "d";
+    edit.next.needs_key = true;
+    edit.next.workspaces = {{.id = {"acme"}, .priority = 1, .rate = 2, .burst = 3}};
+    edit.next.keys = {{.digest = digest_key("k"), .workspace = {"acme"}}};
+    EXPECT_EQ(std::get<edit_table>(decode_command(encode_command(edit)).value()), edit);
+    const rate_request request{
+        .instance = {"i"},
+        .incarnation = 5,
+        .seq = 6,
+        .claims = {
+            {.workspace = {"acme"}, .held = 1, .running = 2, .needed = 3, .wanted = 4, .returned = 5}}};
+    wire::rate_request m;
+    to_wire(request, m);
+    EXPECT_EQ(from_wire(m), request);
+    const std::vector<rate_grant> grants{
+        {.workspace = {"acme"}, .operations = 7, .retry_after = std::chrono::milliseconds{8}}};
+    wire::rate_reply reply;
+    to_wire(grants, reply);
+    EXPECT_EQ(from_wire(reply), grants);
+}
+
 //-----------------------------------------------------------------------------
 // [codes]
 //-----------------------------------------------------------------------------
