--- a/src/core/rendezvous.hpp
+++ b/src/core/rendezvous.hpp
@@ -40,7 +40,7 @@
 // of each other domain for the time when none of those answers. Each workspace has one of them that it goes
 // to first (see rank_for_workspace), so that its few connections are in one place and are found open: 0.87 of
 // all statements at replicas needed an opening where a dozen instances held connections, 0.65 with three
-// (counted over a trace of 596 statements a second by 163 keys).
+// (reckoned from a trace of 596 statements a second by 163 keys).
 std::vector<instance_id> workspace_homes(const cluster_state& s, const server_record& server,
                                          unsigned connections);
 
--- a/src/core/routing.hpp
+++ b/src/core/routing.hpp
@@ -78,7 +78,7 @@
     double primary_reluctance = 3.0;
     double far_penalty = 2.0; // factor on the delay of another failure domain
     // A workspace's reads stay with one replica, where its connections are open, until another one is quicker
-    // by this factor: two take the same time within that on most days.
+    // by this factor. A choice, not measured against others.
     double workspace_loyalty = 2.0;
 };
 
--- a/src/daemon/rate_limiter.cpp
+++ b/src/daemon/rate_limiter.cpp
@@ -22,7 +22,7 @@
 constexpr duration answer_timeout = std::chrono::milliseconds{100};
 // Callers beyond their limit come back spread over so long: together they would meet the same empty bucket.
 constexpr duration come_back_spread = std::chrono::seconds{1};
-constexpr duration without_control_pause = std::chrono::milliseconds{300}; // most elections take less
+constexpr duration without_control_pause = std::chrono::milliseconds{300}; // an election, as set
 
 // What the refusals of the next moment go by; each request's own line names the workspace.
 void log_refusal(const rate_grant& g, const rate_holding& h, std::size_t waiting, duration asked_ago) {
