--- a/src/core/cluster_state.hpp
+++ b/src/core/cluster_state.hpp
@@ -111,6 +111,8 @@
     auto operator<=>(const server_record&) const = default;
 };
 
+constexpr unsigned max_server_slots = 10'000; // statements that a server may tell to run at once
+
 // An instance keeps its record for good, so that what it may do while cut off is known.
 struct instance_record {
     instance_id id;
--- a/src/core/lenders.cpp
+++ b/src/core/lenders.cpp
@@ -14,11 +14,6 @@
 // power).
 constexpr duration without_pause = std::chrono::milliseconds{100};
 
-bool is_without(const lender_book& b, const server_id& server, const std::string& address, time_point now) {
-    const auto known = b.without_until.find({server, address});
-    return known != b.without_until.end() && now < known->second;
-}
-
 int rank_of(const lender_book& b, const server_id& server, const lender& l, time_point now) {
     const auto last = b.lent_last.find(server);
     if (last != b.lent_last.end() && last->second == l.address) {
@@ -70,6 +65,12 @@
     return known != b.silent_until.end() && now < known->second;
 }
 
+bool is_without_connection(const lender_book& b, const server_id& server, const std::string& address,
+                           time_point now) {
+    const auto known = b.without_until.find({server, address});
+    return known != b.without_until.end() && now < known->second;
+}
+
 void clear_old(lender_book& b, time_point now) {
     std::erase_if(b.without_until, [now](const auto& w) { return now >= w.second; });
 }
@@ -82,7 +83,7 @@
     std::stable_sort(order.begin(), order.end(), [&](const lender& x, const lender& y) {
         return std::pair(rank_of(b, server, x, now), x.rank) < std::pair(rank_of(b, server, y, now), y.rank);
     });
-    const auto without = [&](const lender& l) { return is_without(b, server, l.address, now); };
+    const auto without = [&](const lender& l) { return is_without_connection(b, server, l.address, now); };
     if (std::all_of(order.begin(), order.end(), without)) {
         order.resize(std::min<std::size_t>(order.size(), 1));
     } else {
--- a/src/core/lenders.hpp
+++ b/src/core/lenders.hpp
@@ -49,6 +49,10 @@
 
 bool is_silent(const lender_book& b, const std::string& address, time_point now);
 
+// It has just said that it has no connection to the server.
+bool is_without_connection(const lender_book& b, const server_id& server, const std::string& address,
+                           time_point now);
+
 // Forgets what is over.
 void clear_old(lender_book& b, time_point now);
 
--- a/src/core/pool.cpp
+++ b/src/core/pool.cpp
@@ -29,18 +29,23 @@
     return p.busy_background.size() >= background_limit(p);
 }
 
+server_use use_of(const pool_state& p) {
+    return {.running = running_count(p), .opening = static_cast<unsigned>(p.opening.size())};
+}
+
+// Of those that wait, connections are of use to as many as may run.
 void note_demand(pool_state& p, time_point now) {
-    const auto demand = static_cast<unsigned>(p.busy.size()) + waiting_count(p);
+    unsigned waiting = waiting_count(p);
+    if (p.limit.permits > 0) {
+        waiting = std::min(waiting, free_places(p.limit, {.running = running_count(p)}) + 1);
+    }
+    const auto demand = static_cast<unsigned>(p.busy.size()) + waiting;
     if (demand >= p.peak_demand) {
         p.peak_demand = demand;
         p.peak_at = now;
     }
 }
 
-unsigned running_count(const pool_state& p) {
-    return static_cast<unsigned>(p.busy.size() - p.resting.size());
-}
-
 bool may_use(const pool_state& p, const pool_waiter& w, connection_number c) {
     return w.any_workspace || p.owners.at(c) == w.workspace;
 }
@@ -70,8 +75,11 @@
 
 // Others have gone before it for as long as an opening takes: the next connection that comes free makes room
 // for it.
+// Where places are counted, it is such a place that it lacks.
 bool is_passed_over(const pool_state& p, const pool_waiter& w, time_point now) {
-    return now - w.since >= expected_open_time && open_count(p) >= p.share && !is_opening_for(p, w.workspace);
+    const bool lacks_place = p.limit.permits > 0 && now >= p.open_retry_at;
+    return now - w.since >= expected_open_time && (open_count(p) >= p.share || lacks_place) &&
+           !is_opening_for(p, w.workspace);
 }
 
 // Hands out to the first waiter in line that has an idle connection. False where there is none, or it would
@@ -100,7 +108,7 @@
 }
 
 void serve_waiters(pool_state& p, time_point now, pool_actions& actions) {
-    while (!p.idle.empty() && may_send(p.limit, running_count(p)) && serve_next(p, now, actions)) {
+    while (!p.idle.empty() && free_places(p.limit, use_of(p)) > 0 && serve_next(p, now, actions)) {
     }
 }
 
@@ -151,10 +159,7 @@
     }
     const unsigned spare = p.idle.empty() && !p.busy.empty() ? 1 : 0;
     unsigned useful = p.turned_away > 0 ? std::min(waiting_count(p), 1U) : waiting_count(p) + spare;
-    if (p.limit.most > 0) {
-        const unsigned running = running_count(p);
-        useful = std::min(useful, p.limit.most - std::min(p.limit.most, running));
-    }
+    useful = std::min(useful, free_places(p.limit, {.running = running_count(p)}));
     std::map<workspace_id, unsigned> coming = count_opening(p);
     for (const auto& queue : p.waiting) {
         for (const pool_waiter& w : queue) {
@@ -188,11 +193,28 @@
     }
 }
 
+// Waiting and idle places since the last look, which stood as they were then.
+void note_places(pool_state& p, time_point now) {
+    place_use& u = p.use;
+    if (u.as_of != time_point{} && now > u.as_of) {
+        const duration passed = now - u.as_of;
+        u.waited += passed * u.waiting;
+        u.idle_while_waiting += u.waiting > 0 ? passed * u.free : duration{0};
+        u.counted += passed * u.permits;
+    }
+    const unsigned free = free_places(p.limit, use_of(p));
+    u.as_of = now;
+    u.waiting = waiting_count(p);
+    u.permits = p.limit.permits;
+    u.free = p.limit.permits == 0 ? 0 : free;
+}
+
 void settle(pool_state& p, time_point now, connection_number& next_connection, pool_actions& actions) {
     serve_waiters(p, now, actions);
     close_surplus(p, actions);
     open_for_waiters(p, now, next_connection, actions);
     serve_waiters(p, now, actions); // what was kept for an opening and is left
+    note_places(p, now);
 }
 
 void refuse_all(pool_state& p, result_code code, duration retry_after, pool_actions& actions) {
@@ -237,11 +259,11 @@
         std::max(1U, is_background ? std::min(p.share, background_limit(p)) : p.share);
     const auto busy = static_cast<std::int64_t>(is_background ? p.busy_background.size() : p.busy.size());
     const duration for_connection = wait_for_place(before, connections, busy, p.service_time);
-    if (p.limit.most == 0) {
+    const unsigned most = places(p.limit);
+    if (most == 0) {
         return for_connection;
     }
-    return std::max(for_connection,
-                    wait_for_place(before, p.limit.most, running_count(p), p.limit.usual_answer));
+    return std::max(for_connection, wait_for_place(before, most, running_count(p), p.limit.usual_answer));
 }
 
 // The latest moment at which it may be sent. As many answers take longer than usual as do not, so half as
@@ -267,6 +289,10 @@
     return static_cast<unsigned>(p.idle.size() + p.opening.size() + p.busy.size());
 }
 
+unsigned running_count(const pool_state& p) {
+    return static_cast<unsigned>(p.busy.size() - p.resting.size());
+}
+
 unsigned waiting_count(const pool_state& p) {
     std::size_t count = 0;
     for (const auto& queue : p.waiting) {
@@ -390,6 +416,13 @@
     settle(p, now, next_connection, actions);
 }
 
+void set_permits(pool_state& p, unsigned permits, unsigned elsewhere, time_point now,
+                 connection_number& next_connection, pool_actions& actions) {
+    p.limit.permits = permits;
+    p.limit.elsewhere = elsewhere;
+    settle(p, now, next_connection, actions);
+}
+
 void set_share(pool_state& p, unsigned share, time_point now, connection_number& next_connection,
                pool_actions& actions) {
     p.share = share;
--- a/src/core/pool.hpp
+++ b/src/core/pool.hpp
@@ -64,6 +64,18 @@
 // Of the time for a transaction, its first statement may take one part: others follow, and a commit.
 constexpr int transaction_parts = 3;
 
+// How the places at the server were used, where they are counted (running_limit::permits).
+struct place_use {
+    duration waited{0};             // by all requests together
+    duration idle_while_waiting{0}; // by all places together, while a request waited
+    duration counted{0};            // by all places together, in use or not
+    time_point as_of{};             // until then; what follows stood then
+    unsigned waiting = 0;
+    unsigned free = 0;
+    unsigned permits = 0;
+    auto operator<=>(const place_use&) const = default;
+};
+
 struct pool_state {
     unsigned share = 0;             // most connections open at once
     unsigned background_share = 50; // percent of the share for class "background"
@@ -75,6 +87,7 @@
     std::set<connection_number> busy_background;
     std::set<connection_number> resting; // of the busy ones: in a transaction, with no statement running
     running_limit limit;
+    place_use use;
     std::array<std::deque<pool_waiter>, request_class_count> waiting; // by class
     std::map<waiter_kind, time_point> starved_until;      // kinds of which one waited in vain a moment ago
     duration service_time = std::chrono::milliseconds{2}; // smoothed time a request keeps one
@@ -153,6 +166,11 @@
 void release_connection(pool_state& p, connection_number c, bool reusable, duration used_for, time_point now,
                         connection_number& next_connection, pool_actions& actions);
 
+// Statements and openings at once, by the server's slots (0: not bounded), and how many of them this daemon's
+// other pools of the server use. A transaction that is under way goes on whatever the number.
+void set_permits(pool_state& p, unsigned permits, unsigned elsewhere, time_point now,
+                 connection_number& next_connection, pool_actions& actions);
+
 void set_share(pool_state& p, unsigned share, time_point now, connection_number& next_connection,
                pool_actions& actions);
 
@@ -167,6 +185,7 @@
 // Everything open, or about to be.
 unsigned open_count(const pool_state& p);
 unsigned waiting_count(const pool_state& p);
+unsigned running_count(const pool_state& p); // statements that were sent and are not answered
 
 // What the load of the last seconds could have used; for the claim on a share: one connection at least for
 // every workspace that asked, since each opening costs the server a slot (12 ms) and the request its wait. A
--- a/src/core/rendezvous.cpp
+++ b/src/core/rendezvous.cpp
@@ -81,6 +81,14 @@
                                                   [](const auto& i) { return i.second.takes_callers; }));
 }
 
+} // namespace
+
+bool everyone_holds_connections(const cluster_state& s, unsigned connections) {
+    return connections >= count_callers(s) * plenty_per_instance;
+}
+
+namespace {
+
 // Those that take callers, by failure domain, best-ranked first.
 std::map<failure_domain, std::vector<ranked>> rank_callers(const cluster_state& s, const server_id& server) {
     std::map<failure_domain, std::vector<ranked>> by_domain;
@@ -100,7 +108,7 @@
 std::vector<instance_id> workspace_homes(const cluster_state& s, const server_record& server,
                                          unsigned connections) {
     std::vector<instance_id> homes;
-    if (connections >= count_callers(s) * plenty_per_instance) {
+    if (everyone_holds_connections(s, connections)) {
         return homes;
     }
     const auto by_domain = rank_callers(s, server.id);
@@ -126,7 +134,7 @@
     // A home's connections: one waits for another less often where several are in one place.
     constexpr std::size_t connections_per_home = 4;
     std::vector<instance_id> homes;
-    if (connections >= count_callers(s) * plenty_per_instance) {
+    if (everyone_holds_connections(s, connections)) {
         return homes;
     }
     const auto by_domain = rank_callers(s, server);
--- a/src/core/running_limit.cpp
+++ b/src/core/running_limit.cpp
@@ -65,4 +65,18 @@
     return l.most == 0 || running < l.most;
 }
 
+unsigned free_places(const running_limit& l, const server_use& use) {
+    const auto left = [](unsigned of, unsigned taken) { return of - std::min(of, taken); };
+    const unsigned by_refusals = l.most == 0 ? no_limit : left(l.most, use.running);
+    const unsigned by_slots =
+        l.permits == 0 ? no_limit : left(l.permits, use.running + use.opening + l.elsewhere);
+    return std::min(by_refusals, by_slots);
+}
+
+unsigned places(const running_limit& l) {
+    const unsigned own = l.permits - std::min(l.permits, l.elsewhere);
+    const unsigned by_slots = l.permits == 0 ? 0 : std::max(1U, own);
+    return l.most == 0 || by_slots == 0 ? std::max(l.most, by_slots) : std::min(l.most, by_slots);
+}
+
 } // namespace larchpin
--- a/src/core/running_limit.hpp
+++ b/src/core/running_limit.hpp
@@ -1,5 +1,5 @@
-// How many statements one daemon has running at once at one backend server, where that server said it was
-// crowded.
+// How many statements one daemon has running at once at one backend server: where it orders the server's
+// statements, as many as the server has slots and one; and fewer where the server said it was crowded.
 //
 // A server that queues statements itself serves them in the order of arrival, whatever their class, and in
 // the end refuses them. So after a refusal fewer are sent at once, and the rest waits here, where urgent ones
@@ -7,11 +7,14 @@
 // time, slowly while answers take twice what they do at an idle server; it never falls below one, and ends
 // once it exceeds what the daemon may use. Slow answers alone do not lower it: entries that each hold a
 // statement back leave slots idle at a server that has few (docs/POLICY.md).
+//
+// An opening connection takes a slot as a statement does. It counts where the slots are counted.
 #pragma once
 
 #include "core/types.hpp"
 
 #include <array>
+#include <limits>
 
 namespace larchpin {
 
@@ -25,7 +28,9 @@
 constexpr std::size_t answer_time_classes = 3;
 
 struct running_limit {
-    unsigned most = 0; // statements at once; 0: no limit
+    unsigned most = 0;      // statements at once, by the server's refusals; 0: no limit
+    unsigned permits = 0;   // statements and openings at once, by the server's slots; 0: no limit
+    unsigned elsewhere = 0; // permits in use by this daemon's other pools of the server
     std::array<answer_times, answer_time_classes> times;
     duration usual_answer{0}; // smoothed over all classes; 0: none yet
     double stretch = 1.0;     // smoothed: an answer's time by the least usual one of its class
@@ -48,4 +53,18 @@
 
 bool may_send(const running_limit& l, unsigned running);
 
+// What a pool has at the server: statements that run, and connections that open.
+struct server_use {
+    unsigned running = 0;
+    unsigned opening = 0;
+};
+
+constexpr unsigned no_limit = std::numeric_limits<unsigned>::max();
+
+// Statements or openings that may begin now; no_limit where nothing bounds them.
+unsigned free_places(const running_limit& l, const server_use& use);
+
+// Statements that may run at once, at least one; 0: nothing bounds them.
+unsigned places(const running_limit& l);
+
 } // namespace larchpin
--- a/src/daemon/agent.cpp
+++ b/src/daemon/agent.cpp
@@ -518,6 +518,12 @@
 // [for sessions]
 //-----------------------------------------------------------------------------
 
+// Nothing tells it yet: whoever does not answer is found silent.
+// NOLINTNEXTLINE(readability-convert-member-functions-to-static)
+bool agent::is_lost(const instance_id& /*id*/) const {
+    return false;
+}
+
 group_view agent::view(const group_id& group, const service_id& service) {
     group_view v;
     used_at_[group] = now();
--- a/src/daemon/agent.hpp
+++ b/src/daemon/agent.hpp
@@ -59,6 +59,9 @@
     // The copy is known to have been current at some time since this process started.
     [[nodiscard]] bool has_confirmed_state() const { return confirmed_once_; }
 
+    // Control has no lease of this instance any more, as far as is known here.
+    [[nodiscard]] bool is_lost(const instance_id& id) const;
+
     // What routing needs for one group; also notes that the group is in use here.
     [[nodiscard]] group_view view(const group_id& group, const service_id& service);
     // Requests went out to the server, and answers came back.
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -255,6 +255,26 @@
 // [requests of other processes]
 //-----------------------------------------------------------------------------
 
+// Of each server that this instance orders the statements of.
+void daemon::refresh_order_gauges() {
+    const auto seconds = [](duration d) { return std::chrono::duration<double>(d).count(); };
+    counts_.drop_gauges("ordered_");
+    for (const order_report& r : pools_.order_reports()) {
+        const std::string of =
+            "service=\"" + r.key.service.value + "\",server=\"" + r.key.server.value + "\"";
+        counts_.set_gauge("ordered_permits{" + of + "}", r.permits);
+        counts_.set_gauge("ordered_running{" + of + "}", r.running);
+        for (std::size_t i = 0; i < r.waiting.size(); ++i) {
+            const std::string klass(to_string(static_cast<request_class>(i)));
+            counts_.set_gauge("ordered_waiting{" + of + ",class=\"" + klass + "\"}",
+                              static_cast<double>(r.waiting.at(i)));
+        }
+        counts_.set_gauge("ordered_waited_seconds{" + of + "}", seconds(r.use.waited));
+        counts_.set_gauge("ordered_idle_while_waiting_seconds{" + of + "}",
+                          seconds(r.use.idle_while_waiting));
+    }
+}
+
 void daemon::refresh_gauges() {
     counts_.set_gauge("sessions", entry_ ? static_cast<double>(entry_->session_count()) : 0);
     counts_.set_gauge("lease_held", agent_.has_lease() ? 1 : 0);
@@ -264,6 +284,7 @@
     counts_.set_gauge("connections_borrowed", static_cast<double>(loans_.borrowed_count()));
     counts_.set_gauge("connections_lent", static_cast<double>(loans_.lent_count()));
     counts_.set_gauge("queue_refusals", static_cast<double>(pools_.counters().refused));
+    refresh_order_gauges();
 }
 
 void daemon::serve(const http_request& request, const http_respond& respond) {
--- a/src/daemon/daemon.hpp
+++ b/src/daemon/daemon.hpp
@@ -69,6 +69,7 @@
                             const std::string& address, unsigned hops);
     void ask_control(const std::string& path, const std::string& body, const http_respond& respond);
     void refresh_gauges();
+    void refresh_order_gauges();
     void await_reload_signal();
     void watch_settings();
     void reload_settings(bool by_signal);
--- a/src/daemon/loans.cpp
+++ b/src/daemon/loans.cpp
@@ -1,10 +1,12 @@
 // See loans.hpp.
 //
 // Index
-//   [messages]  [the borrower's connection]  [borrowing]  [lending]
+//   [messages]  [the borrower's connection]  [ordering]  [borrowing]  [lending]
 #include "daemon/loans.hpp"
 
+#include "core/home_order.hpp"
 #include "core/rendezvous.hpp"
+#include "core/shares.hpp"
 #include "generated/larchpin.pb.h"
 #include "io/addresses.hpp"
 #include "io/clock.hpp"
@@ -34,6 +36,16 @@
 constexpr duration watch_interval = std::chrono::milliseconds{50};
 constexpr duration ping_timeout = std::chrono::milliseconds{250}; // a ping that takes longer is of no use
 constexpr duration lost_pause = std::chrono::milliseconds{20};
+// Those behind the one that orders a server's statements which keep a connection for the time after it: the
+// next one, and one for the case that both are lost.
+constexpr std::size_t standbys = 2;
+// Of few connections each of these is a large part; a standby that has none asks for one when it is needed.
+constexpr unsigned connections_per_standby = 8;
+constexpr duration ordering_memory =
+    std::chrono::seconds{30}; // afterwards a server counts as not in use here
+constexpr duration ping_pause = std::chrono::milliseconds{100};
+constexpr duration instead_time =
+    std::chrono::milliseconds{200}; // some questions longer than a refusal holds
 
 std::uint64_t to_us(duration d) {
     return static_cast<std::uint64_t>(
@@ -281,6 +293,163 @@
     bool running_ = false;
 };
 
+//-----------------------------------------------------------------------------
+// [ordering]
+//-----------------------------------------------------------------------------
+
+bool connection_loans::orders_statements() const {
+    return config_.order_statements && driver_.servers_enforce_floor;
+}
+
+// As far as is known here. This instance itself may, as long as it reaches the server.
+bool connection_loans::may_order(const share_key& key, const instance_id& id) const {
+    if (id == config_.id) {
+        return !stopping_ && !cluster_.is_unreachable(key.server) && !pools_.is_turned_away(key);
+    }
+    const auto record = cluster_.cluster().instances.find(id);
+    return record != cluster_.cluster().instances.end() && !cluster_.is_lost(id) &&
+           !is_silent(book_, record->second.address, now()) &&
+           !is_without_connection(book_, key.server, record->second.address, now());
+}
+
+// The instance that orders the server's statements, as far as is known here; nothing where none may.
+const instance_id* connection_loans::find_first(const share_key& key) {
+    const auto& homes = homes_of(key);
+    const auto first =
+        std::find_if(homes.begin(), homes.end(), [&](const instance_id& id) { return may_order(key, id); });
+    return first == homes.end() ? nullptr : &*first;
+}
+
+bool connection_loans::is_ordering(const share_key& key) {
+    const auto place = order_places_.find(key);
+    if (place != order_places_.end() && now() < place->second.instead_until && may_order(key, config_.id)) {
+        return true;
+    }
+    const instance_id* first = find_first(key);
+    return first != nullptr && *first == config_.id;
+}
+
+// Statements that the server runs at once; 0: not known.
+unsigned connection_loans::slots_of(const share_key& key, order_place& place) {
+    const service_entry* service = find_service(cluster_.cluster().current, key.service);
+    const unsigned slots = config_.slots;
+    if (service == nullptr || slots <= service->max_connections) {
+        place.has_refused_slots = false;
+        return slots;
+    }
+    if (!place.has_refused_slots) {
+        place.has_refused_slots = true;
+        log_failure("slots_ignored", result_code::settings_out_of_range,
+                    {{"server", key.server.value},
+                     {"service", key.service.value},
+                     {"slots", static_cast<std::uint64_t>(slots)},
+                     {"takes_at_most", static_cast<std::uint64_t>(service->max_connections)}});
+    }
+    return 0;
+}
+
+// Tells the pool what this instance is for the server.
+void connection_loans::follow_order(const share_key& key) {
+    if (!orders_statements() || homes_of(key).empty()) {
+        if (order_places_.erase(key) > 0) {
+            pools_.set_order(key, {});
+        }
+        return;
+    }
+    order_place& place = order_places_[key];
+    const bool orders = is_ordering(key);
+    const unsigned slots = slots_of(key, place);
+    if (orders != place.is_ordering) {
+        const auto& homes = homes_of(key);
+        const instance_id* first = find_first(key);
+        const char* why = homes.front() == config_.id             ? "first of the list"
+                          : orders && now() < place.instead_until ? "those before it refuse"
+                          : orders                                ? "those before it are gone"
+                          : first == nullptr                      ? "the server is out of reach"
+                                                                  : "one before it orders";
+        log_event(severity::info, orders ? "ordering_begun" : "ordering_ended",
+                  {{"server", key.server.value},
+                   {"service", key.service.value},
+                   {"slots", static_cast<std::uint64_t>(slots)},
+                   {"first", first == nullptr ? "" : first->value},
+                   {"why", why}});
+        place.is_ordering = orders;
+    }
+    const auto& homes = homes_of(key);
+    const service_entry* service = find_service(cluster_.cluster().current, key.service);
+    const unsigned connections = service == nullptr ? 0 : service->max_connections;
+    const std::size_t keepers = std::clamp<std::size_t>(connections / connections_per_standby, 1, standbys);
+    const auto own = std::find(homes.begin(), homes.end(), config_.id) - homes.begin();
+    pools_.set_order(key, {.permits = !orders      ? standby_permits
+                                      : slots == 0 ? 0
+                                                   : slots + 1,
+                           .claims_at_most = orders ? 0U : 1U,
+                           .keeps_one = !orders && static_cast<std::size_t>(own) <= keepers,
+                           .is_ordering = orders});
+}
+
+void connection_loans::follow_orders() {
+    std::vector<share_key> keys;
+    for (const auto& [key, place] : order_places_) {
+        keys.push_back(key);
+    }
+    for (const share_key& key : keys) {
+        if (now() - order_places_[key].asked_at < ordering_memory) {
+            follow_order(key);
+        } else {
+            order_places_.erase(key);
+            pools_.set_order(key, {});
+        }
+    }
+}
+
+// Work comes here though another one goes before: whoever sent it may have found that one silent.
+void connection_loans::ping_first(const share_key& key) {
+    order_place& place = order_places_[key];
+    const instance_id* first = find_first(key);
+    if (first == nullptr || *first == config_.id || now() - place.pinged_at < ping_pause) {
+        return;
+    }
+    place.pinged_at = now();
+    const std::string address = cluster_.cluster().instances.at(*first).address;
+    note_asked(book_, address, now());
+    ping(address);
+}
+
+void connection_loans::ping(const std::string& address) {
+    wire::loan_request m;
+    m.set_drop(true); // of no loan
+    clients_.to(address).post("/v1/loan", m.SerializeAsString(), ping_timeout,
+                              [this, address](const http_outcome& o) {
+                                  if (o.answered && o.status == status_ok) {
+                                      note_home(address, true);
+                                  }
+                              });
+}
+
+// The first ones of the list that may order, and where none may, one that is asked all the same.
+std::vector<std::string> connection_loans::rank_in_order(const share_key& key) {
+    const cluster_state& s = cluster_.cluster();
+    std::vector<std::string> addresses;
+    const instance_id* any = nullptr;
+    for (const instance_id& id : homes_of(key)) {
+        if (id == config_.id || !s.instances.contains(id)) {
+            continue;
+        }
+        any = any == nullptr ? &id : any;
+        if (may_order(key, id)) {
+            addresses.push_back(s.instances.at(id).address);
+        }
+        if (addresses.size() == homes_tried) {
+            break;
+        }
+    }
+    if (addresses.empty() && any != nullptr) {
+        addresses.push_back(s.instances.at(*any).address);
+    }
+    return addresses;
+}
+
 //-----------------------------------------------------------------------------
 // [borrowing]
 //-----------------------------------------------------------------------------
@@ -294,6 +463,10 @@
 }
 
 std::shared_ptr<backend_connection> connection_loans::borrow(const loan_terms& terms) {
+    if (orders_statements()) {
+        order_places_[terms.key].asked_at = now();
+        follow_order(terms.key);
+    }
     const bool has_own = uses_own(terms);
     const bool reaches_it = !cluster_.is_unreachable(terms.key.server);
     const bool turned_away = pools_.is_turned_away(terms.key);
@@ -327,6 +500,9 @@
     if (homes.empty() || has_reserve) {
         return true;
     }
+    if (orders_statements()) {
+        return is_ordering(terms.key);
+    }
     if (terms.workspace.value.empty()) {
         return std::find(homes.begin(), homes.end(), config_.id) != homes.end();
     }
@@ -353,8 +529,30 @@
     });
 }
 
+// Where each server stands, and so what the lists of all were made from.
+bool connection_loans::have_servers_changed() {
+    const cluster_state& s = cluster_.cluster();
+    if (!orders_statements() || homes_servers_revision_ == s.revision) {
+        return false;
+    }
+    homes_servers_revision_ = s.revision;
+    std::vector<std::pair<server_id, failure_domain>> servers;
+    servers.reserve(s.servers.size());
+    for (const auto& [id, record] : s.servers) {
+        servers.emplace_back(id, record.domain);
+    }
+    if (servers == homes_servers_) {
+        return false;
+    }
+    homes_servers_ = std::move(servers);
+    return true;
+}
+
 const std::vector<instance_id>& connection_loans::homes_of(const share_key& key) {
     const cluster_state& s = cluster_.cluster();
+    if (have_servers_changed()) {
+        homes_.clear();
+    }
     if (homes_instances_revision_ != s.instances_revision || homes_table_revision_ != s.table_revision) {
         homes_.clear();
         homes_instances_revision_ = s.instances_revision;
@@ -371,8 +569,9 @@
             connections_for_requests(service->max_connections, config_.kept_connections);
         const auto server = s.servers.find(key.server);
         const bool by_workspace = s.current.needs_key && server != s.servers.end();
-        homes = by_workspace ? workspace_homes(s, server->second, connections)
-                             : home_instances(s, key.server, connections);
+        homes = orders_statements() ? order_homes(s, key.server, connections)
+                : by_workspace      ? workspace_homes(s, server->second, connections)
+                                    : home_instances(s, key.server, connections);
     }
     return homes_.emplace(key, std::move(homes)).first->second;
 }
@@ -383,7 +582,10 @@
     }
     const cluster_state& s = cluster_.cluster();
     const auto& homes = homes_of(key);
-    return std::any_of(homes.begin(), homes.end(), [&](const instance_id& id) {
+    // Of a list of all instances those behind the first ones hold no connections.
+    const auto holders = static_cast<std::ptrdiff_t>(
+        orders_statements() ? std::min(homes.size(), reserves_per_server + 1) : homes.size());
+    return std::any_of(homes.begin(), homes.begin() + holders, [&](const instance_id& id) {
         const auto record = s.instances.find(id);
         if (id == config_.id || record == s.instances.end() || record->second.domain != config_.domain) {
             return false;
@@ -410,6 +612,9 @@
 // must come to the same home.
 std::vector<std::string> connection_loans::rank_homes(const loan_terms& terms) {
     const cluster_state& s = cluster_.cluster();
+    if (orders_statements() && !homes_of(terms.key).empty()) {
+        return rank_in_order(terms.key);
+    }
     const auto server = s.servers.find(terms.key.server);
     const bool by_workspace = !terms.workspace.value.empty() && server != s.servers.end();
     const failure_domain& near = by_workspace ? server->second.domain : config_.domain;
@@ -438,7 +643,9 @@
 // Where a server cannot be reached from here, or has no room, whoever has a connection is worth remembering.
 void connection_loans::note_lender(const share_key& key, const std::string& address,
                                    const backend_outcome& outcome) {
-    if (outcome.refused == result_code::connection_lost) {
+    const bool sends_on = orders_statements() && (outcome.refused == result_code::stopping ||
+                                                  outcome.refused == result_code::no_lease);
+    if (outcome.refused == result_code::connection_lost || sends_on) {
         note_without_connection(book_, key.server, address, now());
     }
     const bool needs_lender = cluster_.is_unreachable(key.server) || pools_.is_turned_away(key);
@@ -499,8 +706,10 @@
         pools_.look_for_room(key);
     }
     const bool unreachable = known && (turned_away || cluster_.is_unreachable(key.server));
-    if (stopping_ || unreachable || !known || request.klass() >= request_class_count) {
+    const bool cut_off = orders_statements() && !cluster_.has_lease() && !pools_.may_serve(key, false);
+    if (stopping_ || unreachable || !known || cut_off || request.klass() >= request_class_count) {
         const result_code code = stopping_     ? result_code::stopping
+                                 : cut_off     ? result_code::no_lease
                                  : unreachable ? result_code::connection_lost
                                                : result_code::no_replica;
         log_refusal(request, code);
@@ -508,6 +717,11 @@
         return;
     }
     ++lent_;
+    if (orders_statements()) {
+        order_places_[key].asked_at = now();
+        ping_first(key);
+        follow_order(key);
+    }
     const std::uint64_t number = request.loan();
     loan& begun = loans_[number];
     begun.key = key;
@@ -622,14 +836,7 @@
 
 void connection_loans::watch_homes() {
     for (const std::string& address : take_pings(book_, now())) {
-        wire::loan_request ping;
-        ping.set_drop(true); // of no loan
-        clients_.to(address).post("/v1/loan", ping.SerializeAsString(), ping_timeout,
-                                  [this, address](const http_outcome& o) {
-                                      if (o.answered && o.status == status_ok) {
-                                          note_home(address, true);
-                                      }
-                                  });
+        ping(address);
     }
     watch_timer_.expires_after(watch_interval);
     watch_timer_.async_wait([this](const boost::system::error_code& error) {
@@ -641,6 +848,7 @@
 
 void connection_loans::on_tick() {
     clear_old(book_, now());
+    follow_orders();
     std::vector<std::uint64_t> unused;
     for (const auto& [number, l] : loans_) {
         if (l.connection && !l.running && now() - l.used_at >= idle_loan_time) {
--- a/src/daemon/loans.hpp
+++ b/src/daemon/loans.hpp
@@ -70,6 +70,10 @@
     // Body of /v1/loan: another instance's request on one of our connections.
     void answer(const std::string& body, const http_respond& respond);
 
+    // Places at the server while this instance is not the first that it believes alive: what was begun goes
+    // on, one statement at a time.
+    static constexpr unsigned standby_permits = 1;
+
     void stop() { stopping_ = true; } // lends no more; what is lent goes on to its end
     [[nodiscard]] std::uint64_t borrowed_count() const { return borrowed_; }
     [[nodiscard]] std::uint64_t lent_count() const { return lent_; }
@@ -90,12 +94,33 @@
         time_point used_at{};
     };
 
+    // How this instance stands to a server whose statements one instance orders.
+    struct order_place {
+        bool is_ordering = false;
+        bool has_refused_slots = false; // they were found too many, and the log says so
+        time_point asked_at{};          // its statements pass here, or are lent to others from here
+        time_point pinged_at{};         // whoever goes before this one
+        time_point instead_until{};     // those before this one have said that they can't
+    };
+
+    // [ordering]
+    [[nodiscard]] bool orders_statements() const;
+    [[nodiscard]] bool may_order(const share_key& key, const instance_id& id) const;
+    const instance_id* find_first(const share_key& key);
+    bool is_ordering(const share_key& key);
+    unsigned slots_of(const share_key& key, order_place& place);
+    void follow_order(const share_key& key);
+    void follow_orders();
+    void ping_first(const share_key& key);
+    void ping(const std::string& address);
+    std::vector<std::string> rank_in_order(const share_key& key);
     // [borrowing]
     std::vector<instance_id> lenders_of(const share_key& key);
     std::vector<std::string> rank_homes(const loan_terms& terms);
     bool uses_own(const loan_terms& terms);
     bool is_first_home(const loan_terms& terms);
     void note_lender(const share_key& key, const std::string& address, const backend_outcome& outcome);
+    bool have_servers_changed();
     const std::vector<instance_id>& homes_of(const share_key& key);
     void note_home(const std::string& address, bool answers);
     // [lending]
@@ -120,6 +145,9 @@
     std::map<share_key, std::vector<instance_id>> homes_;
     revision_number homes_instances_revision_ = 0; // that `homes_` was made from
     revision_number homes_table_revision_ = 0;
+    revision_number homes_servers_revision_ = 0;                      // last looked at
+    std::vector<std::pair<server_id, failure_domain>> homes_servers_; // that `homes_` was made from
+    std::map<share_key, order_place> order_places_;
     lender_book book_;
     http2_clients clients_;
     std::uint64_t borrowed_ = 0;
--- a/src/daemon/pools.cpp
+++ b/src/daemon/pools.cpp
@@ -55,6 +55,7 @@
     p.requests[number] = waiting_request{.done = std::move(done)};
     pool_actions actions;
     waiter.request = number;
+    count_elsewhere(key, p, false);
     request_connection(p.state, waiter, now(), next_connection_, actions);
     carry_out(key, actions);
     if (on_short_of_share && waiting_count(p.state) > 0 && open_count(p.state) >= p.state.share) {
@@ -82,8 +83,10 @@
     const bool usable = reusable && connection != found->second.connections.end() &&
                         connection->second->is_open() && !connection->second->is_running();
     pool_actions actions;
+    count_elsewhere(key, found->second, true);
     release_connection(found->second.state, number, usable, used_for, now(), next_connection_, actions);
     carry_out(key, actions);
+    settle_others(key.server);
 }
 
 void backend_pools::note_statement_ended(const share_key& key, connection_number number,
@@ -95,6 +98,7 @@
     running_limit& limit = found->second.state.limit;
     const unsigned before = limit.most;
     pool_actions actions;
+    count_elsewhere(key, found->second, true);
     statement_ended(found->second.state, number, end, now(), next_connection_, actions);
     if (limit.most != before && (before == 0 || limit.most == 0)) {
         log_event(
@@ -102,6 +106,7 @@
             {{"server", key.server.value}, {"running_at_most", static_cast<std::uint64_t>(limit.most)}});
     }
     carry_out(key, actions);
+    settle_others(key.server);
 }
 
 void backend_pools::note_statement_begun(const share_key& key, connection_number number) {
@@ -117,7 +122,9 @@
         if (key.server != server) {
             continue;
         }
+        const unsigned permits = p.state.limit.permits;
         p.state.limit = {}; // learned of the process that is gone
+        p.state.limit.permits = permits;
         for (const auto& [number, connection] : p.connections) {
             open.push_back(connection);
         }
@@ -127,8 +134,83 @@
     }
 }
 
+// One daemon's pools of a server, one for each service, have its permits together. Where others have been
+// served less recently and wait, they come before this one.
+void backend_pools::count_elsewhere(const share_key& key, pool& p, bool let_others_first) {
+    if (p.state.limit.permits == 0) {
+        return;
+    }
+    unsigned elsewhere = 0;
+    bool others_first = false;
+    for (const auto& [other_key, other] : pools_) {
+        if (other_key.server == key.server && other_key != key) {
+            elsewhere += running_count(other.state) + static_cast<unsigned>(other.state.opening.size());
+            others_first = others_first || (waiting_count(other.state) > 0 && other.served < p.served);
+        }
+    }
+    p.state.limit.elsewhere = elsewhere + (let_others_first && others_first ? p.state.limit.permits : 0);
+}
+
+// What one pool has left serves the others, those first that have waited longer for their turn.
+void backend_pools::settle_others(const server_id& server) {
+    std::vector<std::pair<std::uint64_t, share_key>> pools;
+    for (const auto& [key, p] : pools_) {
+        if (key.server == server && p.state.limit.permits > 0) {
+            pools.emplace_back(p.served, key);
+        }
+    }
+    if (pools.size() < 2) {
+        return;
+    }
+    std::sort(pools.begin(), pools.end());
+    for (const auto& [served, key] : pools) {
+        pool& p = pools_[key];
+        count_elsewhere(key, p, false);
+        pool_actions actions;
+        set_permits(p.state, p.state.limit.permits, p.state.limit.elsewhere, now(), next_connection_,
+                    actions);
+        carry_out(key, actions);
+    }
+}
+
+void backend_pools::set_order(const share_key& key, const pool_order& order) {
+    pool& p = find_or_make(key);
+    if (p.order == order) {
+        return;
+    }
+    const bool changes_limit = p.order.permits != order.permits;
+    p.order = order;
+    if (!changes_limit) {
+        return;
+    }
+    p.state.limit.permits = order.permits;
+    count_elsewhere(key, p, false);
+    pool_actions actions;
+    set_permits(p.state, order.permits, p.state.limit.elsewhere, now(), next_connection_, actions);
+    carry_out(key, actions);
+}
+
+std::vector<order_report> backend_pools::order_reports() const {
+    std::vector<order_report> reports;
+    for (const auto& [key, p] : pools_) {
+        if (!p.order.is_ordering) {
+            continue;
+        }
+        order_report r{.key = key,
+                       .permits = p.order.permits,
+                       .running = running_count(p.state),
+                       .waiting = {},
+                       .use = p.state.use};
+        std::transform(p.state.waiting.begin(), p.state.waiting.end(), r.waiting.begin(),
+                       [](const auto& queue) { return queue.size(); });
+        reports.push_back(r);
+    }
+    return reports;
+}
+
 void backend_pools::set_share(const share_key& key, unsigned share) {
     pool_actions actions;
+    count_elsewhere(key, find_or_make(key), false);
     larchpin::set_share(find_or_make(key).state, share, now(), next_connection_, actions);
     carry_out(key, actions);
 }
@@ -144,7 +226,10 @@
     for (auto& [key, p] : pools_) {
         const unsigned in_effect = std::max(p.state.share, open_count(p.state));
         const bool in_use = now() - p.used_at < idle_pool_time;
-        const unsigned wanted = in_use ? std::max(1U, take_peak_demand(p.state, now())) : 0;
+        const unsigned needed = in_use ? std::max(1U, take_peak_demand(p.state, now())) : 0;
+        const unsigned at_most =
+            p.order.claims_at_most > 0 ? std::min(needed, p.order.claims_at_most) : needed;
+        const unsigned wanted = std::max(at_most, p.order.keeps_one ? 1U : 0U);
         if (in_effect > 0 || wanted > 0) {
             all.push_back({.key = key, .in_effect = in_effect, .wanted = wanted});
         }
@@ -196,6 +281,7 @@
             }
             const pool_callback done = std::move(request->second.done);
             p.requests.erase(request);
+            p.served = ++hand_outs_;
             done({.connection = p.connections[use->connection], .number = use->connection});
         } else if (const auto* refuse = std::get_if<refuse_request>(&action)) {
             const auto request = p.requests.find(refuse->request);
@@ -242,6 +328,7 @@
         }
         pool& owner = pools_[key];
         pool_actions actions;
+        count_elsewhere(key, owner, true);
         if (result == connect_result::connected) {
             connection_opened(owner.state, number, now(), next_connection_, actions);
         } else {
@@ -257,12 +344,14 @@
             }
         }
         carry_out(key, actions);
+        settle_others(key.server);
     });
 }
 
 void backend_pools::on_tick() {
     for (auto& [key, p] : pools_) {
         pool_actions actions;
+        count_elsewhere(key, p, false);
         // A connection that the server ended while it lay idle is of no use.
         std::vector<connection_number> dead;
         for (const connection_number c : p.state.idle) {
--- a/src/daemon/pools.hpp
+++ b/src/daemon/pools.hpp
@@ -13,6 +13,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <array>
 #include <functional>
 #include <map>
 #include <memory>
@@ -27,6 +28,24 @@
 };
 using pool_callback = std::function<void(const pool_answer&)>;
 
+// What this instance is for a server whose statements one instance orders (docs/design/ordering.md).
+struct pool_order {
+    unsigned permits = 0;        // statements and openings at once; 0: not bounded
+    unsigned claims_at_most = 0; // connections; 0: what its requests need
+    bool keeps_one = false;      // claims one also while nobody asks, so as to have it when it is needed
+    bool is_ordering = false;
+    auto operator<=>(const pool_order&) const = default;
+};
+
+// For operators.
+struct order_report {
+    share_key key;
+    unsigned permits = 0;
+    unsigned running = 0;
+    std::array<std::size_t, request_class_count> waiting{}; // by class
+    place_use use;
+};
+
 struct pool_counters {
     std::uint64_t opened = 0;
     std::uint64_t open_failed = 0;
@@ -55,6 +74,10 @@
     // not answered.
     void drop_connections(const server_id& server);
 
+    void set_order(const share_key& key, const pool_order& order);
+    // Of the servers that this instance orders.
+    [[nodiscard]] std::vector<order_report> order_reports() const;
+
     void set_share(const share_key& key, unsigned share);
     void revoke_share(const share_key& key, unsigned share);
     [[nodiscard]] std::vector<share_claim> claims();
@@ -86,8 +109,12 @@
         std::map<connection_number, std::shared_ptr<backend_connection>> connections;
         std::map<request_number, waiting_request> requests;
         time_point used_at{};
+        pool_order order;
+        std::uint64_t served = 0; // number of the last hand-out
     };
 
+    void count_elsewhere(const share_key& key, pool& p, bool let_others_first);
+    void settle_others(const server_id& server);
     void carry_out(const share_key& key, const pool_actions& actions);
     void open(const share_key& key, const open_connection& wanted);
     void on_tick();
@@ -98,6 +125,7 @@
     std::map<share_key, pool> pools_;
     connection_number next_connection_ = 1;
     request_number next_request_ = 1;
+    std::uint64_t hand_outs_ = 0;
     boost::asio::steady_timer timer_;
     pool_counters counters_;
 };
--- a/src/io/metrics.cpp
+++ b/src/io/metrics.cpp
@@ -49,6 +49,10 @@
     ++by_key_[key].refusals[code];
 }
 
+void metrics::drop_gauges(const std::string& beginning) {
+    std::erase_if(gauges_, [&](const auto& gauge) { return gauge.first.starts_with(beginning); });
+}
+
 void metrics::note_retry(const metric_key& key) {
     ++by_key_[key].retries;
 }
--- a/src/io/metrics.hpp
+++ b/src/io/metrics.hpp
@@ -51,6 +51,7 @@
     void note_write(const metric_key& key, duration took);
     void note_refusal(const metric_key& key, result_code code);
     void note_retry(const metric_key& key);
+    void drop_gauges(const std::string& beginning); // of names that begin so
     void set_gauge(const std::string& name, double value) { gauges_[name] = value; }
 
     [[nodiscard]] std::string to_text() const;
--- a/src/io/settings.cpp
+++ b/src/io/settings.cpp
@@ -4,6 +4,7 @@
 //   [reading one key]  [the keys]  [public functions]
 #include "io/settings.hpp"
 
+#include "core/cluster_state.hpp"
 #include "io/addresses.hpp"
 
 #include <boost/leaf/error.hpp>
@@ -231,6 +232,9 @@
         {"backend.user", text(&settings::backend_user)},
         {"backend.password_file", text(&settings::backend_password_file)},
         {"backend.kept_connections", count(&settings::kept_connections, {0, 100})},
+        {"backend.order_statements",
+         [](const auto& at, const auto& n, settings& s) { return read_flag(at, n, s.order_statements); }},
+        {"backend.slots", count(&settings::slots, {1, max_server_slots})},
         {"backend.probe_ms", milliseconds(&settings::probe_interval, {10, 10'000})},
         {"backend.detect_ms", milliseconds(&settings::detect_time, {50, 60'000})},
         {"backend.leave_ms", milliseconds(&settings::leave_time, {1'000, 3'600'000})},
--- a/src/io/settings.hpp
+++ b/src/io/settings.hpp
@@ -58,6 +58,9 @@
     std::string backend_user;          // empty: the caller's user
     std::string backend_password_file; // empty: none
     unsigned kept_connections = 0;     // of a service's limit to one server, kept back for our own probes
+    // One instance orders all statements for a server, where few instances hold a server's connections.
+    bool order_statements = false;
+    unsigned slots = 0; // statements that a server runs at once which announces no number; 0: not known
     duration probe_interval = std::chrono::milliseconds{50};
     duration detect_time = std::chrono::milliseconds{400}; // without an answer for so long: dead
     // A server that announced that it leaves may be sent requests for so long. Servers are told to wait
--- /dev/null
+++ b/tests/ordering_test.cpp
@@ -0,0 +1,468 @@
+// One instance orders all statements for a server: which one that is, and how many statements it lets run.
+//
+// Index
+//   [the list]  [places]  [the crest of demand]
+#include "core/home_order.hpp"
+#include "core/pool.hpp"
+#include "core/rendezvous.hpp"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <random>
+#include <set>
+
+namespace larchpin {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+//-----------------------------------------------------------------------------
+// [the list]
+//-----------------------------------------------------------------------------
+
+constexpr unsigned few_connections = 46;
+
+struct listed_site {
+    cluster_state state;
+
+    listed_site(int instances, int servers, int domains = 3) {
+        for (int i = 0; i < instances; ++i) {
+            add_instance(i, domains);
+        }
+        for (int i = 0; i < servers; ++i) {
+            const std::string id = "s" + std::to_string(i);
+            state.servers[{id}] = {.id = {id},
+                                   .group = {"g" + std::to_string(i / 3)},
+                                   .host = "10.1.0.1",
+                                   .port = 1,
+                                   .domain = {"z" + std::to_string(i % domains)}};
+        }
+    }
+    void add_instance(int i, int domains = 3) {
+        const std::string id = "e" + std::to_string(i);
+        state.instances[{id}] = {.id = {id},
+                                 .domain = {"z" + std::to_string(i % domains)},
+                                 .address = "10.0.0." + std::to_string(i) + ":1",
+                                 .takes_callers = true};
+    }
+    [[nodiscard]] std::map<server_id, instance_id> firsts() const {
+        std::map<server_id, instance_id> all;
+        for (const auto& [id, server] : state.servers) {
+            all[id] = order_homes(state, id, 1).front();
+        }
+        return all;
+    }
+};
+
+TEST(order_homes, names_all_that_take_callers_and_those_beside_the_server_first) {
+    listed_site s(70, 24);
+    s.state.instances.at({"e3"}).takes_callers = false;
+    for (const auto& [id, server] : s.state.servers) {
+        const auto homes = order_homes(s.state, id, few_connections);
+        ASSERT_EQ(homes.size(), 69U);
+        EXPECT_EQ(std::set<instance_id>(homes.begin(), homes.end()).size(), 69U);
+        bool far = false;
+        for (const instance_id& home : homes) {
+            const bool is_far = s.state.instances.at(home).domain != server.domain;
+            EXPECT_FALSE(far && !is_far) << home.value << " stands behind one of another domain";
+            far = is_far;
+        }
+    }
+}
+
+TEST(order_homes, is_the_same_whatever_else_an_instance_knows) {
+    listed_site a(70, 24);
+    listed_site b(0, 24);
+    for (int i = 69; i >= 0; --i) {
+        b.add_instance(i);
+    }
+    b.state.revision = 77;
+    b.state.servers.at({"s3"}).started = 5; // a new start, which moves nothing
+    for (const auto& [id, server] : a.state.servers) {
+        EXPECT_EQ(order_homes(a.state, id, few_connections), order_homes(b.state, id, few_connections));
+    }
+}
+
+// The pattern: chance alone gives some instances two or three of the first places and most of them none, and
+// each place is the load of a whole server.
+TEST(order_homes, spreads_the_first_places_evenly) {
+    for (const auto& [instances, servers] : {std::pair{70, 24}, {9, 24}, {30, 24}, {4, 24}, {300, 90}}) {
+        const listed_site s(instances, servers);
+        std::map<instance_id, std::size_t> places;
+        for (const auto& [server, first] : s.firsts()) {
+            ++places[first];
+        }
+        for (const auto& [instance, count] : places) {
+            const failure_domain& domain = s.state.instances.at(instance).domain;
+            const auto in_domain = [&](const auto& entry) { return entry.second.domain == domain; };
+            const auto near = std::count_if(s.state.instances.begin(), s.state.instances.end(), in_domain);
+            const auto own = std::count_if(s.state.servers.begin(), s.state.servers.end(), in_domain);
+            EXPECT_LE(count, static_cast<std::size_t>((own + near - 1) / near))
+                << instances << " instances, " << servers << " servers";
+        }
+    }
+}
+
+// Each move costs a server's connections, which are opened anew.
+TEST(order_homes, moves_few_servers_when_an_instance_comes_or_goes) {
+    const listed_site whole(70, 24);
+    const auto before = whole.firsts();
+    std::size_t moved_in_all = 0;
+    for (int i = 0; i < 70; ++i) {
+        listed_site less = whole;
+        less.state.instances.erase({"e" + std::to_string(i)});
+        const auto after = less.firsts();
+        std::size_t moved = 0;
+        std::size_t had_to_move = 0;
+        for (const auto& [server, first] : before) {
+            moved += after.at(server) != first ? 1 : 0;
+            had_to_move += first.value == "e" + std::to_string(i) ? 1 : 0;
+        }
+        EXPECT_LE(moved, had_to_move + 2) << "e" << i;
+        EXPECT_TRUE(had_to_move > 0 || moved == 0) << "e" << i << " was first for nobody";
+        moved_in_all += moved;
+    }
+    EXPECT_LE(moved_in_all, 36U) << "24 must move, once each";
+}
+
+TEST(order_homes, is_empty_where_everybody_holds_connections_and_for_an_unknown_server) {
+    const listed_site s(70, 24);
+    EXPECT_TRUE(order_homes(s.state, {"s1"}, 140).empty());
+    EXPECT_FALSE(order_homes(s.state, {"s1"}, 139).empty());
+    EXPECT_TRUE(order_homes(s.state, {"nobody"}, few_connections).empty());
+    const listed_site alone(0, 1);
+    EXPECT_TRUE(order_homes(alone.state, {"s0"}, 0).empty());
+}
+
+TEST(order_homes, begins_elsewhere_where_nobody_beside_the_server_takes_callers) {
+    listed_site s(9, 3);
+    for (auto& [id, instance] : s.state.instances) {
+        instance.takes_callers = instance.domain.value != "z0";
+    }
+    EXPECT_EQ(order_homes(s.state, {"s0"}, 4).size(), 6U);
+}
+
+//-----------------------------------------------------------------------------
+// [places]
+//-----------------------------------------------------------------------------
+
+constexpr unsigned slots = 4;
+
+struct work {
+    connection_number connection = 0;
+    duration length{0};
+    bool is_opening = false;
+    time_point ends{}; // 0: waits at the server
+};
+
+struct transaction {
+    unsigned statements_left = 0; // after the first one
+    duration rest{0};             // before each
+};
+
+// A pool and its server, in virtual time. The server runs `slots` statements or openings at once and the rest
+// in the order of arrival.
+struct ordered_pool {
+    pool_state p;
+    time_point now{seconds{1}};
+    connection_number next = 1;
+    request_number next_request = 1;
+    std::vector<work> at_server; // in the order of arrival
+    std::map<request_number, duration> lengths;
+    std::map<request_number, transaction> transactions; // asked for
+    std::map<connection_number, transaction> open;      // under way
+    std::map<connection_number, request_class> classes;
+    std::map<connection_number, time_point> given;
+    std::map<connection_number, time_point> next_statement_at;
+    std::vector<request_number> used;
+    std::vector<request_number> refused;
+    unsigned most_at_once = 0;
+    duration waited_by_transactions{0};
+
+    explicit ordered_pool(unsigned permits, unsigned share = few_connections) {
+        p.share = share;
+        p.limit.permits = permits;
+        p.background_share = 100;
+    }
+    void carry_out(const pool_actions& actions) {
+        for (const pool_action& a : actions) {
+            if (const auto* o = std::get_if<open_connection>(&a)) {
+                begin({.connection = o->connection,
+                       .length = milliseconds{12},
+                       .is_opening = true,
+                       .ends = {}});
+            } else if (const auto* u = std::get_if<use_connection>(&a)) {
+                used.push_back(u->request);
+                given[u->connection] = now;
+                if (transactions.contains(u->request)) {
+                    open[u->connection] = transactions[u->request];
+                }
+                begin({.connection = u->connection,
+                       .length = lengths.at(u->request),
+                       .is_opening = false,
+                       .ends = {}});
+            } else if (const auto* r = std::get_if<refuse_request>(&a)) {
+                refused.push_back(r->request);
+            }
+        }
+    }
+    // New work, for which there must be a place.
+    void begin(const work& w) {
+        if (p.limit.permits > 0) {
+            EXPECT_LT(at_server.size(), p.limit.permits);
+        }
+        send(w);
+    }
+    void send(const work& w) {
+        at_server.push_back(w);
+        start_work();
+        most_at_once = std::max(most_at_once, static_cast<unsigned>(at_server.size()));
+    }
+    void start_work() {
+        for (std::size_t i = 0; i < at_server.size() && i < slots; ++i) {
+            if (at_server[i].ends == time_point{}) {
+                at_server[i].ends = now + at_server[i].length;
+            }
+        }
+    }
+    request_number ask(request_class klass, duration length, const std::string& workspace = "",
+                       transaction t = {}) {
+        const request_number r = next_request++;
+        lengths[r] = length;
+        if (t.statements_left > 0) {
+            transactions[r] = t;
+        }
+        pool_actions actions;
+        request_connection(
+            p, {.request = r, .klass = klass, .deadline = now + seconds{60}, .workspace = {workspace}}, now,
+            next, actions);
+        carry_out(actions);
+        return r;
+    }
+    void finish(const work& w) {
+        pool_actions actions;
+        if (w.is_opening) {
+            connection_opened(p, w.connection, now, next, actions);
+            carry_out(actions);
+            return;
+        }
+        const auto under_way = open.find(w.connection);
+        const bool stays = under_way != open.end() && under_way->second.statements_left > 0;
+        statement_ended(p, w.connection, {.took = w.length, .stays = stays}, now, next, actions);
+        if (stays) {
+            next_statement_at[w.connection] = now + under_way->second.rest;
+        } else {
+            open.erase(w.connection);
+            release_connection(p, w.connection, true, now - given[w.connection], now, next, actions);
+        }
+        carry_out(actions);
+    }
+    // One millisecond passes.
+    void step() {
+        now += milliseconds{1};
+        std::vector<work> done;
+        for (const work& w : at_server) {
+            if (w.ends != time_point{} && w.ends <= now) {
+                done.push_back(w);
+            }
+        }
+        std::erase_if(at_server, [&](const work& w) { return w.ends != time_point{} && w.ends <= now; });
+        start_work();
+        for (const work& w : done) {
+            finish(w);
+        }
+        std::vector<connection_number> due;
+        for (const auto& [c, at] : next_statement_at) {
+            if (at <= now) {
+                due.push_back(c);
+            }
+        }
+        for (const connection_number c : due) {
+            next_statement_at.erase(c);
+            --open.at(c).statements_left;
+            statement_begun(p, c);
+            send({.connection = c, .length = milliseconds{8}, .is_opening = false, .ends = {}});
+        }
+        pool_actions actions;
+        expire_waiters(p, now, next, actions);
+        carry_out(actions);
+    }
+    void run(milliseconds time) {
+        for (auto i = time.count(); i > 0; --i) {
+            step();
+        }
+    }
+};
+
+TEST(places, are_as_many_as_slots_and_one_and_openings_take_one) {
+    ordered_pool s(slots + 1);
+    for (int i = 0; i < 60; ++i) {
+        s.ask(request_class::normal, milliseconds{20});
+    }
+    EXPECT_EQ(s.at_server.size(), slots + 1) << "openings";
+    s.run(milliseconds{600});
+    EXPECT_EQ(s.most_at_once, slots + 1);
+    EXPECT_EQ(s.used.size(), 60U);
+    EXPECT_TRUE(s.refused.empty());
+    EXPECT_LE(open_count(s.p), slots + 2) << "more would never be used at once";
+}
+
+TEST(places, of_a_standby_are_one) {
+    ordered_pool s(1);
+    for (int i = 0; i < 5; ++i) {
+        s.ask(request_class::normal, milliseconds{20});
+    }
+    s.run(milliseconds{200});
+    EXPECT_EQ(s.most_at_once, 1U);
+    EXPECT_EQ(s.used.size(), 5U);
+}
+
+// A transaction that waited behind new work would hold its locks meanwhile.
+TEST(places, are_never_needed_by_a_transaction_that_is_under_way) {
+    ordered_pool s(slots + 1);
+    s.ask(request_class::background, milliseconds{8}, "", {.statements_left = 3, .rest = milliseconds{5}});
+    s.run(milliseconds{21});
+    ASSERT_EQ(s.open.size(), 1U);
+    const connection_number c = s.open.begin()->first;
+    for (int i = 0; i < 50; ++i) {
+        s.ask(request_class::critical, milliseconds{10});
+    }
+    while (s.next_statement_at.contains(c)) {
+        s.step();
+    }
+    const auto sent = [&] {
+        return std::any_of(s.at_server.begin(), s.at_server.end(),
+                           [&](const auto& w) { return w.connection == c; });
+    };
+    EXPECT_TRUE(sent()) << "at once, though fifty wait";
+    EXPECT_LE(s.at_server.size(), slots + 2) << "it counts with the others from then on";
+    s.run(milliseconds{300});
+    EXPECT_EQ(s.used.size(), 51U);
+}
+
+TEST(places, are_not_held_by_transactions_that_rest) {
+    ordered_pool s(slots + 1);
+    for (int i = 0; i < 8; ++i) {
+        s.ask(request_class::normal, milliseconds{8}, "", {.statements_left = 1, .rest = seconds{30}});
+    }
+    s.run(milliseconds{200});
+    EXPECT_EQ(s.open.size(), 8U) << "all rest";
+    const request_number r = s.ask(request_class::normal, milliseconds{8});
+    s.run(milliseconds{20});
+    EXPECT_NE(std::find(s.used.begin(), s.used.end(), r), s.used.end());
+}
+
+// Whoever needs an opening is not passed over for ever by those whose connections are open.
+TEST(places, are_kept_for_a_workspace_that_has_no_connection) {
+    ordered_pool s(slots + 1);
+    for (int i = 0; i < 40; ++i) {
+        s.ask(request_class::normal, milliseconds{10}, "large");
+    }
+    s.run(milliseconds{60});
+    const auto turn = waiting_count(s.p) * 10 / slots; // of those before it, in the order of arrival
+    const request_number small = s.ask(request_class::normal, milliseconds{10}, "small");
+    unsigned passed = 0;
+    while (std::find(s.used.begin(), s.used.end(), small) == s.used.end() && passed < 200) {
+        s.step();
+        ++passed;
+        while (waiting_count(s.p) < 30) {
+            s.ask(request_class::normal, milliseconds{10}, "large");
+        }
+    }
+    EXPECT_LE(passed, turn + 27U) << "15 ms for the place, 12 for the opening";
+}
+
+// What a lower number, or none, does to the work that is there.
+TEST(places, may_be_taken_away_and_given_while_work_runs) {
+    ordered_pool s(0);
+    for (int i = 0; i < 20; ++i) {
+        s.ask(request_class::normal, milliseconds{20});
+    }
+    s.run(milliseconds{1});
+    pool_actions actions;
+    set_permits(s.p, 1, 0, s.now, s.next, actions);
+    s.carry_out(actions);
+    s.run(milliseconds{20 * 12 / slots + 20 * 20 + 10}); // openings, then statements
+    EXPECT_EQ(s.used.size(), 20U) << "one after the other, once the first ones are done";
+    for (int i = 0; i < 20; ++i) {
+        s.ask(request_class::normal, milliseconds{20});
+    }
+    EXPECT_EQ(s.at_server.size(), 1U);
+    actions.clear();
+    set_permits(s.p, slots + 1, 0, s.now, s.next, actions);
+    s.carry_out(actions);
+    EXPECT_EQ(s.at_server.size(), slots + 1);
+    actions.clear();
+    set_permits(s.p, slots + 1, slots + 1, s.now, s.next, actions);
+    const std::size_t at_server = s.at_server.size();
+    s.carry_out(actions);
+    s.run(milliseconds{400});
+    EXPECT_EQ(running_count(s.p), 0U) << "another pool of the server has all of them";
+    EXPECT_LE(s.at_server.size(), at_server);
+}
+
+//-----------------------------------------------------------------------------
+// [the crest of demand]
+//-----------------------------------------------------------------------------
+
+// The pattern: a wave of demand that exceeds what the server does for seconds. Short urgent statements, long
+// patient ones, and transactions that rest between their statements; thirty workspaces that each have their
+// own connections.
+TEST(crest, leaves_no_slot_idle_and_lets_urgent_work_through) {
+    for (const std::uint64_t seed : {1U, 2U, 3U}) {
+        std::mt19937_64 random(seed);
+        const auto number = [&random](unsigned below) { return static_cast<unsigned>(random() % below); };
+        ordered_pool s(slots + 1);
+        duration idle{0};
+        duration counted{0};
+        std::map<request_number, time_point> asked; // urgent ones
+        std::vector<duration> urgent_waits;
+        for (int ms = 0; ms < 12'000; ++ms) {
+            const bool crest = ms > 3'000 && ms < 9'000;
+            const unsigned rate = crest ? 420 : 200; // a second; the server does some 300
+            if (number(1000) < rate) {
+                const std::string workspace = "w" + std::to_string(number(30));
+                const unsigned kind = number(10);
+                if (kind < 4) {
+                    const request_number r = s.ask(request_class::critical, milliseconds{8}, workspace);
+                    asked[r] = s.now;
+                } else if (kind < 9) {
+                    s.ask(request_class::normal, milliseconds{12 + number(18)}, workspace);
+                } else {
+                    s.ask(request_class::normal, milliseconds{8}, workspace,
+                          {.statements_left = 2, .rest = milliseconds{30}});
+                }
+            }
+            const std::size_t used_before = s.used.size();
+            s.step();
+            for (std::size_t i = used_before; i < s.used.size(); ++i) {
+                if (asked.contains(s.used[i])) {
+                    urgent_waits.push_back(s.now - asked[s.used[i]]);
+                }
+            }
+            const bool long_wait =
+                std::any_of(s.p.waiting.begin(), s.p.waiting.end(), [&](const auto& queue) {
+                    return std::any_of(queue.begin(), queue.end(), [&](const pool_waiter& w) {
+                        return s.now - w.since > milliseconds{10};
+                    });
+                });
+            if (long_wait) {
+                const auto busy = std::min<std::size_t>(slots, s.at_server.size());
+                idle += milliseconds{1} * (slots - busy);
+                counted += milliseconds{1} * slots;
+            }
+        }
+        ASSERT_GT(counted, seconds{8}) << "the crest must be one";
+        EXPECT_LT(idle * 50, counted)
+            << "seed " << seed << ": idle " << idle.count() << " of " << counted.count();
+        EXPECT_LE(s.most_at_once, slots + 1 + 6) << "six transactions' statements beyond, at most";
+        EXPECT_GT(s.p.use.waited, duration{0});
+        std::sort(urgent_waits.begin(), urgent_waits.end());
+        EXPECT_LT(urgent_waits.at(urgent_waits.size() * 9 / 10), milliseconds{60}) << "seed " << seed;
+    }
+}
+
+} // namespace
+} // namespace larchpin
