Control tells which instances it has lost

Cause: who asks a lender behind a cut learns it by waiting; control knows after one lease, and told nobody. Change: core/lost_instances; a renewal names the set it goes by, a reply carries another set as one bit an instance; nothing is sent while nobody is lost. agent::is_lost(), and loans ask lost homes last.

--- a/src/core/control.cpp
+++ b/src/core/control.cpp
@@ -1,7 +1,7 @@
 // Decisions of the leading control instance: see control.hpp.
 //
 // Index
-//   [leases]  [registration]  [shares]  [observers]  [renewals]  [public functions]
+//   [leases]  [lost instances]  [registration]  [shares]  [observers]  [renewals]  [public functions]
 #include "core/control.hpp"
 
 #include "core/announcements.hpp"
@@ -48,6 +48,53 @@
         return g.revision < revision && g.until > now;
     });
 }
+
+//-----------------------------------------------------------------------------
+// [lost instances]
+//-----------------------------------------------------------------------------
+
+// Neither a lease of it counts any more, nor has it renewed lately. A stopping one gives its lease back.
+bool is_out_of_touch(const control_state& c, const instance_id& id, time_point now) {
+    const auto d = c.daemons.find(id);
+    if (d == c.daemons.end()) {
+        return true; // asked for once all earlier leases have run out
+    }
+    return !has_live_lease(d->second, now) && now - d->second.seen_at >= grantor_length(c.config.lease);
+}
+
+// A leader that does not know yet whom its predecessor granted a lease calls nobody lost.
+void follow_lost(control_state& c, const cluster_state& s, time_point now) {
+    if (!is_time_to_look(c.lost, c.config.lease, now) || !settled(c, s, now)) {
+        return;
+    }
+    std::set<instance_id> lost;
+    for (const auto& [id, record] : s.instances) {
+        if (is_out_of_touch(c, id, now)) {
+            lost.insert(id);
+        }
+    }
+    set_lost(c.lost, std::move(lost));
+}
+
+std::uint64_t lost_number(const control_state& c) {
+    return c.lost.lost.empty() ? 0 : number_across_leaders(c, c.lost.changes);
+}
+
+// Whoever goes by an earlier leader's set keeps it until this one knows better.
+std::optional<lost_news> lost_news_for(const control_state& c, const cluster_state& s, const renewal& r) {
+    const std::uint64_t number = lost_number(c);
+    if (r.lost_number == number || !c.lost.is_known) {
+        return std::nullopt;
+    }
+    lost_news news;
+    news.number = number;
+    if (number != 0) {
+        news.instances_revision = s.instances_revision;
+        news.bits = encode_lost(c.lost.lost, s.instances);
+    }
+    return news;
+}
+
 //-----------------------------------------------------------------------------
 // [registration]
 //-----------------------------------------------------------------------------
@@ -289,6 +336,7 @@
     d.domain = r.instance.domain;
     d.confirmed = std::max(d.confirmed, r.applied);
     d.seen_at = now;
+    note_back(c.lost, r.instance.id);
     const bool overtaken = was_overtaken(d, r);
     if (!overtaken) {
         take_claims_and_observations(c, d, r);
@@ -316,6 +364,7 @@
         reply.observe = observed->second;
     }
     reply.control_addresses = c.control_addresses;
+    reply.lost = lost_news_for(c, s, r);
     return reply;
 }
 
@@ -353,6 +402,7 @@
         return;
     }
     assign_observers(c, s, now);
+    follow_lost(c, s, now);
     for (const auto& [id, group] : s.groups) {
         const auto running = c.failovers.find(id);
         if (running != c.failovers.end()) {
--- a/src/core/control.hpp
+++ b/src/core/control.hpp
@@ -22,6 +22,7 @@
 #pragma once
 
 #include "core/cluster_state.hpp"
+#include "core/lost_instances.hpp"
 #include "core/rate_limits.hpp"
 #include "core/rendezvous.hpp"
 #include "core/share_ledger.hpp"
@@ -71,6 +72,7 @@
     std::vector<server_observation> observations;
     std::vector<server_announcement> announcements;
     std::vector<share_claim> claims;
+    std::uint64_t lost_number = 0; // of the set of lost instances that it goes by
     bool operator==(const renewal&) const = default;
 };
 
@@ -82,6 +84,7 @@
     std::vector<share_grant> shares;
     std::vector<server_id> observe;             // to be probed by this daemon
     std::vector<std::string> control_addresses; // peer listeners of the control instances
+    std::optional<lost_news> lost;              // nothing: the set that the daemon named still holds
     bool operator==(const renewal_reply&) const = default;
 };
 
@@ -229,6 +232,7 @@
     std::map<instance_id, std::vector<server_id>> observed_by; // the same, the other way round
     share_ledger shares;
     rate_ledger rates;
+    lost_ledger lost;
     std::set<instance_id> proposed_instances; // in the log, not applied yet
     std::map<server_id, server_record> proposed_servers;
     std::set<group_id> proposed_groups;
--- a/src/core/lenders.cpp
+++ b/src/core/lenders.cpp
@@ -24,7 +24,7 @@
     if (last != b.lent_last.end() && last->second == l.address) {
         return -1;
     }
-    return (is_silent(b, l.address, now) ? 2 : 0) + (l.far ? 1 : 0);
+    return (l.lost ? 4 : 0) + (is_silent(b, l.address, now) ? 2 : 0) + (l.far ? 1 : 0);
 }
 
 } // namespace
--- a/src/core/lenders.hpp
+++ b/src/core/lenders.hpp
@@ -24,6 +24,7 @@
     std::string address;
     bool far = false;       // in another failure domain
     std::uint64_t rank = 0; // among those that are alike otherwise the lower goes first; equal: any order
+    bool lost = false;      // control does not hear it any more
     auto operator<=>(const lender&) const = default;
 };
 
@@ -53,8 +54,8 @@
 void clear_old(lender_book& b, time_point now);
 
 // Addresses in the order in which they are asked: whoever lent last, then those that answer, near ones before
-// far ones, each group by rank and then in a random order. Whoever has just said that it has no connection is
-// left out; where all have, one of them is asked.
+// far ones, each group by rank and then in a random order; lost ones come last. Whoever has just said that it
+// has no connection is left out; where all have, one of them is asked.
 std::vector<std::string> order_lenders(const lender_book& b, const server_id& server,
                                        const std::vector<lender>& candidates, time_point now,
                                        std::mt19937_64& random);
--- a/src/daemon/agent.cpp
+++ b/src/daemon/agent.cpp
@@ -12,6 +12,7 @@
 #include "io/clock.hpp"
 #include "io/codec.hpp"
 #include "io/log.hpp"
+#include "io/lost_codec.hpp"
 
 #include <boost/asio/post.hpp>
 
@@ -95,6 +96,10 @@
     return !stopping_ && lease_is_live(lease_, now());
 }
 
+bool agent::is_lost(const instance_id& id) const {
+    return lost_.lost.contains(id) && has_lease();
+}
+
 bool agent::is_in_touch() const {
     return has_lease() && lease_is_live(lease_, now() + config_.lease / 2);
 }
@@ -196,7 +201,9 @@
     next_renewal_ = sent + config_.lease / renewals_per_lease;
     wire::renewal m;
     to_wire(make_renewal(), m);
-    clients_.to(leader_).post("/v1/renew", m.SerializeAsString(), renew_timeout,
+    std::string body = m.SerializeAsString();
+    append_lost_number(body, lost_.number);
+    clients_.to(leader_).post("/v1/renew", std::move(body), renew_timeout,
                               [this, sent](const http_outcome& o) { on_renewed(o, sent); });
 }
 
@@ -241,6 +248,11 @@
         // The settings' addresses stay the last resort.
         control_.insert(control_.end(), config_.control_addresses.begin(), config_.control_addresses.end());
     }
+    const std::optional<lost_news> news = read_lost_news(o.body);
+    if (news && take_news(lost_, *news, cluster_)) {
+        log_event(severity::info, "lost_instances",
+                  {{"lost", static_cast<std::uint64_t>(lost_.lost.size())}, {"number", lost_.number}});
+    }
     apply_shares(reply);
     follow_assignment(reply.observe);
     if (reply.revision > cluster_.revision && watch_address_ != leader_) {
--- a/src/daemon/agent.hpp
+++ b/src/daemon/agent.hpp
@@ -13,6 +13,7 @@
 #include "core/health.hpp"
 #include "core/lease.hpp"
 #include "core/leave_times.hpp"
+#include "core/lost_instances.hpp"
 #include "core/positions.hpp"
 #include "core/reachability.hpp"
 #include "core/routing.hpp"
@@ -47,6 +48,9 @@
 
     [[nodiscard]] const cluster_state& cluster() const { return cluster_; }
     [[nodiscard]] bool has_lease() const;
+    // Control has no lease of this instance any more, so hardly anybody reaches it. Only while this one has a
+    // lease: without control it goes by what it finds out itself.
+    [[nodiscard]] bool is_lost(const instance_id& id) const;
     // Renewed within the last half of the lease: it will hardly be lost in the next moment.
     [[nodiscard]] bool is_in_touch() const;
     // Peer listener of the control instance that leads, as far as is known here.
@@ -191,6 +195,7 @@
     bool asked_for_share_ = false;    // with the last renewal, before its time
     time_point next_share_request_{}; // no renewal before it for want of a connection
     std::uint64_t last_reply_seq_ = 0;
+    known_lost lost_;
     // watching
     bool watching_ = false;
     std::uint64_t watch_generation_ = 0;
--- a/src/daemon/control_node.cpp
+++ b/src/daemon/control_node.cpp
@@ -11,6 +11,7 @@
 #include "io/clock.hpp"
 #include "io/codec.hpp"
 #include "io/log.hpp"
+#include "io/lost_codec.hpp"
 #include "io/workers.hpp"
 
 #include <boost/asio/post.hpp>
@@ -451,15 +452,19 @@
         reply.set_code(static_cast<std::uint32_t>(result_code::bad_message));
         return reply.SerializeAsString();
     }
-    const auto granted = renew(core_, from_wire(request), now());
+    renewal said = from_wire(request);
+    said.lost_number = read_lost_number(body);
+    const auto granted = renew(core_, said, now());
     pump();
-    if (granted) {
-        to_wire(*granted, reply);
-    } else {
+    if (!granted) {
         reply.set_code(static_cast<std::uint32_t>(result_code::not_leader));
         reply.set_leader_address(leader_address());
+        return reply.SerializeAsString();
     }
-    return reply.SerializeAsString();
+    to_wire(*granted, reply);
+    std::string bytes = reply.SerializeAsString();
+    append_lost_news(bytes, granted->lost);
+    return bytes;
 }
 
 std::string control_node::answer_rates(const std::string& body) {
--- a/src/daemon/loans.cpp
+++ b/src/daemon/loans.cpp
@@ -348,7 +348,7 @@
         return std::pair(is_far(id), rank_for_workspace(terms.workspace, s.instances.at(id).address));
     };
     return std::none_of(homes.begin(), homes.end(), [&](const instance_id& id) {
-        return id != config_.id && place(id) < place(config_.id) &&
+        return id != config_.id && place(id) < place(config_.id) && !cluster_.is_lost(id) &&
                !is_silent(book_, s.instances.at(id).address, now());
     });
 }
@@ -422,7 +422,8 @@
         const std::string& address = record->second.address;
         candidates.push_back({.address = address,
                               .far = record->second.domain != near,
-                              .rank = by_workspace ? rank_for_workspace(terms.workspace, address) : 0});
+                              .rank = by_workspace ? rank_for_workspace(terms.workspace, address) : 0,
+                              .lost = cluster_.is_lost(id)});
     }
     return order_lenders(book_, terms.key.server, candidates, now(), random_);
 }
