Homes are chosen among the instances that control hears

Change: lost instances are no homes. Ruled out: borrowing from all instances (nobody else has a connection).

--- a/src/core/rendezvous.cpp
+++ b/src/core/rendezvous.cpp
@@ -82,10 +82,11 @@
 }
 
 // Those that take callers, by failure domain, best-ranked first.
-std::map<failure_domain, std::vector<ranked>> rank_callers(const cluster_state& s, const server_id& server) {
+std::map<failure_domain, std::vector<ranked>> rank_callers(const cluster_state& s, const server_id& server,
+                                                           const std::set<instance_id>& lost) {
     std::map<failure_domain, std::vector<ranked>> by_domain;
     for (const auto& [id, record] : s.instances) {
-        if (record.takes_callers) {
+        if (record.takes_callers && !lost.contains(id)) {
             by_domain[record.domain].push_back({.rank = stable_hash(id.value, server.value), .id = id});
         }
     }
@@ -98,12 +99,12 @@
 } // namespace
 
 std::vector<instance_id> workspace_homes(const cluster_state& s, const server_record& server,
-                                         unsigned connections) {
+                                         unsigned connections, const std::set<instance_id>& lost) {
     std::vector<instance_id> homes;
     if (connections >= count_callers(s) * plenty_per_instance) {
         return homes;
     }
-    const auto by_domain = rank_callers(s, server.id);
+    const auto by_domain = rank_callers(s, server.id, lost);
     const auto own = by_domain.find(server.domain);
     for (std::size_t i = 0; own != by_domain.end() && i < own->second.size() && i < workspace_homes_near;
          ++i) {
@@ -121,17 +122,18 @@
     return stable_hash(workspace.value, instance_address);
 }
 
-std::vector<instance_id> home_instances(const cluster_state& s, const server_id& server,
-                                        unsigned connections) {
+std::vector<instance_id> home_instances(const cluster_state& s, const server_id& server, unsigned connections,
+                                        const std::set<instance_id>& lost) {
     // A home's connections: one waits for another less often where several are in one place.
     constexpr std::size_t connections_per_home = 4;
     std::vector<instance_id> homes;
     if (connections >= count_callers(s) * plenty_per_instance) {
         return homes;
     }
-    const auto by_domain = rank_callers(s, server);
+    const auto by_domain = rank_callers(s, server, lost);
     const std::size_t wanted = std::max<std::size_t>(1, connections / connections_per_home);
-    const std::size_t per_domain = std::max<std::size_t>(1, wanted / by_domain.size());
+    const std::size_t per_domain =
+        std::max<std::size_t>(1, wanted / std::max<std::size_t>(1, by_domain.size()));
     for (const auto& [domain, order] : by_domain) {
         for (std::size_t i = 0; i < order.size() && i < per_domain; ++i) {
             homes.push_back(order[i].id);
--- a/src/core/rendezvous.hpp
+++ b/src/core/rendezvous.hpp
@@ -5,6 +5,7 @@
 #include "core/cluster_state.hpp"
 
 #include <cstdint>
+#include <set>
 #include <string_view>
 #include <vector>
 
@@ -32,9 +33,9 @@
 
 // The instances that hold a server's connections for all, where those are fewer than twice the instances that
 // take callers: in each failure domain the best-ranked ones, each with room for some connections. Empty where
-// everyone holds its own.
-std::vector<instance_id> home_instances(const cluster_state& s, const server_id& server,
-                                        unsigned connections);
+// everyone holds its own. Lost instances are none, so that a server whose homes are all cut off gets others.
+std::vector<instance_id> home_instances(const cluster_state& s, const server_id& server, unsigned connections,
+                                        const std::set<instance_id>& lost = {});
 
 // The same for connections that belong to workspaces: instances of the server's own failure domain, with one
 // of each other domain for the time when none of those answers. Each workspace has one of them that it goes
@@ -42,7 +43,7 @@
 // all statements at replicas needed an opening where a dozen instances held connections, 0.65 with three
 // (reckoned from a trace of 596 statements a second by 163 keys).
 std::vector<instance_id> workspace_homes(const cluster_state& s, const server_record& server,
-                                         unsigned connections);
+                                         unsigned connections, const std::set<instance_id>& lost = {});
 
 // Lower goes first. Another instance's coming or going moves only the workspaces that it was first for.
 std::uint64_t rank_for_workspace(const workspace_id& workspace, std::string_view instance_address);
--- a/src/daemon/agent.cpp
+++ b/src/daemon/agent.cpp
@@ -96,8 +96,9 @@
     return !stopping_ && lease_is_live(lease_, now());
 }
 
-bool agent::is_lost(const instance_id& id) const {
-    return lost_.lost.contains(id) && has_lease();
+const known_lost& agent::lost() const {
+    static const known_lost nobody;
+    return has_lease() ? lost_ : nobody;
 }
 
 bool agent::is_in_touch() const {
--- a/src/daemon/agent.hpp
+++ b/src/daemon/agent.hpp
@@ -50,7 +50,8 @@
     [[nodiscard]] bool has_lease() const;
     // Control has no lease of this instance any more, so hardly anybody reaches it. Only while this one has a
     // lease: without control it goes by what it finds out itself.
-    [[nodiscard]] bool is_lost(const instance_id& id) const;
+    [[nodiscard]] bool is_lost(const instance_id& id) const { return lost().lost.contains(id); }
+    [[nodiscard]] const known_lost& lost() const;
     // Renewed within the last half of the lease: it will hardly be lost in the next moment.
     [[nodiscard]] bool is_in_touch() const;
     // Peer listener of the control instance that leads, as far as is known here.
--- a/src/daemon/loans.cpp
+++ b/src/daemon/loans.cpp
@@ -355,8 +355,11 @@
 
 const std::vector<instance_id>& connection_loans::homes_of(const share_key& key) {
     const cluster_state& s = cluster_.cluster();
-    if (homes_instances_revision_ != s.instances_revision || homes_table_revision_ != s.table_revision) {
+    const known_lost& lost = cluster_.lost();
+    if (homes_instances_revision_ != s.instances_revision || homes_table_revision_ != s.table_revision ||
+        homes_lost_number_ != lost.number) {
         homes_.clear();
+        homes_lost_number_ = lost.number;
         homes_instances_revision_ = s.instances_revision;
         homes_table_revision_ = s.table_revision;
     }
@@ -371,8 +374,8 @@
             connections_for_requests(service->max_connections, config_.kept_connections);
         const auto server = s.servers.find(key.server);
         const bool by_workspace = s.current.needs_key && server != s.servers.end();
-        homes = by_workspace ? workspace_homes(s, server->second, connections)
-                             : home_instances(s, key.server, connections);
+        homes = by_workspace ? workspace_homes(s, server->second, connections, lost.lost)
+                             : home_instances(s, key.server, connections, lost.lost);
     }
     return homes_.emplace(key, std::move(homes)).first->second;
 }
--- a/src/daemon/loans.hpp
+++ b/src/daemon/loans.hpp
@@ -120,6 +120,7 @@
     std::map<share_key, std::vector<instance_id>> homes_;
     revision_number homes_instances_revision_ = 0; // that `homes_` was made from
     revision_number homes_table_revision_ = 0;
+    std::uint64_t homes_lost_number_ = 0;
     lender_book book_;
     http2_clients clients_;
     std::uint64_t borrowed_ = 0;
--- a/tests/cut_off_test.cpp
+++ b/tests/cut_off_test.cpp
@@ -5,6 +5,7 @@
 #include "core/control.hpp"
 #include "core/lease.hpp"
 #include "core/lenders.hpp"
+#include "core/rendezvous.hpp"
 #include "generated/larchpin.pb.h"
 #include "io/lost_codec.hpp"
 
@@ -314,5 +315,38 @@
     EXPECT_EQ(order_lenders(book, {"s"}, homes, now, random).front(), "b");
 }
 
+// The pattern: 43 of 67 instances cut off, so that some servers have all their homes among them. Instances
+// with a lease refused everything for these servers for as long as the cut lasted.
+TEST(homes, are_chosen_among_the_instances_that_control_hears) {
+    cluster_state s;
+    std::set<instance_id> lost;
+    for (int i = 0; i < 67; ++i) {
+        const instance_id id{"i-" + std::to_string(100 + i)};
+        s.instances[id] = {.id = id,
+                           .domain = {"d" + std::to_string(i % 3)},
+                           .address = id.value + ":1",
+                           .takes_callers = true};
+        if (i < 43) {
+            lost.insert(id);
+        }
+    }
+    constexpr unsigned connections = 49; // as many as twice the instances that are left
+    unsigned without_any = 0;
+    for (int i = 0; i < 24; ++i) {
+        server_record server;
+        server.id = {"s-" + std::to_string(i)};
+        server.domain = {"d" + std::to_string(i % 3)};
+        const auto before = workspace_homes(s, server, connections);
+        const auto is_lost = [&lost](const instance_id& id) { return lost.contains(id); };
+        without_any += std::all_of(before.begin(), before.end(), is_lost) ? 1 : 0;
+        for (const auto& homes : {workspace_homes(s, server, connections, lost),
+                                  home_instances(s, server.id, connections, lost)}) {
+            EXPECT_FALSE(homes.empty());
+            EXPECT_TRUE(std::none_of(homes.begin(), homes.end(), is_lost));
+        }
+    }
+    EXPECT_GT(without_any, 0U) << "otherwise the pattern is not the one that is meant";
+}
+
 } // namespace
 } // namespace larchpin
