--- a/src/daemon/agent.cpp
+++ b/src/daemon/agent.cpp
@@ -95,6 +95,11 @@
     return !stopping_ && lease_is_live(lease_, now());
 }
 
+const known_lost& agent::lost() const {
+    static const known_lost nobody;
+    return has_lease() ? lost_ : nobody;
+}
+
 bool agent::is_in_touch() const {
     return has_lease() && lease_is_live(lease_, now() + config_.lease / 2);
 }
@@ -171,6 +176,7 @@
     r.applied = cluster_.revision;
     r.last_reply_seq = last_reply_seq_;
     r.stopping = stopping_;
+    r.lost_number = lost_.number;
     for (const auto& [id, p] : probed_) {
         if (p.answered_at != time_point{} || !p.seen.alive) {
             r.observations.push_back(p.seen);
@@ -241,6 +247,10 @@
         // The settings' addresses stay the last resort.
         control_.insert(control_.end(), config_.control_addresses.begin(), config_.control_addresses.end());
     }
+    if (reply.lost && take_news(lost_, *reply.lost, cluster_)) {
+        log_event(severity::info, "lost_instances",
+                  {{"lost", static_cast<std::uint64_t>(lost_.lost.size())}, {"number", lost_.number}});
+    }
     apply_shares(reply);
     follow_assignment(reply.observe);
     if (reply.revision > cluster_.revision && watch_address_ != leader_) {
@@ -518,12 +528,6 @@
 // [for sessions]
 //-----------------------------------------------------------------------------
 
-// Nothing tells it yet: whoever does not answer is found silent.
-// NOLINTNEXTLINE(readability-convert-member-functions-to-static)
-bool agent::is_lost(const instance_id& /*id*/) const {
-    return false;
-}
-
 group_view agent::view(const group_id& group, const service_id& service) {
     group_view v;
     used_at_[group] = now();
--- a/src/daemon/control_node.cpp
+++ b/src/daemon/control_node.cpp
@@ -453,12 +453,12 @@
     }
     const auto granted = renew(core_, from_wire(request), now());
     pump();
-    if (granted) {
-        to_wire(*granted, reply);
-    } else {
+    if (!granted) {
         reply.set_code(static_cast<std::uint32_t>(result_code::not_leader));
         reply.set_leader_address(leader_address());
+        return reply.SerializeAsString();
     }
+    to_wire(*granted, reply);
     return reply.SerializeAsString();
 }
 
--- a/src/daemon/loans.cpp
+++ b/src/daemon/loans.cpp
@@ -524,7 +524,7 @@
         return std::pair(is_far(id), rank_for_workspace(terms.workspace, s.instances.at(id).address));
     };
     return std::none_of(homes.begin(), homes.end(), [&](const instance_id& id) {
-        return id != config_.id && place(id) < place(config_.id) &&
+        return id != config_.id && place(id) < place(config_.id) && !cluster_.is_lost(id) &&
                !is_silent(book_, s.instances.at(id).address, now());
     });
 }
@@ -550,11 +550,14 @@
 
 const std::vector<instance_id>& connection_loans::homes_of(const share_key& key) {
     const cluster_state& s = cluster_.cluster();
+    const known_lost& lost = cluster_.lost();
     if (have_servers_changed()) {
         homes_.clear();
     }
-    if (homes_instances_revision_ != s.instances_revision || homes_table_revision_ != s.table_revision) {
+    if (homes_instances_revision_ != s.instances_revision || homes_table_revision_ != s.table_revision ||
+        homes_lost_number_ != lost.number) {
         homes_.clear();
+        homes_lost_number_ = lost.number;
         homes_instances_revision_ = s.instances_revision;
         homes_table_revision_ = s.table_revision;
     }
@@ -570,8 +573,8 @@
         const auto server = s.servers.find(key.server);
         const bool by_workspace = s.current.needs_key && server != s.servers.end();
         homes = orders_statements() ? order_homes(s, key.server, connections)
-                : by_workspace      ? workspace_homes(s, server->second, connections)
-                                    : home_instances(s, key.server, connections);
+                : by_workspace      ? workspace_homes(s, server->second, connections, lost.lost)
+                                    : home_instances(s, key.server, connections, lost.lost);
     }
     return homes_.emplace(key, std::move(homes)).first->second;
 }
@@ -627,7 +630,8 @@
         const std::string& address = record->second.address;
         candidates.push_back({.address = address,
                               .far = record->second.domain != near,
-                              .rank = by_workspace ? rank_for_workspace(terms.workspace, address) : 0});
+                              .rank = by_workspace ? rank_for_workspace(terms.workspace, address) : 0,
+                              .lost = cluster_.is_lost(id)});
     }
     return order_lenders(book_, terms.key.server, candidates, now(), random_);
 }
--- a/src/daemon/loans.hpp
+++ b/src/daemon/loans.hpp
@@ -148,6 +148,7 @@
     revision_number homes_servers_revision_ = 0;                      // last looked at
     std::vector<std::pair<server_id, failure_domain>> homes_servers_; // that `homes_` was made from
     std::map<share_key, order_place> order_places_;
+    std::uint64_t homes_lost_number_ = 0;
     lender_book book_;
     http2_clients clients_;
     std::uint64_t borrowed_ = 0;
--- a/src/io/codec.cpp
+++ b/src/io/codec.cpp
@@ -334,6 +334,7 @@
     v.applied = m.applied();
     v.last_reply_seq = m.last_reply_seq();
     v.stopping = m.stopping();
+    v.lost_number = m.lost_number();
     for (const auto& o : m.observations()) {
         v.observations.push_back({.server = {o.server()},
                                   .alive = o.alive(),
@@ -359,6 +360,7 @@
     m.set_applied(v.applied);
     m.set_last_reply_seq(v.last_reply_seq);
     m.set_stopping(v.stopping);
+    m.set_lost_number(v.lost_number);
     for (const server_observation& o : v.observations) {
         auto* e = m.add_observations();
         e->set_server(o.server.value);
@@ -394,6 +396,11 @@
         v.observe.push_back({id});
     }
     v.control_addresses.assign(m.control_addresses().begin(), m.control_addresses().end());
+    if (m.has_lost()) {
+        v.lost = lost_news{.number = m.lost().number(),
+                           .instances_revision = m.lost().instances_revision(),
+                           .bits = m.lost().bits()};
+    }
     return v;
 }
 
@@ -414,6 +421,11 @@
     for (const std::string& address : v.control_addresses) {
         m.add_control_addresses(address);
     }
+    if (v.lost) {
+        m.mutable_lost()->set_number(v.lost->number);
+        m.mutable_lost()->set_instances_revision(v.lost->instances_revision);
+        m.mutable_lost()->set_bits(v.lost->bits);
+    }
 }
 
 //-----------------------------------------------------------------------------
