Choice by told loads: expected completion, bad servers left by all users' word, idle replicas found

An instance chose between servers by its own one or two requests there. Found by reading, each shown by a test that fails with the fault put back: replicas stay idle while their primary has a queue because (1) each instance ejects them for failures of the way there, doubled up to 16 s, and with all replicas ejected everything goes to the primary; (2) a latency learned while a replica was slow is believed for as long as nothing is sent there; (3) the lag of a position that an observer tells late was counted from the telling. By reading and test, but not by putting it back: (4) the same old position told again kept is_likely_to_hold from asking. has_connections was ruled out by reading: with a lease it is always true.

Change. core/server_load: what a lender makes of a server's answers, and what a reader makes of the word. Routing draws by the inverse square of the expected completion where loads are known; far servers only as far as they are quicker; a primary only with a free slot, twice as good, and half of the reads at most. Failures cost the time after which a caller comes back, by the share that all users of the server see. Without loads as before, but for (1) to (3).

--- a/src/core/health.hpp
+++ b/src/core/health.hpp
@@ -17,6 +17,7 @@
     unsigned failures = 0;    // in a row
     unsigned ejections = 0;   // in a row, without a success after the ramp
     time_point ejected_until{};
+    time_point asked_at{}; // the last request that went there
     auto operator<=>(const server_health&) const = default;
 };
 
--- a/src/core/lenders.cpp
+++ b/src/core/lenders.cpp
@@ -14,6 +14,13 @@
 // power).
 constexpr duration without_pause = std::chrono::milliseconds{100};
 
+// Between two failure domains a round trip takes a few milliseconds; more than this beyond the quickest is
+// worth another lender.
+constexpr duration slow_excess = std::chrono::milliseconds{15};
+constexpr int slow_factor = 4;
+constexpr int excess_smoothing = 8;
+constexpr std::size_t max_excesses = 2000;
+
 bool is_without(const lender_book& b, const server_id& server, const std::string& address, time_point now) {
     const auto known = b.without_until.find({server, address});
     return known != b.without_until.end() && now < known->second;
@@ -65,6 +72,25 @@
     b.without_until[{server, address}] = now + without_pause;
 }
 
+void note_excess(lender_book& b, const std::string& address, duration excess) {
+    const auto known = b.excess.find(address);
+    if (known != b.excess.end()) {
+        known->second += (excess - known->second) / excess_smoothing;
+    } else if (b.excess.size() < max_excesses) {
+        b.excess[address] = excess;
+    }
+}
+
+bool is_slow(const lender_book& b, const std::string& address) {
+    const auto known = b.excess.find(address);
+    if (known == b.excess.end()) {
+        return false;
+    }
+    const auto quickest = std::min_element(b.excess.begin(), b.excess.end(),
+                                           [](const auto& x, const auto& y) { return x.second < y.second; });
+    return known->second > quickest->second + slow_excess && known->second > quickest->second * slow_factor;
+}
+
 bool is_silent(const lender_book& b, const std::string& address, time_point now) {
     const auto known = b.silent_until.find(address);
     return known != b.silent_until.end() && now < known->second;
--- a/src/core/lenders.hpp
+++ b/src/core/lenders.hpp
@@ -33,6 +33,7 @@
     std::map<std::pair<server_id, std::string>, time_point> without_until; // has no connection to the server
     std::map<server_id, std::string> lent_last;                            // where it is hard to find one
     std::map<std::string, reachability> reach;                             // of those that were asked
+    std::map<std::string, duration> excess; // smoothed; that answers take beyond the lender's own account
 };
 
 // A question goes to a lender.
@@ -47,6 +48,13 @@
 void note_without_connection(lender_book& b, const server_id& server, const std::string& address,
                              time_point now);
 
+// An answer took so much longer than the lender says it took there.
+void note_excess(lender_book& b, const std::string& address, duration excess);
+
+// True for a lender whose answers take clearly longer on their way than the quickest lender's: it is slow
+// itself, since the network takes about the same time to all of them. For whoever ranks lenders.
+bool is_slow(const lender_book& b, const std::string& address);
+
 bool is_silent(const lender_book& b, const std::string& address, time_point now);
 
 // Forgets what is over.
--- a/src/core/positions.cpp
+++ b/src/core/positions.cpp
@@ -38,9 +38,8 @@
 }
 
 void add_server_sample(group_positions& g, const server_id& server, const position_sample& sample,
-                       time_point now) {
+                       time_point taken_by) {
     server_position& known = g.servers[server];
-    known.heard_at = std::max(known.heard_at, now);
     if (sample.not_before < known.newest.not_before) {
         return;
     }
@@ -49,13 +48,14 @@
     const auto beyond = std::partition_point(g.primary.begin(), g.primary.end(), [&sample](const auto& s) {
         return s.position <= sample.position;
     });
-    known.lag = beyond == g.primary.end() ? duration{0} : std::max(duration{0}, now - beyond->not_before);
+    known.lag =
+        beyond == g.primary.end() ? duration{0} : std::max(duration{0}, taken_by - beyond->not_before);
 }
 
 bool is_likely_to_hold(const group_positions& g, const server_id& server, std::uint64_t timeline,
                        log_position position, time_point now, duration trust) {
     const auto found = g.servers.find(server);
-    if (found == g.servers.end() || now - found->second.heard_at > trust) {
+    if (found == g.servers.end() || now - found->second.newest.not_before > trust) {
         return true; // nothing is known: asking tells
     }
     const server_position& p = found->second;
--- a/src/core/positions.hpp
+++ b/src/core/positions.hpp
@@ -25,7 +25,6 @@
 
 struct server_position {
     position_sample newest;
-    time_point heard_at{};
     duration lag{0}; // how far behind the primary it was then, at most; 0 also where that is not known
     auto operator<=>(const server_position&) const = default;
 };
@@ -41,11 +40,13 @@
 
 // Samples of a new term start afresh; those of an older term are dropped.
 void add_primary_sample(group_positions& g, term_number term, const position_sample& sample);
+// `taken_by`: the server had answered by then.
 void add_server_sample(group_positions& g, const server_id& server, const position_sample& sample,
-                       time_point now);
+                       time_point taken_by);
 
-// Whether the server most likely holds this position by now, going by its lag when it was heard last. A
-// guess: only a server that enforces the floor may be chosen by it.
+// Whether the server most likely holds this position by now, going by its lag when it was asked last. What
+// was asked longer ago than `trust` says nothing, however often it is told. A guess: only a server that
+// enforces the floor may be chosen by it.
 bool is_likely_to_hold(const group_positions& g, const server_id& server, std::uint64_t timeline,
                        log_position position, time_point now, duration trust);
 
--- a/src/core/routing.hpp
+++ b/src/core/routing.hpp
@@ -6,10 +6,16 @@
 // that is likely to be enough, and else goes to the primary. Reads of a workspace, whose connections serve
 // nobody else, prefer one replica each.
 //
+// Where the loads of servers are known (core/server_load), the expected time until the answer takes the place
+// of what this daemon alone has seen. All daemons hear the same, some of it late, so none of these choices
+// jumps: a server gets reads by the inverse square of its time (half the speed, a quarter of the reads),
+// which leaves one that is several times slower with what it takes to see it recover.
+//
 // Index
 //   [data]  [functions]
 #pragma once
 
+#include "core/server_load.hpp"
 #include "core/session.hpp"
 
 #include <random>
@@ -33,6 +39,9 @@
     time_point ejected_until{};  // gets no reads before
     double ramp = 1.0;           // 0..1, rises slowly after an ejection
     bool has_connections = true; // this daemon holds, or may open, a connection to it
+    time_point asked_at{};       // the last request of this daemon that went there
+    std::optional<known_load>
+        load{}; // where it is known, it counts in place of latency, outstanding and ramp
 };
 
 struct group_view {
@@ -74,18 +83,30 @@
     // A lag heard so long ago says nothing any more, and the server is asked again: a refusal costs a round
     // trip.
     duration position_trust = std::chrono::milliseconds{500};
+    // Where loads are told, one daemon's question tells all of them where a replica stands. So a share of the
+    // reads asks one whose last known position is too low and a little old.
+    duration position_trial_age = std::chrono::milliseconds{25};
+    double position_trials = 0.1;
+    // A replica that nothing was sent to for so long gets a read whatever its last answers took.
+    duration replica_trial_interval = std::chrono::seconds{1};
     // Times that a replica's expected delay must exceed the primary's before the primary takes a read over.
     double primary_reluctance = 3.0;
     double far_penalty = 2.0; // factor on the delay of another failure domain
     // A workspace's reads stay with one replica, where its connections are open, until another one is quicker
     // by this factor. A choice, not measured against others.
     double workspace_loyalty = 2.0;
+    // At most this share of the reads goes to a primary that is far better: all others see it idle as well.
+    double most_to_primary = 0.5;
 };
 
 //-----------------------------------------------------------------------------
 // [functions]
 //-----------------------------------------------------------------------------
 
+// What all users of the server see counts, in place of what this daemon alone saw: it may have had bad luck,
+// or look at the server over a way that nobody needs.
+void use_load(server_view& server, const known_load& load);
+
 routing_decision route_write(const group_view& g, bool lease_live);
 
 routing_decision route_read(const group_view& g, const session_state& s, const read_wish& wish,
--- a/src/daemon/agent.cpp
+++ b/src/daemon/agent.cpp
@@ -545,6 +545,10 @@
         s.ejected_until = health.ejected_until;
         s.ramp = read_ramp(health, at);
         const share_key key{.service = service, .server = server.id};
+        s.asked_at = health.asked_at;
+        if (const auto load = load_of ? load_of(server.id) : std::nullopt) {
+            use_load(s, *load);
+        }
         s.has_connections = pools_.may_serve(key, lease) || (may_borrow_near && may_borrow_near(key));
         v.servers.push_back(s);
     }
@@ -567,7 +571,9 @@
 }
 
 void agent::note_request_started(const server_id& server) {
-    note_started(health_[server]);
+    server_health& health = health_[server];
+    note_started(health);
+    health.asked_at = now();
 }
 
 void agent::note_request_ended(const server_id& server, bool ok, duration took) {
--- a/src/daemon/agent.hpp
+++ b/src/daemon/agent.hpp
@@ -16,6 +16,7 @@
 #include "core/positions.hpp"
 #include "core/reachability.hpp"
 #include "core/routing.hpp"
+#include "core/server_load.hpp"
 #include "daemon/pools.hpp"
 #include "io/backend_driver.hpp"
 #include "io/http2_clients.hpp"
@@ -74,6 +75,11 @@
     // An answer of the server carried this position; it was asked at `asked_at`.
     void note_position(const server_id& server, time_point asked_at, const log_mark& mark);
 
+    // Another instance tells where the server's log stood, as of its start number. `taken_by`: by then, at
+    // the latest, by our clock.
+    void note_told_position(const server_id& server, std::uint64_t start_number,
+                            const position_sample& sample, time_point taken_by);
+
     void note_request_started(const server_id& server);
     void note_request_ended(const server_id& server, bool ok, duration took);
     void note_request_left(const server_id& server); // says nothing of the server
@@ -98,6 +104,8 @@
     std::function<std::shared_ptr<backend_connection>(const loan_terms&)> borrow;
     // Another instance of this failure domain may lend one for this share, also without control.
     std::function<bool(const share_key&)> may_borrow_near;
+    // What is known of the server's load; empty, or nothing, where no instance tells it.
+    std::function<std::optional<known_load>(const server_id&)> load_of;
 
     // Called after every change of the copy or the lease: waiting requests may go on.
     std::function<void()> on_change;
@@ -163,7 +171,8 @@
     void set_alive(probed_server& p, bool alive);
     [[nodiscard]] std::optional<log_mark> least_mark(const server_id& id) const;
     void note_reign(const group_record& group, const position_sample& sample);
-    void take_sample(const server_id& id, bool is_primary, const position_sample& sample);
+    void take_sample(const server_id& id, bool is_primary, const position_sample& sample,
+                     time_point taken_by);
     void pull_positions();
     void probe_unreachable();
     void ask_primaries();
--- a/src/daemon/agent_servers.cpp
+++ b/src/daemon/agent_servers.cpp
@@ -184,7 +184,7 @@
         p.sample = {.not_before = asked_at, .timeline = result->timeline, .position = result->position};
         p.has_sample = true;
         set_alive(p, true);
-        take_sample(id, p.seen.is_primary, p.sample);
+        take_sample(id, p.seen.is_primary, p.sample, now());
     } else {
         p.next_at = now();
     }
@@ -226,7 +226,8 @@
     known.highest.position = std::max(known.highest.position, sample.position);
 }
 
-void agent::take_sample(const server_id& id, bool is_primary, const position_sample& sample) {
+void agent::take_sample(const server_id& id, bool is_primary, const position_sample& sample,
+                        time_point taken_by) {
     const auto server = cluster_.servers.find(id);
     if (server == cluster_.servers.end()) {
         return;
@@ -237,7 +238,7 @@
         return;
     }
     group_positions& known = positions_[group_name];
-    add_server_sample(known, id, sample, now());
+    add_server_sample(known, id, sample, taken_by);
     if (group->second.primary == id) {
         note_reign(group->second, sample);
     }
@@ -308,27 +309,30 @@
             continue;
         }
         pulling_[address] = true;
-        clients_.to(address).post(
-            "/v1/positions", request.SerializeAsString(), pull_timeout,
-            [this, key = address, at](const http_outcome& o) {
-                pulling_[key] = false;
-                wire::position_reply reply;
-                if (!o.answered || o.status != 200 || !reply.ParseFromString(o.body)) {
-                    return;
-                }
-                for (const auto& e : reply.entries()) {
-                    const auto server = cluster_.servers.find({e.server()});
-                    if (server == cluster_.servers.end() || server->second.start_number != e.start_number()) {
-                        continue; // it tells of another start
-                    }
-                    sources_[{e.server()}] = {.address = key, .answered_at = now()};
-                    // Its age was told after we asked, so the sample is at most that
-                    // much older than our question.
-                    const auto age = grantor_length(duration{static_cast<std::int64_t>(e.age_ns())});
-                    take_sample({e.server()}, e.is_primary(),
-                                {.not_before = at - age, .timeline = e.timeline(), .position = e.position()});
-                }
-            });
+        clients_.to(address).post("/v1/positions", request.SerializeAsString(), pull_timeout,
+                                  [this, key = address, at](const http_outcome& o) {
+                                      pulling_[key] = false;
+                                      wire::position_reply reply;
+                                      if (!o.answered || o.status != 200 || !reply.ParseFromString(o.body)) {
+                                          return;
+                                      }
+                                      for (const auto& e : reply.entries()) {
+                                          const auto server = cluster_.servers.find({e.server()});
+                                          if (server == cluster_.servers.end() ||
+                                              server->second.start_number != e.start_number()) {
+                                              continue; // it tells of another start
+                                          }
+                                          sources_[{e.server()}] = {.address = key, .answered_at = now()};
+                                          // Its age was told after we asked, so the sample is at most that
+                                          // much older than our question.
+                                          const duration told{static_cast<std::int64_t>(e.age_ns())};
+                                          take_sample({e.server()}, e.is_primary(),
+                                                      {.not_before = at - grantor_length(told),
+                                                       .timeline = e.timeline(),
+                                                       .position = e.position()},
+                                                      now() - holder_length(told));
+                                      }
+                                  });
     }
 }
 
@@ -396,7 +400,20 @@
         record == cluster_.servers.end() ? cluster_.groups.end() : cluster_.groups.find(record->second.group);
     const bool is_primary = group != cluster_.groups.end() && group->second.primary == server;
     take_sample(server, is_primary,
-                {.not_before = asked_at, .timeline = mark.timeline, .position = mark.position});
+                {.not_before = asked_at, .timeline = mark.timeline, .position = mark.position}, now());
+}
+
+// Believed like what an observer says: a sample of the primary counts with a live lease only, and where the
+// agreed state names this server on the same timeline.
+void agent::note_told_position(const server_id& server, std::uint64_t start_number,
+                               const position_sample& sample, time_point taken_by) {
+    const auto record = cluster_.servers.find(server);
+    if (record == cluster_.servers.end() || record->second.start_number != start_number) {
+        return; // it tells of another start
+    }
+    const auto group = cluster_.groups.find(record->second.group);
+    const bool is_primary = group != cluster_.groups.end() && group->second.primary == server;
+    take_sample(server, is_primary, sample, taken_by);
 }
 
 void agent::answer_positions(const std::string& body, const http_respond& respond) {
--- a/src/daemon/pools.cpp
+++ b/src/daemon/pools.cpp
@@ -165,6 +165,17 @@
     return may_grow || (found != pools_.end() && found->second.state.share > 0);
 }
 
+server_use backend_pools::use_of(const server_id& server) const {
+    server_use use;
+    for (const auto& [key, p] : pools_) {
+        if (key.server == server) {
+            use.running += static_cast<unsigned>(p.state.busy.size() - p.state.resting.size());
+            use.waiting += waiting_count(p.state);
+        }
+    }
+    return use;
+}
+
 bool backend_pools::is_turned_away(const share_key& key) const {
     const auto found = pools_.find(key);
     return found != pools_.end() && larchpin::is_turned_away(found->second.state);
--- a/src/daemon/pools.hpp
+++ b/src/daemon/pools.hpp
@@ -7,6 +7,7 @@
 #pragma once
 
 #include "core/pool.hpp"
+#include "core/server_load.hpp"
 #include "core/shares.hpp"
 #include "io/backend_driver.hpp"
 
@@ -61,6 +62,8 @@
     [[nodiscard]] std::map<share_key, unsigned> shares() const;
     // Holds a share, or could get one if `may_grow`.
     [[nodiscard]] bool may_serve(const share_key& key, bool may_grow) const;
+    // Statements of all services that run at the server over these pools, and requests that wait for it.
+    [[nodiscard]] server_use use_of(const server_id& server) const;
     // The server had no room for a connection of ours, and we have none (see core/pool).
     [[nodiscard]] bool is_turned_away(const share_key& key) const;
     void look_for_room(const share_key& key);
