Order: a server's slots are announced, agreed and shown; a home is told that those before it refuse

Cause: the number that a server announces was read and dropped, so nobody knew how much runs at it at once.

Change: server_record::slots, through announcement, log, copies and larchpinctl status. A changed number is a changed record, another start may tell another one, and a start that told one keeps it when it tells none. 1 to 10000; another number counts as not told, with one log line (server_slots_ignored), and the server stays in service; more than the service's connections is not used (slots_ignored, 1004). Numbers that no heartbeat may hold (below 0, above 10^15) make it unreadable as before. loan_request::instead: all earlier instances of the list have refused by themselves, so the one that is asked orders; silence alone does not say that.

--- a/src/core/announcements.cpp
+++ b/src/core/announcements.cpp
@@ -61,6 +61,9 @@
     const server_record* known = is_new_start ? nullptr : newest_record(c, s, record.id);
     record.leaving = a.leaving || a.gone || (known != nullptr && known->leaving);
     record.start_number = known != nullptr ? known->start_number : next_start_number(c);
+    if (record.slots == 0 && known != nullptr) {
+        record.slots = known->slots; // what this start told once goes on to hold
+    }
     return record;
 }
 
--- a/src/core/cluster_state.hpp
+++ b/src/core/cluster_state.hpp
@@ -108,6 +108,8 @@
     bool leaving = false;           // this start: agreed before it is acknowledged, and never taken back
     std::uint64_t started = 0;      // Unix milliseconds by the server's own clock; 0: it does not tell
     std::uint64_t start_number = 0; // by control: another one for every start that it tells apart
+    unsigned slots =
+        0; // statements that it runs at once, as this start told, 1..max_server_slots; 0: not told
     auto operator<=>(const server_record&) const = default;
 };
 
--- a/src/ctl/main.cpp
+++ b/src/ctl/main.cpp
@@ -110,6 +110,7 @@
                                        {"timeline", m.timeline()},
                                        {"position", m.position()},
                                        {"weight", m.weight()},
+                                       {"slots", m.record().slots()},
                                        {"leaving", m.leaving()}});
     }
     json::array daemons;
@@ -155,6 +156,7 @@
                   << m.record().domain() << std::setw(9) << (primary ? "primary" : "replica") << std::setw(8)
                   << (m.alive() ? "up" : "DOWN") << "behind " << std::setw(10)
                   << (m.alive() ? std::to_string(head - m.position()) + "B" : "?") << "weight " << m.weight()
+                  << "  slots " << (m.record().slots() == 0 ? "?" : std::to_string(m.record().slots()))
                   << (m.leaving() ? "  leaving" : "") << "\n";
     }
 }
--- a/src/daemon/agent.cpp
+++ b/src/daemon/agent.cpp
@@ -463,7 +463,25 @@
     return whole && !other_group && (r.started != 0 || !others_tell);
 }
 
-bool agent::note_announcement(const server_announcement& a) {
+// A number of slots that no server has counts as not told: the server is served as one that tells none.
+server_announcement agent::without_bad_slots(const server_announcement& a) {
+    server_announcement taken = a;
+    if (a.record.slots > max_server_slots) {
+        taken.record.slots = 0;
+        const auto heard = announced_.find(a.record.id);
+        const bool told_before = heard != announced_.end() && heard->second.has_bad_slots;
+        if (!told_before) {
+            log_event(severity::warning, "server_slots_ignored",
+                      {{"server", a.record.id.value},
+                       {"code", static_cast<std::uint64_t>(result_code::bad_message)},
+                       {"takes", "1 to " + std::to_string(max_server_slots)}});
+        }
+    }
+    return taken;
+}
+
+bool agent::note_announcement(const server_announcement& told) {
+    const server_announcement a = without_bad_slots(told);
     if (!makes_sense(a) || announced_.size() >= max_announcements) {
         return false;
     }
@@ -475,7 +493,7 @@
     if (overtaken) {
         return true;
     }
-    heard = {.last = a, .at = now()};
+    heard = {.last = a, .at = now(), .has_bad_slots = told.record.slots > max_server_slots};
     if (news) {
         log_event(severity::info, "server_announced",
                   {{"server", a.record.id.value},
@@ -484,6 +502,7 @@
                    {"leaving", a.leaving},
                    {"gone", a.gone},
                    {"started", a.record.started},
+                   {"slots", static_cast<std::uint64_t>(a.record.slots)},
                    {"sequence", a.sequence}});
         renew_soon();
     }
--- a/src/daemon/agent.hpp
+++ b/src/daemon/agent.hpp
@@ -130,6 +130,7 @@
     struct heard_announcement {
         server_announcement last;
         time_point at{};
+        bool has_bad_slots = false; // it was said in the log
     };
     struct awaited_agreement {
         server_announcement announced;
@@ -146,7 +147,8 @@
     void forget_start(const server_id& id);
     void learn_leaving(revision_number first_new);
     [[nodiscard]] bool makes_sense(const server_announcement& a) const;
-    bool note_announcement(const server_announcement& a);
+    server_announcement without_bad_slots(const server_announcement& a);
+    bool note_announcement(const server_announcement& told);
     [[nodiscard]] bool is_agreed(const server_announcement& a) const;
     void answer_awaited();
     void watch();
--- a/src/daemon/loans.cpp
+++ b/src/daemon/loans.cpp
@@ -217,7 +217,8 @@
             }
             home_ = homes_[tried_ % homes_.size()];
         }
-        const wire::loan_request m = make_request(terms_, number_, !is_lent_, request_);
+        wire::loan_request m = make_request(terms_, number_, !is_lent_, request_);
+        m.set_instead(!is_lent_ && owner_.have_those_before_refused(terms_.key, home_));
         const duration time = std::max(terms_.deadline - now(), duration{0}) + answer_slack;
         note_asked(owner_.book_, home_, now());
         owner_.clients_.to(home_).post("/v1/loan", m.SerializeAsString(), time,
@@ -332,7 +333,9 @@
 // Statements that the server runs at once; 0: not known.
 unsigned connection_loans::slots_of(const share_key& key, order_place& place) {
     const service_entry* service = find_service(cluster_.cluster().current, key.service);
-    const unsigned slots = config_.slots;
+    const auto server = cluster_.cluster().servers.find(key.server);
+    const bool told = server != cluster_.cluster().servers.end() && server->second.slots > 0;
+    const unsigned slots = told ? server->second.slots : config_.slots;
     if (service == nullptr || slots <= service->max_connections) {
         place.has_refused_slots = false;
         return slots;
@@ -427,6 +430,29 @@
                               });
 }
 
+// Each of those that go before this one has just refused, or is this instance, which can't. Whoever is silent
+// has not refused: it may be silent to this instance only, and order the statements of others.
+bool connection_loans::have_those_before_refused(const share_key& key, const std::string& address) {
+    if (!orders_statements()) {
+        return false;
+    }
+    for (const instance_id& id : homes_of(key)) {
+        const auto record = cluster_.cluster().instances.find(id);
+        if (record == cluster_.cluster().instances.end()) {
+            continue;
+        }
+        const std::string& other = record->second.address;
+        if (other == address) {
+            return true;
+        }
+        if (id != config_.id && !cluster_.is_lost(id) &&
+            !is_without_connection(book_, key.server, other, now())) {
+            return false;
+        }
+    }
+    return false;
+}
+
 // The first ones of the list that may order, and where none may, one that is asked all the same.
 std::vector<std::string> connection_loans::rank_in_order(const share_key& key) {
     const cluster_state& s = cluster_.cluster();
@@ -718,7 +744,9 @@
     }
     ++lent_;
     if (orders_statements()) {
-        order_places_[key].asked_at = now();
+        order_place& place = order_places_[key];
+        place.asked_at = now();
+        place.instead_until = request.instead() ? now() + instead_time : place.instead_until;
         ping_first(key);
         follow_order(key);
     }
--- a/src/daemon/loans.hpp
+++ b/src/daemon/loans.hpp
@@ -113,6 +113,7 @@
     void follow_orders();
     void ping_first(const share_key& key);
     void ping(const std::string& address);
+    bool have_those_before_refused(const share_key& key, const std::string& address);
     std::vector<std::string> rank_in_order(const share_key& key);
     // [borrowing]
     std::vector<instance_id> lenders_of(const share_key& key);
--- a/src/io/codec.cpp
+++ b/src/io/codec.cpp
@@ -141,7 +141,8 @@
             .domain = {m.domain()},
             .leaving = m.leaving(),
             .started = m.started(),
-            .start_number = m.start_number()};
+            .start_number = m.start_number(),
+            .slots = m.slots()};
 }
 
 void to_wire(const server_record& v, wire::server_record& m) {
@@ -153,6 +154,7 @@
     m.set_leaving(v.leaving);
     m.set_started(v.started);
     m.set_start_number(v.start_number);
+    m.set_slots(v.slots);
 }
 
 group_record from_wire(const wire::group_record& m) {
--- a/tests/io_test.cpp
+++ b/tests/io_test.cpp
@@ -356,6 +356,13 @@
               "settings_missing_key]");
     EXPECT_EQ(problem_of(good_settings + "[entry]\nlisten = \"127.0.0.1:22x\"\n"),
               "f.toml:9: entry.listen: takes \"ip:port\" [1004 settings_out_of_range]");
+    EXPECT_EQ(problem_of(good_settings + "[backend]\nslots = 0\n"),
+              "f.toml:9: backend.slots: takes 1 to 10000 [1004 settings_out_of_range]");
+    EXPECT_EQ(problem_of(good_settings + "[backend]\nslots = 10001\n"),
+              "f.toml:9: backend.slots: takes 1 to 10000 [1004 settings_out_of_range]");
+    EXPECT_EQ(problem_of(good_settings + "[backend]\norder_statements = 1\n"),
+              "f.toml:9: backend.order_statements: takes true or false [1003 settings_wrong_type]");
+    EXPECT_EQ(problem_of(good_settings + "[backend]\nslots = 4\norder_statements = true\n"), "good");
     EXPECT_NE(problem_of("[instance\n").find("[1001 settings_unreadable]"), std::string::npos);
     EXPECT_NE(problem_of("x = 1\n").find("[1002"), std::string::npos);
 }
--- a/tests/ordering_test.cpp
+++ b/tests/ordering_test.cpp
@@ -1,10 +1,12 @@
 // One instance orders all statements for a server: which one that is, and how many statements it lets run.
 //
 // Index
-//   [the list]  [places]  [the crest of demand]
+//   [the list]  [slots]  [places]  [the crest of demand]
+#include "core/control_core.hpp"
 #include "core/home_order.hpp"
 #include "core/pool.hpp"
 #include "core/rendezvous.hpp"
+#include "io/codec.hpp"
 
 #include <gtest/gtest.h>
 
@@ -144,6 +146,70 @@
     EXPECT_EQ(order_homes(s.state, {"s0"}, 4).size(), 6U);
 }
 
+//-----------------------------------------------------------------------------
+// [slots]
+//-----------------------------------------------------------------------------
+
+// Control alone, whose commands apply as soon as proposed.
+struct announcing_site {
+    control_state control;
+    cluster_state cluster;
+    time_point now{seconds{100}};
+    std::uint64_t sequence = 0;
+
+    announcing_site() { start_leading(control, 3, now); }
+
+    void tell(unsigned told, std::uint64_t started) {
+        server_announcement a;
+        a.record = {.id = {"s1"}, .group = {"g"}, .host = "127.0.0.1", .port = 5, .domain = {"z"}};
+        a.record.started = started;
+        a.record.slots = told;
+        a.is_primary = true;
+        a.timeline = 1;
+        a.sequence = ++sequence;
+        renewal r;
+        r.instance = {.id = {"x"}, .domain = {"z"}, .address = "127.0.0.1:1", .takes_callers = true};
+        r.incarnation = 1;
+        r.applied = cluster.revision;
+        r.announcements = {a};
+        control_actions actions;
+        on_renewal(control, cluster, r, now, actions);
+        for (const control_action& action : actions) {
+            if (const auto* proposal = std::get_if<propose_command>(&action)) {
+                apply(cluster, cluster.revision + 1, proposal->proposed);
+            }
+        }
+        now += milliseconds{100};
+    }
+    [[nodiscard]] unsigned agreed() const { return cluster.servers.at({"s1"}).slots; }
+};
+
+TEST(slots, are_agreed_and_follow_what_a_server_tells) {
+    announcing_site s;
+    s.tell(4, 10);
+    EXPECT_EQ(s.agreed(), 4U);
+    const revision_number before = s.cluster.revision;
+    s.tell(4, 10);
+    EXPECT_EQ(s.cluster.revision, before) << "nothing new";
+    s.tell(6, 10);
+    EXPECT_EQ(s.agreed(), 6U) << "a changed number is a changed record";
+    s.tell(0, 10);
+    EXPECT_EQ(s.agreed(), 6U) << "told once, it goes on to hold for this start";
+    s.tell(0, 20);
+    EXPECT_EQ(s.agreed(), 0U) << "another start told nothing";
+    s.tell(5, 20);
+    EXPECT_EQ(s.agreed(), 5U);
+}
+
+TEST(slots, are_kept_by_what_passes_between_instances) {
+    cluster_state s;
+    s.servers[{"s1"}] = {.id = {"s1"}, .group = {"g"}, .host = "10.1.0.1", .port = 1, .domain = {"z"}};
+    s.servers.at({"s1"}).slots = 7;
+    const auto read = decode_state(encode_state(s));
+    ASSERT_TRUE(read.has_value());
+    EXPECT_EQ(read->servers.at({"s1"}).slots, 7U);
+}
+
 //-----------------------------------------------------------------------------
 // [places]
 //-----------------------------------------------------------------------------
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -121,6 +121,20 @@
     EXPECT_EQ(platform::parse_farewell(R"({"born":"17"})", why), std::nullopt);
 }
 
+// A number that no server has is no reason to go without the server.
+TEST(bodies, a_heartbeat_tells_how_many_statements_run_at_once) {
+    const auto slots_of = [](const std::string& capacity) {
+        std::string why;
+        const auto a =
+            platform::parse_heartbeat("i", replace(good_heartbeat, R"("capacity":3)", capacity), why);
+        return a ? std::optional{a->record.slots} : std::nullopt;
+    };
+    EXPECT_EQ(slots_of(R"("capacity":3)"), 3U);
+    EXPECT_EQ(slots_of(R"("capacity":10000)"), max_server_slots);
+    EXPECT_EQ(slots_of(R"("capacity":0)"), max_server_slots + 1) << "none that is taken";
+    EXPECT_EQ(slots_of(R"("capacity":1000000000000000)"), max_server_slots + 1);
+}
+
 // It names no server to use: a server that is half understood would be used by what it never said.
 TEST(bodies, a_heartbeat_of_another_writer_is_not_read) {
     const std::string good = good_heartbeat;
--- a/tools/standin/main.cpp
+++ b/tools/standin/main.cpp
@@ -4,8 +4,9 @@
 // parameter "replication"), and announces itself to larchpin's entry instances. The announcement's answer
 // names the primary: a replica follows it, a primary that was replaced steps down and takes over its log.
 //
-// Faults, by SQL: "standin set lag_ms = 500" (replica), service_ms, connect_ms, max_connections, leave.
-// Others from outside: SIGSTOP freezes it, SIGKILL crashes it (its data is gone unless --data keeps it).
+// Faults, by SQL: "standin set lag_ms = 500" (replica), service_ms, connect_ms, max_connections, slots,
+// leave. Others from outside: SIGSTOP freezes it, SIGKILL crashes it (its data is gone unless --data keeps
+// it).
 //
 // Index
 //   [options]  [sessions]  [replication]  [announcing]  [main]
@@ -51,6 +52,7 @@
     unsigned service_ms = 0;  // each statement takes this long
     unsigned connect_ms = 10; // a new connection takes this long
     unsigned max_connections = 100;
+    unsigned slots = 0; // told to the daemons; 0: not told
     unsigned announce_ms = 200;
     bool leave = false;
     std::string data_file; // keeps log and timeline over a crash; empty: memory only
@@ -699,6 +701,8 @@
         opt.connect_ms = number;
     } else if (name == "max_connections") {
         opt.max_connections = number;
+    } else if (name == "slots") {
+        opt.slots = number;
     } else if (name == "leave") {
         opt.leave = value == "on";
     }
@@ -712,6 +716,7 @@
     m.mutable_record()->set_host(opt.host);
     m.mutable_record()->set_port(opt.announce_port == 0 ? opt.port : opt.announce_port);
     m.mutable_record()->set_started(data.started);
+    m.mutable_record()->set_slots(opt.slots);
     m.set_is_primary(data.is_primary);
     m.set_timeline(data.timeline);
     m.set_position(position_of(data));
@@ -816,6 +821,7 @@
         "connect-ms", "time a new connection takes", cxxopts::value(opt.connect_ms))(
         "max-connections", "limit", cxxopts::value(opt.max_connections))("announce-ms", "interval",
                                                                          cxxopts::value(opt.announce_ms))(
+        "slots", "statements at once that it announces", cxxopts::value(opt.slots))(
         "data", "file that keeps the data over a crash", cxxopts::value(opt.data_file));
     try {
         const auto given = arguments.parse(argc, argv);
