--- /dev/null
+++ b/tests/start_test.cpp
@@ -0,0 +1,133 @@
+// Callers that come in the first second of a start.
+//
+// Index
+//   [openings]  [first positions]  [a site]
+#include "core/opening.hpp"
+#include "core/routing.hpp"
+#include "platform_site.hpp"
+
+#include <gtest/gtest.h>
+
+namespace larchpin::testing {
+namespace {
+
+using std::chrono::milliseconds;
+
+//-----------------------------------------------------------------------------
+// [openings]
+//-----------------------------------------------------------------------------
+
+const time_point start_time{std::chrono::seconds{100}};
+
+start_state just_started() {
+    return {.started_at = start_time,
+            .usual_start = milliseconds{1200},
+            .takes_sessions = false,
+            .had_lease = false,
+            .waiting = 0};
+}
+
+// Everything has started anew: refused at once, callers use up three tries before anybody holds a lease.
+TEST(openings, wait_for_the_first_lease_of_a_start) {
+    start_state s = just_started();
+    const time_point asked = start_time + milliseconds{100};
+    EXPECT_EQ(judge_opening(s, asked, asked), opening_verdict::waits);
+    EXPECT_EQ(judge_opening(s, asked, asked + milliseconds{499}), opening_verdict::waits);
+    s.takes_sessions = true;
+    EXPECT_EQ(judge_opening(s, asked, asked + milliseconds{400}), opening_verdict::taken);
+}
+
+// One that waits in vain has half of a second's deadline left for another instance.
+TEST(openings, wait_half_a_second_at_most) {
+    const time_point asked = start_time + milliseconds{100};
+    EXPECT_EQ(judge_opening(just_started(), asked, asked + opening_patience), opening_verdict::refused);
+    EXPECT_LE(2 * opening_patience, std::chrono::seconds{1});
+}
+
+TEST(openings, are_refused_at_once_by_an_instance_that_is_cut_off_alone) {
+    start_state lost = just_started();
+    lost.had_lease = true;
+    EXPECT_EQ(judge_opening(lost, start_time, start_time), opening_verdict::refused) << "it had a lease";
+    const time_point late = start_time + milliseconds{1200};
+    EXPECT_EQ(judge_opening(just_started(), late, late), opening_verdict::refused)
+        << "others have started by now";
+    EXPECT_EQ(opening_wait_end(just_started(), late - milliseconds{100}), late)
+        << "and nobody waits beyond that";
+}
+
+TEST(openings, so_many_wait_and_no_more) {
+    start_state s = just_started();
+    s.waiting = max_waiting_openings - 1;
+    EXPECT_EQ(judge_opening(s, start_time, start_time), opening_verdict::waits);
+    s.waiting = max_waiting_openings;
+    EXPECT_EQ(judge_opening(s, start_time, start_time), opening_verdict::refused);
+}
+
+//-----------------------------------------------------------------------------
+// [first positions]
+//-----------------------------------------------------------------------------
+
+// Leases are there, and connections to the primary are opening: its first position is a moment away.
+TEST(positions, the_first_one_of_a_term_is_waited_for_while_an_answer_can_be_in_time) {
+    group_positions known;
+    group_view g;
+    g.record.term = 4;
+    g.positions = &known;
+    EXPECT_EQ(longest_position_wait(g, milliseconds{400}), milliseconds{300});
+    EXPECT_EQ(longest_position_wait(g, duration{0}), milliseconds{100}) << "no patience is stated";
+    add_primary_sample(known, 3, {.not_before = start_time, .timeline = 1, .position = 7});
+    EXPECT_EQ(longest_position_wait(g, milliseconds{400}), milliseconds{300}) << "that of another term";
+    add_primary_sample(known, 4, {.not_before = start_time, .timeline = 2, .position = 9});
+    EXPECT_EQ(longest_position_wait(g, milliseconds{400}), milliseconds{100})
+        << "the way to the primary is broken, and not just opening";
+}
+
+//-----------------------------------------------------------------------------
+// [a site]
+//-----------------------------------------------------------------------------
+
+TEST(start, a_session_that_comes_before_the_first_lease_is_opened_with_it) {
+    platform_site s;
+    s.start();
+    s.freeze_control();
+    site_daemon& entry = s.start_entry();
+    line_caller c(s, entry.entry_port);
+    c.send("STARTUP shop somebody\r\n");
+    s.run_for(milliseconds{100});
+    s.thaw_control();
+    const answer opened = c.receive();
+    EXPECT_EQ(opened.state, "I") << opened.error;
+    EXPECT_FALSE(c.ask("w", "STORE k v").done.empty());
+}
+
+TEST(start, a_session_is_refused_where_no_lease_comes) {
+    platform_site s;
+    s.start();
+    s.freeze_control();
+    site_daemon& entry = s.start_entry();
+    line_caller c(s, entry.entry_port);
+    c.send("STARTUP shop somebody\r\n");
+    const answer refused = c.receive();
+    EXPECT_TRUE(refused.error.starts_with("BUSY")) << refused.error;
+}
+
+TEST(start, a_caller_that_leaves_while_it_waits_leaves_nothing_behind) {
+    platform_site s;
+    s.start();
+    s.freeze_control();
+    site_daemon& entry = s.start_entry();
+    {
+        line_caller c(s, entry.entry_port);
+        c.send("STARTUP shop somebody\r\n");
+        s.run_for(milliseconds{50});
+        c.close();
+    }
+    s.run_for(milliseconds{50});
+    s.thaw_control();
+    EXPECT_TRUE(s.run_until([&] { return entry.core->is_ready(); }));
+    line_caller c(s, entry.entry_port);
+    EXPECT_EQ(c.open("STARTUP shop somebody").state, "I");
+}
+
+} // namespace
+} // namespace larchpin::testing
