Loads are told: with the answers of loans, and between the homes of a group

What the homes know together of a server (running, waiting, usual time of an answer, failures, position) reached nobody else.

Change. daemon/server_loads. A borrower asks for loads with a loan at most every 50 ms a group; the lender tells those of all servers of the group. Homes that have work ask the first homes of the group's other servers, at most every 50 ms, when their own load has changed noticeably or 200 ms have passed; idle servers are told of too, since work could go there. Loads travel in answers only: of a message that nobody asked for the age is not known, and a position must be dated back from a question of the reader's own. So pushing loads, as first planned, was ruled out. A told position counts like an observer's: of the same start, a primary's with a live lease and for the agreed primary only. The first home is homes_of().front() until the ordering home takes its place (connection_loans' constructor).

--- a/src/core/routing.cpp
+++ b/src/core/routing.cpp
@@ -8,6 +8,7 @@
 namespace {
 
 constexpr double ns_per_ms = 1e6;
+constexpr double mostly = 0.5;
 // A renewal takes a round trip, and another one after a change of leader.
 constexpr duration lease_wait = std::chrono::milliseconds{30};
 
@@ -164,21 +165,33 @@
     return std::find(wish.avoid.begin(), wish.avoid.end(), id) != wish.avoid.end();
 }
 
+const server_view* find_primary(const group_view& g) {
+    const auto found = std::find_if(g.servers.begin(), g.servers.end(),
+                                    [&g](const server_view& s) { return s.id == g.record.primary; });
+    return found == g.servers.end() ? nullptr : &*found;
+}
+
 // Nothing of this daemon has gone there lately, so what it saw there last may be long over.
 bool is_due_for_trial(const server_view& s, const read_wish& wish, const routing_settings& settings) {
     const bool asked_once = s.asked_at != time_point{};
     return asked_once && s.outstanding == 0 && wish.now - s.asked_at > settings.replica_trial_interval;
 }
 
+// The primary may be read, and answers as far as is known.
+bool may_primary_read(const group_view& g, const read_wish& wish) {
+    const server_view* primary = find_primary(g);
+    return primary != nullptr && !is_avoided(wish, primary->id) &&
+           may_take_reads(g, *primary, true, wish.now) &&
+           route_write(g, wish.lease_live).kind == target_kind::server &&
+           !(primary->load && primary->load->load.failed > mostly);
+}
+
 bool goes_to_primary(const group_view& g, const server_view& replica, const read_wish& wish,
                      const routing_settings& settings, std::mt19937_64& random) {
-    const auto primary = std::find_if(g.servers.begin(), g.servers.end(),
-                                      [&g](const server_view& s) { return s.id == g.record.primary; });
-    if (primary == g.servers.end() || is_avoided(wish, primary->id) ||
-        !may_take_reads(g, *primary, true, wish.now) ||
-        route_write(g, wish.lease_live).kind != target_kind::server) {
+    if (!may_primary_read(g, wish)) {
         return false;
     }
+    const server_view* primary = find_primary(g);
     const double replicas = expected_delay(replica, settings);
     const double primarys = expected_delay(*primary, settings);
     if (replica.load && !primary->load) {
@@ -249,7 +262,13 @@
     const server_view* preferred =
         s.workspace.value.empty() ? nullptr : prefer(fit, s.workspace, settings, random);
     const server_view& chosen = preferred != nullptr ? *preferred : choose(fit, settings, random);
-    if (goes_to_primary(g, chosen, wish, settings, random)) {
+    // Where all replicas fail, what still goes there is what it takes to see one recover.
+    const bool all_fail = std::all_of(fit.begin(), fit.end(), [](const server_view* v) {
+        return v->load && v->load->load.failed > mostly;
+    });
+    const bool primary_serves = all_fail && may_primary_read(g, wish);
+    if (primary_serves ? happens(1 - settings.trials_of_failing, random)
+                       : goes_to_primary(g, chosen, wish, settings, random)) {
         return route_write(g, wish.lease_live);
     }
     routing_decision decision = to_server(chosen.id, false);
--- a/src/core/routing.hpp
+++ b/src/core/routing.hpp
@@ -97,6 +97,7 @@
     double workspace_loyalty = 2.0;
     // At most this share of the reads goes to a primary that is far better: all others see it idle as well.
     double most_to_primary = 0.5;
+    double trials_of_failing = 0.05; // share of the reads that go to a replica which fails more than half
 };
 
 //-----------------------------------------------------------------------------
--- a/src/core/server_load.hpp
+++ b/src/core/server_load.hpp
@@ -27,6 +27,7 @@
 
 struct server_load {
     server_id server{};
+    std::uint64_t start_number = 0; // of the server, that this tells of
     unsigned slots = 0;       // statements that it runs at once; 0: not known
     unsigned running = 0;     // statements there now
     unsigned waiting = 0;     // requests that wait at the instance until they may be sent
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -53,9 +53,9 @@
                session_maker make_session)
     : io_(io), config_(config), keys_(keys), driver_(std::move(driver)),
       make_session_(std::move(make_session)), pools_(io, driver_),
-      agent_(io, config_, keys_, pools_, driver_), loans_(io, config_, keys_, agent_, pools_, driver_),
-      limits_(io, config_, keys_, agent_), clients_(io, keys), signals_(io, SIGTERM, SIGINT),
-      reload_signal_(io, SIGHUP), settings_timer_(io) {}
+      agent_(io, config_, keys_, pools_, driver_), loads_(io, config_, keys_, agent_, pools_, driver_),
+      loans_(io, config_, keys_, agent_, pools_, driver_, loads_), limits_(io, config_, keys_, agent_),
+      clients_(io, keys), signals_(io, SIGTERM, SIGINT), reload_signal_(io, SIGHUP), settings_timer_(io) {}
 
 leaf::result<void> daemon::start() {
     if (config_.control_member) {
@@ -88,6 +88,7 @@
     agent_.takes_callers = entry_ != nullptr;
     agent_.borrow = [this](const loan_terms& terms) { return loans_.borrow(terms); };
     agent_.may_borrow_near = [this](const share_key& key) { return loans_.may_borrow_near(key); };
+    agent_.load_of = [this](const server_id& id) { return loads_.find(id); };
     agent_.start();
     signals_.async_wait([this](const boost::system::error_code& error, int /*signal*/) {
         if (!error) {
@@ -263,6 +264,9 @@
     counts_.set_gauge("connections_open_failed", static_cast<double>(pools_.counters().open_failed));
     counts_.set_gauge("connections_borrowed", static_cast<double>(loans_.borrowed_count()));
     counts_.set_gauge("connections_lent", static_cast<double>(loans_.lent_count()));
+    counts_.set_gauge("server_loads_known", static_cast<double>(loads_.known_count()));
+    counts_.set_gauge("server_loads_oldest_ms",
+                      std::chrono::duration<double, std::milli>(loads_.oldest()).count());
     counts_.set_gauge("queue_refusals", static_cast<double>(pools_.counters().refused));
 }
 
@@ -274,6 +278,8 @@
         agent_.answer_positions(request.body, respond);
     } else if (request.path == "/v1/loan") {
         loans_.answer(request.body, respond);
+    } else if (request.path == "/v1/loads") {
+        reply(loads_.answer(request.body));
     } else if (request.path == "/v1/cancel") {
         const auto space = request.body.find(' ');
         std::uint32_t process = 0;
--- a/src/daemon/daemon.hpp
+++ b/src/daemon/daemon.hpp
@@ -81,6 +81,7 @@
     metrics counts_;
     backend_pools pools_;
     agent agent_;
+    server_loads loads_;
     connection_loans loans_;
     rate_limiter limits_;
     std::unique_ptr<control_node> control_;
--- a/src/daemon/loans.cpp
+++ b/src/daemon/loans.cpp
@@ -205,7 +205,9 @@
             }
             home_ = homes_[tried_ % homes_.size()];
         }
-        const wire::loan_request m = make_request(terms_, number_, !is_lent_, request_);
+        wire::loan_request m = make_request(terms_, number_, !is_lent_, request_);
+        m.set_wants_loads(owner_.loads_.wants(terms_.key.server));
+        sent_at_ = now();
         const duration time = std::max(terms_.deadline - now(), duration{0}) + answer_slack;
         note_asked(owner_.book_, home_, now());
         owner_.clients_.to(home_).post("/v1/loan", m.SerializeAsString(), time,
@@ -227,6 +229,7 @@
             finish(outcome, {});
             return;
         }
+        note_excess(owner_.book_, home_, owner_.loads_.take(terms_.key, m, sent_at_));
         backend_outcome outcome = read_outcome(m);
         outcome.lender = home_;
         owner_.note_lender(terms_.key, home_, outcome);
@@ -274,6 +277,7 @@
     std::size_t tried_ = 0;
     std::string home_; // where the loan is, or is asked for; empty: none
     std::uint64_t number_ = 0;
+    time_point sent_at_{}; // the newest question to it
     backend_request request_;
     backend_sink sink_;
     bool is_lent_ = false;        // a transaction is open there
@@ -286,9 +290,14 @@
 //-----------------------------------------------------------------------------
 
 connection_loans::connection_loans(asio::io_context& io, const settings& config, const shared_keys& keys,
-                                   agent& cluster, backend_pools& pools, const backend_driver& driver)
-    : io_(io), config_(config), cluster_(cluster), pools_(pools), driver_(driver), timer_(io),
+                                   agent& cluster, backend_pools& pools, const backend_driver& driver,
+                                   server_loads& loads)
+    : io_(io), config_(config), cluster_(cluster), pools_(pools), driver_(driver), loads_(loads), timer_(io),
       watch_timer_(io), random_(std::random_device{}()), clients_(io, keys) {
+    loads_.first_home = [this](const share_key& key) {
+        const auto& homes = homes_of(key);
+        return homes.empty() ? std::nullopt : std::optional{homes.front()};
+    };
     on_tick();
     watch_homes();
 }
@@ -453,9 +462,9 @@
 // [lending]
 //-----------------------------------------------------------------------------
 
-void connection_loans::answer(const std::string& body, const http_respond& respond) {
+void connection_loans::answer(const std::string& body, const http_respond& answered) {
     wire::loan_request m;
-    const auto reply = [&respond](const std::string& bytes) { respond({.status = 200, .body = bytes}); };
+    const auto reply = [&answered](const std::string& bytes) { answered({.status = 200, .body = bytes}); };
     if (!m.ParseFromString(body)) {
         reply(make_refusal(result_code::bad_message, {}));
         return;
@@ -463,12 +472,19 @@
     if (m.drop()) {
         end_loan(m.loan(), false);
         reply("");
-    } else if (m.is_new()) {
+        return;
+    }
+    const share_key key{.service = {m.service()}, .server = {m.server()}};
+    const http_respond respond = [this, key, wanted = m.wants_loads(), came_at = now(),
+                                  answered](const http_response& r) {
+        answered({.status = r.status, .body = r.body + loads_.encode(key, wanted, came_at)});
+    };
+    if (m.is_new()) {
         begin_loan(m, respond);
     } else if (loans_.contains(m.loan()) && !loans_[m.loan()].running) {
         run(m.loan(), m, respond);
     } else {
-        reply(make_reply({}, {})); // its transaction is gone
+        respond({.status = 200, .body = make_reply({}, {})}); // its transaction is gone
     }
 }
 
@@ -577,12 +593,13 @@
     sink.hold_errors = true;
     sink.keep_first_row = true;
     sink.on_bytes = [bytes](std::string_view more) { bytes->append(more); };
-    sink.on_done = [this, number, klass = l.klass, server = l.key.server, connection, bytes,
-                    respond](const backend_outcome& outcome) {
+    sink.on_done = [this, number, klass = l.klass, key = l.key, server = l.key.server, asked_at = l.used_at,
+                    connection, bytes, respond](const backend_outcome& outcome) {
         note_context(*connection, outcome);
         if (outcome.answered) {
             cluster_.note_answered(server);
         }
+        loads_.note_ended(key, asked_at, outcome);
         const auto still = loans_.find(number);
         if (still != loans_.end()) {
             still->second.running = false;
--- a/src/daemon/loans.hpp
+++ b/src/daemon/loans.hpp
@@ -22,6 +22,7 @@
 #include "core/lenders.hpp"
 #include "daemon/agent.hpp"
 #include "daemon/pools.hpp"
+#include "daemon/server_loads.hpp"
 #include "io/http2_clients.hpp"
 
 #include <memory>
@@ -58,7 +59,7 @@
 class connection_loans {
 public:
     connection_loans(boost::asio::io_context& io, const settings& config, const shared_keys& keys,
-                     agent& cluster, backend_pools& pools, const backend_driver& driver);
+                     agent& cluster, backend_pools& pools, const backend_driver& driver, server_loads& loads);
 
     // A connection of a home instance; nothing where this instance uses its own for the server. It is
     // borrowed with the first request, whose outcome says `refused` where no home could lend one.
@@ -70,6 +71,8 @@
     // Body of /v1/loan: another instance's request on one of our connections.
     void answer(const std::string& body, const http_respond& respond);
 
+    [[nodiscard]] server_loads& loads() { return loads_; }
+
     void stop() { stopping_ = true; } // lends no more; what is lent goes on to its end
     [[nodiscard]] std::uint64_t borrowed_count() const { return borrowed_; }
     [[nodiscard]] std::uint64_t lent_count() const { return lent_; }
@@ -113,6 +116,7 @@
     agent& cluster_;
     backend_pools& pools_;
     const backend_driver& driver_;
+    server_loads& loads_;
     boost::asio::steady_timer timer_;
     boost::asio::steady_timer watch_timer_;
     std::mt19937_64 random_;
--- a/src/daemon/request_path.cpp
+++ b/src/daemon/request_path.cpp
@@ -180,6 +180,7 @@
         r.on_primary = decision.is_primary;
         r.term = view.record.term;
         r.floor.reset();
+        note_expected(view);
         if (decision.floor) {
             r.floor = log_mark{.timeline = view.record.timeline, .position = *decision.floor};
         }
@@ -208,6 +209,16 @@
     wait_for_news(give_up_at());
 }
 
+// For the log: what the choice went by.
+void request_path::note_expected(const group_view& view) {
+    active_request& r = *active_;
+    const auto chosen = std::find_if(view.servers.begin(), view.servers.end(),
+                                     [&r](const server_view& s) { return s.id == r.server; });
+    const bool known = chosen != view.servers.end() && chosen->load;
+    r.expected = known ? expected_completion(*chosen->load) : duration{0};
+    r.load_age = known ? chosen->load->age : duration{0};
+}
+
 // A request that cannot be sent soon is better refused while its caller has time to try again.
 time_point request_path::give_up_at() const {
     const caller_request& what = active_->what;
@@ -301,6 +312,7 @@
     const time_point answer_by = r.what.patience > duration{0} ? r.started_at + for_answer : time_point{};
     arm_timer(r.deadline);
     owner_.cluster.note_request_started(r.server);
+    owner_.loans.loads().note_sent(r.server);
     const share_key key{.service = state.service, .server = r.server};
     if (const auto lent = owner_.loans.borrow({.key = key,
                                                .workspace = state.workspace,
@@ -541,6 +553,8 @@
                {"on_primary", r.on_primary},
                {"term", r.term},
                {"lender", r.lender},
+               {"expected_us", to_us(r.expected)},
+               {"load_age_us", to_us(r.load_age)},
                {"floor", r.floor ? r.floor->position : 0},
                {"attempts", static_cast<std::uint64_t>(r.attempts)},
                {"end", to_string(result.end)},
@@ -674,6 +688,9 @@
     } else {
         owner_.cluster.note_request_left(r.server);
     }
+    if (blames_server && pinned_ && !pinned_->connection->is_lent) {
+        owner_.loans.loads().note_ended(pinned_->key, r.sent_at, {});
+    }
     lost_transaction_ = loses_transaction();
     const bool retry = may_retry();
     const run_state run = outcome_if_lost();
--- a/src/daemon/request_path.hpp
+++ b/src/daemon/request_path.hpp
@@ -145,6 +145,8 @@
         bool on_primary = false;
         term_number term = 0;
         std::optional<log_mark> floor; // demanded of the server
+        duration expected{0};          // until its answer, when the server was chosen; 0: not known
+        duration load_age{0};          // of the load that this was taken from
         std::string lender;            // instance whose connection it used last; empty: our own
         std::vector<server_id> avoid;  // refused it, or broke
         request_number waiting = 0;
@@ -177,6 +179,7 @@
     // [routing]
     void route();
     void take_decision(const routing_decision& decision, const group_view& view, time_point at);
+    void note_expected(const group_view& view);
     void wait_for_news(time_point retry_at);
     [[nodiscard]] time_point give_up_at() const;
     void abandon_replaced();
--- a/src/daemon/request_run.cpp
+++ b/src/daemon/request_run.cpp
@@ -71,6 +71,7 @@
     }
     note_context(*pinned_->connection, outcome);
     if (!pinned_->connection->is_lent) {
+        owner_.loans.loads().note_ended(pinned_->key, active_->sent_at, outcome);
         owner_.pools.note_statement_ended(pinned_->key, pinned_->number,
                                           {.took = now() - active_->sent_at,
                                            .klass = state.settings.klass,
--- a/tests/balance_test.cpp
+++ b/tests/balance_test.cpp
@@ -357,6 +357,16 @@
     EXPECT_EQ(g.share("p"), 0.0);
 }
 
+// Nobody reaches either replica: whatever is sent there comes back, and late.
+TEST(bad_servers, replicas_that_answer_nobody_leave_their_reads_to_the_primary_however_busy) {
+    told_group g;
+    g.tell("a", {.usual_answer = milliseconds{20}, .failed = 1});
+    g.tell("b", {.usual_answer = milliseconds{20}, .failed = 1});
+    g.tell("p", {.running = 4, .waiting = 3, .usual_answer = milliseconds{20}, .wait = milliseconds{15}});
+    EXPECT_GT(g.share("p"), 0.9);
+    EXPECT_LT(g.share("p"), 1.0) << "or nobody would see them come back";
+}
+
 TEST(bad_servers, one_users_bad_luck_ejects_nobody) {
     server_answers a;
     time_point at = start;
