--- a/src/core/pool.cpp
+++ b/src/core/pool.cpp
@@ -29,7 +29,7 @@
     return p.busy_background.size() >= background_limit(p);
 }
 
-server_use use_of(const pool_state& p) {
+places_taken use_of(const pool_state& p) {
     return {.running = running_count(p), .opening = static_cast<unsigned>(p.opening.size())};
 }
 
--- a/src/core/running_limit.cpp
+++ b/src/core/running_limit.cpp
@@ -65,7 +65,7 @@
     return l.most == 0 || running < l.most;
 }
 
-unsigned free_places(const running_limit& l, const server_use& use) {
+unsigned free_places(const running_limit& l, const places_taken& use) {
     const auto left = [](unsigned of, unsigned taken) { return of - std::min(of, taken); };
     const unsigned by_refusals = l.most == 0 ? no_limit : left(l.most, use.running);
     const unsigned by_slots =
--- a/src/core/running_limit.hpp
+++ b/src/core/running_limit.hpp
@@ -54,7 +54,7 @@
 bool may_send(const running_limit& l, unsigned running);
 
 // What a pool has at the server: statements that run, and connections that open.
-struct server_use {
+struct places_taken {
     unsigned running = 0;
     unsigned opening = 0;
 };
@@ -62,7 +62,7 @@
 constexpr unsigned no_limit = std::numeric_limits<unsigned>::max();
 
 // Statements or openings that may begin now; no_limit where nothing bounds them.
-unsigned free_places(const running_limit& l, const server_use& use);
+unsigned free_places(const running_limit& l, const places_taken& use);
 
 // Statements that may run at once, at least one; 0: nothing bounds them.
 unsigned places(const running_limit& l);
