--- a/src/daemon/server_loads.cpp
+++ b/src/daemon/server_loads.cpp
@@ -149,8 +149,10 @@
         return std::nullopt;
     }
     const auto own = own_.find(server);
-    server_load load = make_load(server, own == own_.end() ? server_answers{} : own->second.answers,
-                                 pools_.use_of(server), now());
+    server_use use = pools_.use_of(server);
+    use.slots = record->second.slots;
+    server_load load =
+        make_load(server, own == own_.end() ? server_answers{} : own->second.answers, use, now());
     load.start_number = record->second.start_number;
     if (cluster_.is_unreachable(server)) {
         load.failed = 1;
