Control: news to many together, renewals paced, no new connection after one late answer

While 36 servers announced themselves the leader answered 2,300 renewals and 2,090 watches a second (counted by the new line peer_load), and 815 renewals a second with nothing going on, 8.3 an instance.

Change: news that others wait for are told to all at most each 0.3 ms an instance (100 ms at most), others each 1 ms (300 ms at most); a lease counts once the newest of the former is applied; only those bring a renewal at once. The leader names the time to the next renewal, a fifth to two fifths of the lease. Whoever finds no leader waits longer with each try and by chance. A connection to control is closed after 500 ms of silence, not with the first late answer. Up to 40 instances nothing is spread; renewals up to 72.

It still serves nothing for 30 s after all were killed.

--- a/src/core/control.cpp
+++ b/src/core/control.cpp
@@ -5,6 +5,7 @@
 #include "core/control.hpp"
 
 #include "core/announcements.hpp"
+#include "core/control_talk.hpp"
 #include "core/failover.hpp"
 #include "core/lease.hpp"
 #include "core/rendezvous.hpp"
@@ -210,7 +211,7 @@
     const time_point until = now + grantor_length(c.config.lease);
     reply.lease = c.config.lease;
     forget_old_leases(d, now);
-    note_granted(d, s.revision, until);
+    note_granted(d, reply.revision, until);
     c.shares.counts_until[d.number] = until + grantor_length(c.config.share_grace);
 }
 
@@ -297,7 +298,7 @@
         take_announcement(c, s, a, now, actions);
     }
     register_if_new(c, s, r.instance, actions);
-    reply.revision = s.revision;
+    reply.revision = c.needed_revision == 0 ? s.revision : c.needed_revision;
     if (r.stopping) {
         d.leases.clear();
         d.claims.clear();
@@ -316,6 +317,7 @@
         reply.observe = observed->second;
     }
     reply.control_addresses = c.control_addresses;
+    reply.renew_after = renewal_interval(c.config.lease, s.instances.size());
     return reply;
 }
 
--- a/src/core/control.hpp
+++ b/src/core/control.hpp
@@ -82,6 +82,7 @@
     std::vector<share_grant> shares;
     std::vector<server_id> observe;             // to be probed by this daemon
     std::vector<std::string> control_addresses; // peer listeners of the control instances
+    duration renew_after{0};                    // from the renewal's sending to the next one's; 0: not told
     bool operator==(const renewal_reply&) const = default;
 };
 
@@ -243,6 +244,7 @@
     std::map<group_id, time_point> switched_at;            // last try to leave a leaving primary
     std::set<group_id> without_successor;                  // their leaving primary cannot be replaced
     std::vector<std::string> control_addresses;            // told to daemons; set by the control core
+    revision_number needed_revision = 0; // a lease counts once it is applied; set likewise; 0: the newest
     std::uint64_t next_operation = 1;
 };
 
--- a/src/core/control_core.cpp
+++ b/src/core/control_core.cpp
@@ -4,6 +4,8 @@
 //   [applying]  [leading]  [members]  [public functions]
 #include "core/control_core.hpp"
 
+#include "core/control_talk.hpp"
+
 #include <algorithm>
 
 namespace larchpin {
@@ -37,8 +39,10 @@
 void apply_entry(control_core& c, const raft::entry& e) {
     const auto decoded =
         e.command.empty() ? std::optional<command>{std::monostate{}} : c.codec.decode(e.command);
+    const bool urgent = is_urgent(decoded.value_or(std::monostate{}), c.cluster);
     const change_outcome outcome = apply(c.cluster, e.index, decoded.value_or(std::monostate{}));
     remember_for_daemons(c, e, decoded);
+    c.urgent_revision = urgent ? e.index : c.urgent_revision;
     while (c.recent.size() > max_recent_entries || c.recent_bytes > max_recent_bytes) {
         c.recent_bytes -= c.recent.front().command.size();
         c.recent.pop_front();
@@ -58,6 +62,7 @@
     if (log.restored) {
         c.cluster = c.codec.decode_state(log.restored->data).value_or(cluster_state{});
         c.cluster.revision = log.restored->index;
+        c.urgent_revision = log.restored->index;
         c.recent.clear();
         c.recent_bytes = 0;
         log.restored.reset();
@@ -355,6 +360,7 @@
     for (const raft::member& m : c.consensus.members.members) {
         c.control.control_addresses.push_back(m.address);
     }
+    c.control.needed_revision = c.urgent_revision;
     const renewal_reply reply = on_renewal(c.control, c.cluster, r, now, actions);
     carry_out(c, actions, now);
     settle(c, now);
--- a/src/core/control_core.hpp
+++ b/src/core/control_core.hpp
@@ -47,6 +47,7 @@
     control_state control;
     std::deque<raft::entry> recent;      // applied entries that daemons may still ask for
     std::size_t recent_bytes = 0;        // of their commands
+    revision_number urgent_revision = 0; // the newest that daemons are to be told at once
     std::size_t snapshot_entries = 4096; // log entries before they are replaced by a snapshot
     std::size_t wanted_voters = 0; // others stay learners, and replace silent ones; 0: all vote for good
     raft::member self;
--- a/src/daemon/agent.cpp
+++ b/src/daemon/agent.cpp
@@ -5,6 +5,7 @@
 //   [loop]  [renewing]  [watching]  [shares]  [announcements]  [for sessions]
 #include "daemon/agent.hpp"
 
+#include "core/control_talk.hpp"
 #include "core/rendezvous.hpp"
 #include "daemon/loans.hpp"
 #include "generated/larchpin.pb.h"
@@ -29,7 +30,11 @@
 constexpr int renewals_per_lease = 5;
 constexpr duration renew_timeout = std::chrono::milliseconds{250};
 constexpr duration watch_timeout = std::chrono::seconds{7};
-constexpr duration watch_pause = std::chrono::milliseconds{30}; // after a failed one
+constexpr duration watch_pause = std::chrono::milliseconds{30};           // after a failed one
+constexpr duration longest_search_pause = std::chrono::milliseconds{150}; // a quarter of a short lease
+constexpr int renewal_spread = 8; // one part in so many: instances that started together come apart
+// A control instance that has much to do answers late; a new connection would be one thing more.
+constexpr duration control_silence = std::chrono::milliseconds{500};
 constexpr duration announcement_age = std::chrono::seconds{1};
 constexpr duration share_request_interval = std::chrono::milliseconds{50};
 constexpr std::size_t max_announcements = 20'000;
@@ -46,7 +51,9 @@
 agent::agent(asio::io_context& io, const settings& config, const shared_keys& keys, backend_pools& pools,
              const backend_driver& driver)
     : io_(io), config_(config), pools_(pools), driver_(driver), timer_(io), incarnation_(make_incarnation()),
-      control_(config.control_addresses), leader_(control_.front()), clients_(io, keys) {}
+      control_(config.control_addresses), leader_(control_.front()),
+      renewal_interval_(config.lease / renewals_per_lease), random_(std::random_device{}()),
+      clients_(io, keys, control_silence) {}
 
 agent::~agent() = default;
 
@@ -71,7 +78,8 @@
 
 void agent::on_tick() {
     const time_point at = now();
-    if (!stopping_ && !renewing_ && (renew_again_ || at >= next_renewal_)) {
+    const bool may_renew = !stopping_ && !renewing_ && at >= no_renewal_before_;
+    if (may_renew && (renew_again_ || at >= next_renewal_)) {
         renew();
     }
     if (!stopping_ && !watching_ && at >= next_watch_) {
@@ -193,7 +201,7 @@
     renewing_ = true;
     renew_again_ = false;
     const time_point sent = now();
-    next_renewal_ = sent + config_.lease / renewals_per_lease;
+    next_renewal_ = sent + renewal_interval_ - spread(renewal_interval_ / renewal_spread);
     wire::renewal m;
     to_wire(make_renewal(), m);
     clients_.to(leader_).post("/v1/renew", m.SerializeAsString(), renew_timeout,
@@ -205,14 +213,25 @@
     leader_ = control_[control_index_];
 }
 
+// Many look for the leader at the same time; later ones come apart.
+void agent::search_on(duration pause) {
+    no_renewal_before_ = now() + pause + spread(pause / 2);
+    next_renewal_ = no_renewal_before_;
+}
+
+duration agent::spread(duration most) {
+    return duration{std::uniform_int_distribution<duration::rep>(0, most.count())(random_)};
+}
+
 void agent::on_renewed(const http_outcome& o, time_point sent) {
     renewing_ = false;
     wire::renewal_reply m;
     if (!o.answered || o.status != 200 || !m.ParseFromString(o.body)) {
         rotate_control();
-        next_renewal_ = std::min(next_renewal_, now() + watch_pause);
+        search_on(std::min(watch_pause * (1 << std::min(unanswered_renewals_++, 3U)), longest_search_pause));
         return;
     }
+    unanswered_renewals_ = 0;
     const renewal_reply reply = from_wire(m);
     if (reply.code == result_code::not_leader) {
         if (m.leader_address().empty() || m.leader_address() == leader_) {
@@ -220,12 +239,14 @@
         } else {
             leader_ = m.leader_address();
         }
-        next_renewal_ = std::min(next_renewal_, now() + watch_pause);
+        search_on(std::clamp(reply.renew_after, watch_pause, longest_search_pause));
         return;
     }
     if (reply.code != result_code::ok || stopping_) {
         return;
     }
+    const duration usual_interval = config_.lease / renewals_per_lease;
+    renewal_interval_ = std::clamp(reply.renew_after, usual_interval, usual_interval * 2);
     add_grant(lease_, sent, reply.lease, reply.revision, cluster_.revision);
     note_current(leave_times_, reply.revision, sent);
     if (leader_of_number(reply.seq) != leader_of_number(last_reply_seq_)) {
@@ -288,10 +309,12 @@
         return;
     }
     const revision_number before = cluster_.revision;
-    apply_reply(m);
+    const bool is_awaited = apply_reply(m);
     if (cluster_.revision > before) {
         note_applied(lease_, cluster_.revision);
-        renew_soon(); // others may be waiting for this confirmation
+        if (is_awaited) {
+            renew_soon(); // others may be waiting for this confirmation
+        }
         follow_lease();
         if (on_change) {
             on_change();
@@ -300,12 +323,14 @@
     watch();
 }
 
-void agent::apply_reply(const wire::watch_reply& reply) {
+bool agent::apply_reply(const wire::watch_reply& reply) {
+    bool is_awaited = false;
     if (reply.has_full() && reply.full().revision() > cluster_.revision) {
         const revision_number first_new = cluster_.revision + 1;
         cluster_ = from_wire(reply.full());
         follow_starts();
         learn_leaving(first_new);
+        is_awaited = true;
     }
     for (const auto& m : reply.entries()) {
         const raft::entry e = from_wire(m);
@@ -314,6 +339,7 @@
         }
         const auto c =
             e.command.empty() ? std::optional<command>{std::monostate{}} : decode_command(e.command);
+        is_awaited = is_awaited || is_urgent(c.value_or(std::monostate{}), cluster_);
         apply(cluster_, e.index, c.value_or(std::monostate{}));
         const bool changes_servers =
             c && (std::holds_alternative<register_server>(*c) || std::holds_alternative<remove_server>(*c));
@@ -324,6 +350,7 @@
     }
     confirmed_once_ = true;
     answer_awaited();
+    return is_awaited;
 }
 
 // A server's process has gone, or another one runs under its id: nothing that was learned of it says anything
@@ -401,7 +428,7 @@
         pools_.set_share(g.key, g.connections);
     }
     if (asked_for_share_ && !grew) {
-        next_share_request_ = now() + config_.lease / renewals_per_lease;
+        next_share_request_ = now() + renewal_interval_;
     }
     asked_for_share_ = false;
 }
--- a/src/daemon/agent.hpp
+++ b/src/daemon/agent.hpp
@@ -22,6 +22,7 @@
 #include "io/settings.hpp"
 
 #include <memory>
+#include <random>
 
 namespace larchpin {
 
@@ -148,8 +149,10 @@
     void answer_awaited();
     void watch();
     void on_watched(const http_outcome& o, std::uint64_t generation);
-    void apply_reply(const wire::watch_reply& reply);
+    bool apply_reply(const wire::watch_reply& reply); // whether others may wait for it
     void rotate_control();
+    void search_on(duration pause);
+    [[nodiscard]] duration spread(duration most); // up to so much, by chance
     void apply_shares(const renewal_reply& reply);
     void follow_lease();
     [[nodiscard]] bool holds_reserve(const server_record& server) const;
@@ -188,6 +191,10 @@
     bool renewing_ = false;
     bool renew_again_ = false;
     time_point next_renewal_{};
+    duration renewal_interval_{0};     // as the leader wishes
+    time_point no_renewal_before_{};   // while control is searched for, whatever the news
+    unsigned unanswered_renewals_ = 0; // in a row
+    std::mt19937_64 random_;
     bool asked_for_share_ = false;    // with the last renewal, before its time
     time_point next_share_request_{}; // no renewal before it for want of a connection
     std::uint64_t last_reply_seq_ = 0;
--- a/src/daemon/control_node.cpp
+++ b/src/daemon/control_node.cpp
@@ -4,6 +4,7 @@
 //   [loop]  [log and messages]  [actions]  [joining]  [answers to daemons]  [answers to operators]
 #include "daemon/control_node.hpp"
 
+#include "core/control_talk.hpp"
 #include "core/rendezvous.hpp"
 #include "generated/larchpin.pb.h"
 #include "io/addresses.hpp"
@@ -31,6 +32,8 @@
 constexpr duration join_interval = std::chrono::milliseconds{300};
 constexpr duration write_again_after = std::chrono::milliseconds{100};
 constexpr duration probe_again_after = std::chrono::milliseconds{10};
+constexpr duration search_pause =
+    std::chrono::milliseconds{30}; // of instances, between two control instances
 constexpr duration edit_patience = std::chrono::seconds{10};
 constexpr std::size_t max_watchers = 4096;
 
@@ -456,8 +459,11 @@
     if (granted) {
         to_wire(*granted, reply);
     } else {
+        const duration pause = leader_search_pause(search_pause, core_.cluster.instances.size());
         reply.set_code(static_cast<std::uint32_t>(result_code::not_leader));
         reply.set_leader_address(leader_address());
+        reply.set_renew_after_us(
+            static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::microseconds>(pause).count()));
     }
     return reply.SerializeAsString();
 }
@@ -485,7 +491,8 @@
         respond({.status = 400, .body = {}});
         return;
     }
-    if (!request.wait() || request.applied() < core_.cluster.revision || watchers_.size() >= max_watchers) {
+    const bool has_news = has_news_for(core_, request.applied(), last_news_, now());
+    if (!request.wait() || has_news || watchers_.size() >= max_watchers) {
         respond({.status = 200, .body = make_watch_reply(core_, request.applied(), whole_state_)});
         return;
     }
@@ -494,14 +501,15 @@
 
 void control_node::answer_watchers() {
     const time_point at = now();
+    const auto is_ready = [&](const watcher& w) {
+        return at >= w.deadline || has_news_for(core_, w.applied, last_news_, at);
+    };
     std::vector<watcher> ready;
-    for (const watcher& w : watchers_) {
-        if (w.applied < core_.cluster.revision || at >= w.deadline) {
-            ready.push_back(w);
-        }
-    }
-    std::erase_if(watchers_,
-                  [&](const watcher& w) { return w.applied < core_.cluster.revision || at >= w.deadline; });
+    std::copy_if(watchers_.begin(), watchers_.end(), std::back_inserter(ready), is_ready);
+    std::erase_if(watchers_, is_ready);
+    const bool is_news = std::any_of(ready.begin(), ready.end(),
+                                     [this](const watcher& w) { return w.applied < core_.cluster.revision; });
+    last_news_ = is_news ? at : last_news_;
     // Most watchers are at the same revision and get the same bytes.
     std::map<revision_number, std::string> bodies;
     for (const watcher& w : ready) {
--- a/src/daemon/control_node.hpp
+++ b/src/daemon/control_node.hpp
@@ -120,6 +120,7 @@
     bool writing_ = false;
     bool store_failed_ = false;
     std::vector<watcher> watchers_;
+    time_point last_news_{}; // when those who wait were last told of everything
     whole_state_reply whole_state_;
     std::vector<waiting_edit> edits_;
     std::map<std::uint64_t, server_operation> operations_;
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -267,6 +267,15 @@
 }
 
 void daemon::serve(const http_request& request, const http_respond& respond) {
+    serve_path(request, [this, path = request.path, respond](const http_response& response) {
+        load_.note_answered(path, response.body.size());
+        respond(response);
+    });
+    load_.note_asked(request.path, request.body.size());
+    load_.tell(now());
+}
+
+void daemon::serve_path(const http_request& request, const http_respond& respond) {
     const auto reply = [&respond](const std::string& body) { respond({.status = 200, .body = body}); };
     if (request.path == "/v1/announce") {
         reply(agent_.answer_announcement(request.body));
--- a/src/daemon/daemon.hpp
+++ b/src/daemon/daemon.hpp
@@ -8,6 +8,7 @@
 #include "daemon/agent.hpp"
 #include "daemon/control_node.hpp"
 #include "daemon/entry.hpp"
+#include "daemon/load_report.hpp"
 #include "daemon/loans.hpp"
 #include "daemon/pools.hpp"
 #include "daemon/rate_limiter.hpp"
@@ -64,6 +65,7 @@
 
 private:
     void serve(const http_request& request, const http_respond& respond);
+    void serve_path(const http_request& request, const http_respond& respond);
     void serve_control(const http_request& request, const http_respond& respond);
     void forward_to_control(const http_request& request, const http_respond& respond,
                             const std::string& address, unsigned hops);
@@ -79,6 +81,7 @@
     backend_driver driver_;
     session_maker make_session_;
     metrics counts_;
+    load_report load_;
     backend_pools pools_;
     agent agent_;
     connection_loans loans_;
--- a/src/daemon/watch_replies.cpp
+++ b/src/daemon/watch_replies.cpp
@@ -1,5 +1,6 @@
 #include "daemon/watch_replies.hpp"
 
+#include "core/control_talk.hpp"
 #include "generated/larchpin.pb.h"
 #include "io/codec.hpp"
 
@@ -36,6 +37,16 @@
 
 } // namespace
 
+bool has_news_for(const control_core& core, revision_number applied, time_point last_news, time_point now) {
+    if (applied >= core.cluster.revision) {
+        return false;
+    }
+    const std::size_t instances = core.cluster.instances.size();
+    const bool is_urgent = applied < core.urgent_revision;
+    const duration interval = is_urgent ? urgent_news_interval(instances) : news_interval(instances);
+    return applied == 0 || now - last_news >= interval;
+}
+
 std::string make_watch_reply(const control_core& core, revision_number applied, whole_state_reply& whole) {
     wire::watch_reply reply;
     reply.set_commit(core.cluster.revision);
--- a/src/daemon/watch_replies.hpp
+++ b/src/daemon/watch_replies.hpp
@@ -10,6 +10,10 @@
 
 namespace larchpin {
 
+// Whether somebody who has applied everything up to `applied` is told now: once the pause is over since the
+// last news to all, a short one where others wait for it. Who has nothing yet is told at once.
+bool has_news_for(const control_core& core, revision_number applied, time_point last_news, time_point now);
+
 // The whole state as a reply, made once a revision.
 struct whole_state_reply {
     revision_number revision = 0; // 0: none made yet
--- a/src/io/codec.cpp
+++ b/src/io/codec.cpp
@@ -394,6 +394,7 @@
         v.observe.push_back({id});
     }
     v.control_addresses.assign(m.control_addresses().begin(), m.control_addresses().end());
+    v.renew_after = std::chrono::microseconds{static_cast<std::int64_t>(m.renew_after_us())};
     return v;
 }
 
@@ -414,6 +415,8 @@
     for (const std::string& address : v.control_addresses) {
         m.add_control_addresses(address);
     }
+    m.set_renew_after_us(static_cast<std::uint64_t>(
+        std::chrono::duration_cast<std::chrono::microseconds>(v.renew_after).count()));
 }
 
 //-----------------------------------------------------------------------------
--- a/src/io/http2.cpp
+++ b/src/io/http2.cpp
@@ -4,6 +4,7 @@
 //   [server]  [client]
 #include "io/clock.hpp"
 #include "io/http2_internal.hpp"
+#include "io/log.hpp"
 
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -129,8 +130,9 @@
         time_point deadline{};
     };
 
-    implementation(asio::io_context& context, const tcp::endpoint& endpoint, const shared_keys& shared)
-        : io(context), to(endpoint), keys(shared), timer(context) {}
+    implementation(asio::io_context& context, const tcp::endpoint& endpoint, const shared_keys& shared,
+                   duration bearable)
+        : io(context), to(endpoint), keys(shared), silence(bearable), timer(context) {}
 
     void connect() {
         if (connecting || now() < retry_at) {
@@ -163,6 +165,7 @@
             },
             [weak](http2_connection& from) { fail_streams(from); });
         connection->start();
+        unheard_since = {};
         const auto ready = std::move(waiting);
         waiting.clear();
         for (const waiting_request& r : ready) {
@@ -234,6 +237,16 @@
         });
     }
 
+    // Whether the peer has said nothing since this request was sent, and for as long as is borne.
+    bool is_silent_since(time_point sent_at, time_point at) {
+        const time_point heard = connection->heard_at();
+        if (heard >= sent_at) {
+            return false;
+        }
+        unheard_since = heard >= unheard_since ? sent_at : unheard_since;
+        return at - unheard_since >= silence;
+    }
+
     // Returns whether anything is still open.
     bool expire() {
         const time_point at = now();
@@ -253,7 +266,7 @@
                     late.push_back(std::move(stream.done));
                     stream.done = nullptr;
                     reset.push_back(id);
-                    silent = silent || connection->heard_at() < stream.sent_at;
+                    silent = silent || is_silent_since(stream.sent_at, at);
                 }
                 open = open || stream.done != nullptr;
             }
@@ -263,6 +276,7 @@
         }
         // The peer may be gone without a word: its successor would never see what we send on this connection.
         if (silent) {
+            log_event(severity::warning, "peer_connection_silent", {{"to", to.address().to_string()}});
             connection->close();
         }
         if (!late.empty() && pending_socket) {
@@ -278,7 +292,9 @@
     asio::io_context& io;
     tcp::endpoint to;
     shared_keys keys;
+    duration silence;
     asio::steady_timer timer;
+    time_point unheard_since{}; // when the first of the late requests was sent that nothing has come since
     std::shared_ptr<http2_connection> connection;
     std::shared_ptr<tcp::socket> pending_socket;
     std::deque<waiting_request> waiting;
@@ -288,8 +304,9 @@
     bool stopped = false;
 };
 
-http2_client::http2_client(asio::io_context& io, const tcp::endpoint& to, const shared_keys& keys)
-    : self_(std::make_shared<implementation>(io, to, keys)) {}
+http2_client::http2_client(asio::io_context& io, const tcp::endpoint& to, const shared_keys& keys,
+                           duration silence)
+    : self_(std::make_shared<implementation>(io, to, keys, silence)) {}
 
 http2_client::~http2_client() {
     self_->stopped = true;
--- a/src/io/http2.hpp
+++ b/src/io/http2.hpp
@@ -81,8 +81,10 @@
 
 class http2_client {
 public:
+    // A connection is closed when a request is late and nothing has come since it was sent, nor for
+    // `silence`.
     http2_client(boost::asio::io_context& io, const boost::asio::ip::tcp::endpoint& to,
-                 const shared_keys& keys);
+                 const shared_keys& keys, duration silence = duration{0});
     ~http2_client();
     http2_client(const http2_client&) = delete;
     http2_client& operator=(const http2_client&) = delete;
--- a/src/io/http2_clients.hpp
+++ b/src/io/http2_clients.hpp
@@ -14,7 +14,8 @@
 
 class http2_clients {
 public:
-    http2_clients(boost::asio::io_context& io, shared_keys keys);
+    // A connection on which a request was late is given up once nothing has come for `silence` since then.
+    http2_clients(boost::asio::io_context& io, shared_keys keys, duration silence = duration{0});
 
     // "ip:port"; what is no such address is given a client whose requests all fail.
     http2_client& to(const std::string& address);
@@ -22,6 +23,7 @@
 private:
     boost::asio::io_context& io_;
     shared_keys keys_;
+    duration silence_;
     std::map<std::string, std::unique_ptr<http2_client>> clients_; // by address
 };
 
