--- a/src/io/codec.cpp
+++ b/src/io/codec.cpp
@@ -403,6 +403,7 @@
                            .instances_revision = m.lost().instances_revision(),
                            .bits = m.lost().bits()};
     }
+    v.renew_after = std::chrono::microseconds{static_cast<std::int64_t>(m.renew_after_us())};
     return v;
 }
 
@@ -428,6 +429,8 @@
         m.mutable_lost()->set_instances_revision(v.lost->instances_revision);
         m.mutable_lost()->set_bits(v.lost->bits);
     }
+    m.set_renew_after_us(static_cast<std::uint64_t>(
+        std::chrono::duration_cast<std::chrono::microseconds>(v.renew_after).count()));
 }
 
 //-----------------------------------------------------------------------------
