--- a/tests/platform_site.cpp
+++ b/tests/platform_site.cpp
@@ -373,7 +373,8 @@
 // [daemons]
 //-----------------------------------------------------------------------------
 
-site_daemon& platform_site::start_daemon(bool control, const std::string& domain) {
+site_daemon& platform_site::start_daemon(asio::io_context& runs_on, const std::string& domain) {
+    const bool control = &runs_on == &control_io;
     site_daemon& d = daemons.emplace_back();
     const unsigned peer = free_port();
     control_peer_ = control ? peer : control_peer_;
@@ -396,9 +397,9 @@
     d.config.detect_time = std::chrono::milliseconds{200};
     d.config.leave_time = leave_time;
     d.config.close_without_lease = true;
+    d.config.order_statements = order_statements;
     const platform::driver_settings driver{.who = d.config.id.value,
                                            .promotion_authority = address_of(authority_port_)};
-    asio::io_context& runs_on = control ? control_io : io;
     d.core = std::make_unique<larchpin::daemon>(
         runs_on, d.config, shared_keys{.keys = {std::string(40, 'k')}},
         platform::make_driver(runs_on, driver), platform::make_caller_session);
@@ -442,7 +443,7 @@
         s.is_primary = s.id == "s1";
         start_server(s);
     }
-    site_daemon& d = start_daemon(true, "z1");
+    site_daemon& d = start_daemon(control_io, "z1");
     const auto ready = [&] {
         beat();
         post(d.control_port, "/larchpin/config/replace", table_body(5));
@@ -459,7 +460,15 @@
 }
 
 site_daemon& platform_site::add_entry(const std::string& domain) {
-    site_daemon& d = start_daemon(false, domain);
+    site_daemon& d = start_daemon(io, domain);
+    if (!run_until([&] { return d.core->is_ready(); })) {
+        throw std::runtime_error("the entry does not become ready");
+    }
+    return d;
+}
+
+site_daemon& platform_site::add_entry_apart() {
+    site_daemon& d = start_daemon(apart_io, "z1");
     if (!run_until([&] { return d.core->is_ready(); })) {
         throw std::runtime_error("the entry does not become ready");
     }
@@ -473,7 +482,9 @@
 void platform_site::pump() {
     io.restart();
     control_io.restart();
-    const std::size_t ran = io.poll() + (control_frozen_ ? 0 : control_io.poll());
+    apart_io.restart();
+    const std::size_t ran =
+        io.poll() + (control_frozen_ ? 0 : control_io.poll()) + (apart_frozen_ ? 0 : apart_io.poll());
     if (ran == 0) {
         std::this_thread::sleep_for(std::chrono::microseconds{200});
     }
--- a/tests/platform_site.hpp
+++ b/tests/platform_site.hpp
@@ -142,7 +142,10 @@
     void start();
     // A daemon that takes callers but keeps no control log.
     site_daemon& add_entry(const std::string& domain = "z1");
+    // The same with an io_context of its own, which may stand still while the others go on.
+    site_daemon& add_entry_apart();
     void freeze_control();
+    void freeze_apart(bool frozen) { apart_frozen_ = frozen; }
 
     line_caller connect(const std::string& database);
     platform::http_result post(unsigned port, const std::string& path, const std::string& body);
@@ -159,6 +162,8 @@
 
     boost::asio::io_context io{1};
     boost::asio::io_context control_io{1};
+    boost::asio::io_context apart_io{1};
+    bool order_statements = false; // of the settings of daemons that start from now on
     fake_group group;
     std::vector<seen_promotion> promotions;
     std::list<site_daemon> daemons;
@@ -168,10 +173,11 @@
     void start_server(fake_server& s);
     void accept(fake_server& s);
     void start_authority();
-    site_daemon& start_daemon(bool control, const std::string& domain);
+    site_daemon& start_daemon(boost::asio::io_context& runs_on, const std::string& domain);
     void pump();
 
     bool control_frozen_ = false;
+    bool apart_frozen_ = false;
     std::filesystem::path folder_;
     std::unique_ptr<platform::http_server> authority_;
     unsigned authority_port_ = 0;
