--- a/src/daemon/loans.cpp
+++ b/src/daemon/loans.cpp
@@ -382,15 +382,22 @@
     const service_entry* service = find_service(cluster_.cluster().current, key.service);
     const unsigned connections = service == nullptr ? 0 : service->max_connections;
     const std::size_t keepers = std::clamp<std::size_t>(connections / connections_per_standby, 1, standbys);
-    const auto own = std::find(homes.begin(), homes.end(), config_.id) - homes.begin();
+    const auto kept = homes.begin() + static_cast<std::ptrdiff_t>(std::min(homes.size(), keepers + 1));
+    const bool is_next = std::find(homes.begin(), kept, config_.id) != kept;
     pools_.set_order(key, {.permits = !orders      ? standby_permits
                                       : slots == 0 ? 0
                                                    : slots + 1,
                            .claims_at_most = orders ? 0U : 1U,
-                           .keeps_one = !orders && static_cast<std::size_t>(own) <= keepers,
+                           .keeps_one = !orders && !stopping_ && is_next,
                            .is_ordering = orders});
 }
 
+// Gives way to the next one at once: it needs the connections that are held here.
+void connection_loans::stop() {
+    stopping_ = true;
+    follow_orders();
+}
+
 void connection_loans::follow_orders() {
     std::vector<share_key> keys;
     for (const auto& [key, place] : order_places_) {
--- a/src/daemon/loans.hpp
+++ b/src/daemon/loans.hpp
@@ -74,7 +74,7 @@
     // on, one statement at a time.
     static constexpr unsigned standby_permits = 1;
 
-    void stop() { stopping_ = true; } // lends no more; what is lent goes on to its end
+    void stop(); // lends no more; what is lent goes on to its end
     [[nodiscard]] std::uint64_t borrowed_count() const { return borrowed_; }
     [[nodiscard]] std::uint64_t lent_count() const { return lent_; }
 
--- a/tests/ordering_test.cpp
+++ b/tests/ordering_test.cpp
@@ -1,11 +1,13 @@
 // One instance orders all statements for a server: which one that is, and how many statements it lets run.
 //
 // Index
-//   [the list]  [slots]  [places]  [the crest of demand]
+//   [the list]  [slots]  [places]  [several services]  [the crest of demand]
 #include "core/control_core.hpp"
 #include "core/home_order.hpp"
 #include "core/pool.hpp"
 #include "core/rendezvous.hpp"
+#include "daemon/pools.hpp"
+#include "io/clock.hpp"
 #include "io/codec.hpp"
 
 #include <gtest/gtest.h>
@@ -469,6 +471,79 @@
     EXPECT_LE(s.at_server.size(), at_server);
 }
 
+//-----------------------------------------------------------------------------
+// [several services]
+//-----------------------------------------------------------------------------
+
+// Connections that open at once and run nothing by themselves.
+backend_driver make_idle_driver() {
+    backend_driver driver;
+    driver.make_connection = [](const server_record&, const service_id&, const workspace_id&) {
+        auto c = std::make_shared<backend_connection>();
+        c->connect = [](const connect_callback& done) { done(connect_result::connected); };
+        c->close = [] {};
+        c->is_open = [] { return true; };
+        c->is_running = [] { return false; };
+        return c;
+    };
+    return driver;
+}
+
+struct two_services {
+    boost::asio::io_context io{1};
+    backend_driver driver = make_idle_driver();
+    backend_pools pools{io, driver};
+    server_record server{.id = {"s1"}, .group = {"g"}, .host = "10.1.0.1", .port = 1, .domain = {"z"}};
+    share_key a{.service = {"a"}, .server = {"s1"}};
+    share_key b{.service = {"b"}, .server = {"s1"}};
+    std::vector<std::pair<share_key, connection_number>> running;
+    std::map<share_key, unsigned> served;
+
+    two_services() {
+        for (const share_key& key : {a, b}) {
+            pools.set_share(key, 10);
+            pools.set_order(key,
+                            {.permits = 3, .claims_at_most = 0, .keeps_one = false, .is_ordering = true});
+        }
+    }
+    void ask(const share_key& key) {
+        pools.request(key, server, 100, {.deadline = larchpin::now() + seconds{60}},
+                      [this, key](const pool_answer& answer) {
+                          ASSERT_TRUE(answer.connection);
+                          running.emplace_back(key, answer.number);
+                          ++served[key];
+                          EXPECT_LE(running.size(), 3U);
+                      });
+    }
+    void finish_oldest() {
+        const auto [key, number] = running.front();
+        running.erase(running.begin());
+        pools.note_statement_ended(key, number, {.took = milliseconds{10}});
+        pools.release(key, number, true, milliseconds{10});
+    }
+};
+
+TEST(several_services, of_one_server_have_its_places_together_in_turn) {
+    two_services s;
+    for (int i = 0; i < 30; ++i) {
+        s.ask(s.a);
+    }
+    EXPECT_EQ(s.running.size(), 3U);
+    for (int i = 0; i < 10; ++i) {
+        s.ask(s.b);
+    }
+    EXPECT_EQ(s.running.size(), 3U) << "one server's places";
+    for (int i = 0; i < 20; ++i) {
+        s.finish_oldest();
+        EXPECT_EQ(s.running.size(), 3U) << "none is idle while anything waits";
+    }
+    EXPECT_EQ(s.served[s.b], 10U) << "in turn with the other service's, though that one asked for more";
+    while (!s.running.empty()) {
+        s.finish_oldest();
+    }
+    EXPECT_EQ(s.served[s.a], 30U);
+}
+
 //-----------------------------------------------------------------------------
 // [the crest of demand]
 //-----------------------------------------------------------------------------
