--- a/src/ctl/loss_report.cpp
+++ b/src/ctl/loss_report.cpp
@@ -86,6 +86,7 @@
     case result_code::connection_lost: return loss_cause::unreachable;
     case result_code::term_changed: return loss_cause::term_changed;
     case result_code::stopping: return loss_cause::session_closed;
+    case result_code::rate_limited: return loss_cause::beyond_rate;
     default: return loss_cause::other;
     }
 }
@@ -189,6 +190,7 @@
                                                                    "unanswered",
                                                                    "term changed",
                                                                    "session closed",
+                                                                   "beyond its rate",
                                                                    "late: waited here",
                                                                    "late: at the server",
                                                                    "late: relayed",
--- a/src/ctl/loss_report.hpp
+++ b/src/ctl/loss_report.hpp
@@ -42,6 +42,7 @@
     unanswered,     // sent, and no answer came in time
     term_changed,   // the primary was replaced meanwhile
     session_closed, // the session was refused, or its entry was stopping
+    beyond_rate,    // its workspace had used up its rate limit
     late_waiting,   // answered late: most of the time passed before it was sent
     late_at_server, // answered late: most of the time passed at the server
     late_relayed,   // answered late over another instance's connection
--- a/src/io/lost_codec.cpp
+++ b/src/io/lost_codec.cpp
@@ -6,6 +6,7 @@
 namespace larchpin {
 namespace {
 
+using google::protobuf::io::ArrayInputStream;
 using google::protobuf::io::CodedInputStream;
 using google::protobuf::io::CodedOutputStream;
 using google::protobuf::io::StringOutputStream;
@@ -47,8 +48,8 @@
 // The last field of this number and type, as messages are read everywhere.
 std::optional<wire_value> find_field(const std::string& message, std::uint32_t field, std::uint32_t type) {
     std::optional<wire_value> found;
-    CodedInputStream in(reinterpret_cast<const std::uint8_t*>(message.data()),
-                        static_cast<int>(message.size()));
+    ArrayInputStream stream(message.data(), static_cast<int>(message.size()));
+    CodedInputStream in(&stream);
     while (const std::uint32_t tag = in.ReadTag()) {
         wire_value value;
         if (!read_value(in, tag & ((1U << type_bits) - 1), value)) {
@@ -96,11 +97,11 @@
     if (!news) {
         return;
     }
-    std::string message;
-    append_number(message, news_number_field, news->number);
-    append_number(message, news_revision_field, news->instances_revision);
-    append_bytes(message, news_bits_field, news->bits);
-    append_bytes(reply, lost_news_field, message);
+    std::string fields;
+    append_number(fields, news_number_field, news->number);
+    append_number(fields, news_revision_field, news->instances_revision);
+    append_bytes(fields, news_bits_field, news->bits);
+    append_bytes(reply, lost_news_field, fields);
 }
 
 std::optional<lost_news> read_lost_news(const std::string& reply) {
--- a/tests/losses_test.cpp
+++ b/tests/losses_test.cpp
@@ -45,6 +45,7 @@
               loss_cause::unanswered);
     EXPECT_EQ(only_cause(refused + R"("code":3007,"step":"statement","lender":"")"),
               loss_cause::term_changed);
+    EXPECT_EQ(only_cause(refused + R"("code":3016,"step":"limited","lender":"")"), loss_cause::beyond_rate);
     EXPECT_EQ(only_cause(R"("end":"server_error","server_error":"LAGGING")"), loss_cause::server_behind);
     EXPECT_EQ(only_cause(R"("end":"server_error","server_error":"FAILED")"), loss_cause::server_failed);
 }
