--- a/src/core/opening.hpp
+++ b/src/core/opening.hpp
@@ -17,9 +17,9 @@
 
 namespace larchpin {
 
-// Half of what callers in a hurry give a whole operation (1 s), and a quarter of what they give the opening:
-// one that has waited in vain has as long again for another instance.
-constexpr duration opening_patience = std::chrono::milliseconds{500};
+// What callers in a hurry hope for. One that has waited for longer would be served late, and would make those
+// late who come after the start; and it has most of its deadline (1 s) left for another instance.
+constexpr duration opening_patience = std::chrono::milliseconds{200};
 // All of them begin to work in the same moment, and each holds a socket meanwhile.
 constexpr std::size_t max_waiting_openings = 500;
 
--- a/src/core/routing.cpp
+++ b/src/core/routing.cpp
@@ -8,8 +8,6 @@
 namespace {
 
 constexpr double ns_per_ms = 1e6;
-// Several round trips and a new connection (10 ms).
-constexpr duration position_round_trips = std::chrono::milliseconds{100};
 // A renewal takes a round trip, and another one after a change of leader.
 constexpr duration lease_wait = std::chrono::milliseconds{30};
 
@@ -192,11 +190,6 @@
     return refusal == result_code::no_lease ? std::min(patience, lease_wait) : patience;
 }
 
-duration longest_position_wait(const group_view& g, duration patience) {
-    const bool is_first = g.positions->primary.empty() || g.positions->term != g.record.term;
-    return is_first ? std::max(position_round_trips, patience * 3 / 4) : position_round_trips;
-}
-
 std::optional<log_position> demanded_position(const group_view& g, const session_state& s,
                                               const read_wish& wish) {
     const auto shared =
--- a/src/core/routing.hpp
+++ b/src/core/routing.hpp
@@ -100,11 +100,6 @@
 // lease, so that is hardly waited for; a missing primary is missing everywhere.
 duration longest_wait(result_code refusal, duration patience);
 
-// How long a request waits at most for the primary's position. The first one of a term comes as soon as
-// connections have opened, after a start or a failover, so it is waited for as long as an answer can be in
-// time. Later ones come within a few round trips, or the way to the primary is broken.
-duration longest_position_wait(const group_view& g, duration patience);
-
 // True where this server provably gives the session what it is owed.
 bool qualifies(const group_view& g, const server_view& server, const session_state& s, duration staleness,
                time_point now);
--- a/src/daemon/request_path.cpp
+++ b/src/daemon/request_path.cpp
@@ -18,6 +18,8 @@
 constexpr duration failover_wait = std::chrono::seconds{4}; // for a primary, where no patience is stated
 constexpr duration come_back_after = std::chrono::milliseconds{500};
 constexpr duration look_again_after = std::chrono::milliseconds{50};
+// For the primary's position: several round trips and a new connection (15 ms measured).
+constexpr duration sample_wait = std::chrono::milliseconds{100};
 // A request that comes to a queue at the end of its patience may still get a connection that opens (15 ms).
 constexpr duration least_queue_time = std::chrono::milliseconds{30};
 // Control answers within a few milliseconds, or is changing hands: then a quarter of what the caller hopes
@@ -187,12 +189,12 @@
     case target_kind::ask_primary:
         // Without a fresh position nothing can be said of any replica.
         r.last_refusal = result_code::no_replica;
-        if (at >= r.started_at + longest_position_wait(view, r.what.patience)) {
+        if (at - r.started_at >= sample_wait) {
             finish_with_error(result_code::no_replica, run_state::not_run, come_back_after);
             return;
         }
         owner_.cluster.want_fresh_position(state.group, state.service);
-        wait_for_news(r.started_at + longest_position_wait(view, r.what.patience));
+        wait_for_news(r.started_at + sample_wait);
         return;
     case target_kind::refuse: break;
     }
