--- a/src/daemon/agent.cpp
+++ b/src/daemon/agent.cpp
@@ -204,7 +204,7 @@
     to_wire(make_renewal(), m);
     std::string body = m.SerializeAsString();
     append_lost_number(body, lost_.number);
-    clients_.to(leader_).post("/v1/renew", std::move(body), renew_timeout,
+    clients_.to(leader_).post("/v1/renew", body, renew_timeout,
                               [this, sent](const http_outcome& o) { on_renewed(o, sent); });
 }
 
--- a/tests/cut_off_test.cpp
+++ b/tests/cut_off_test.cpp
@@ -55,7 +55,7 @@
     }
 
     void add(const std::string& name) {
-        const unsigned place = static_cast<unsigned>(instances.size());
+        const auto place = static_cast<unsigned>(instances.size());
         instance i;
         i.record = {.id = {name},
                     .domain = {"d" + std::to_string(place % 3)},
