--- a/src/daemon/loans.hpp
+++ b/src/daemon/loans.hpp
@@ -69,7 +69,7 @@
     bool may_borrow_near(const share_key& key);
 
     // Body of /v1/loan: another instance's request on one of our connections.
-    void answer(const std::string& body, const http_respond& respond);
+    void answer(const std::string& body, const http_respond& answered);
 
     [[nodiscard]] server_loads& loads() { return loads_; }
 
