--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -671,6 +671,17 @@
     EXPECT_EQ(s.site.statements_with("e").at(0).values, (std::map<std::string, std::string>{{"x", "1"}}));
 }
 
+// The borrower sees one request of its own at the server; the lender sees those of all.
+TEST(loans, an_answer_tells_the_load_of_its_server) {
+    scarce_site s;
+    ASSERT_NE(s.borrower, nullptr);
+    s.site.run_for(std::chrono::seconds{1}); // what was told before is forgotten
+    EXPECT_NE(s.borrower->core->metrics_text().find("server_loads_known 0"), std::string::npos);
+    line_caller c = s.open(*s.borrower, "strict");
+    EXPECT_EQ(c.ask("r", "FETCH k").state, "I");
+    EXPECT_EQ(s.borrower->core->metrics_text().find("server_loads_known 0"), std::string::npos);
+}
+
 TEST(loans, a_transaction_keeps_its_connection_to_the_end) {
     scarce_site s;
     ASSERT_NE(s.borrower, nullptr);
