--- a/src/daemon/loans.hpp
+++ b/src/daemon/loans.hpp
@@ -69,7 +69,7 @@
     bool may_borrow_near(const share_key& key);
 
     // Body of /v1/loan: another instance's request on one of our connections.
-    void answer(const std::string& body, const http_respond& respond);
+    void answer(const std::string& body, const http_respond& answered);
 
     // Places at the server while this instance is not the first that it believes alive: what was begun goes
     // on, one statement at a time.
