--- a/src/daemon/agent.cpp
+++ b/src/daemon/agent.cpp
@@ -51,7 +51,7 @@
 agent::agent(asio::io_context& io, const settings& config, const shared_keys& keys, backend_pools& pools,
              const backend_driver& driver)
     : io_(io), config_(config), pools_(pools), driver_(driver), timer_(io), incarnation_(make_incarnation()),
-      control_(config.control_addresses), leader_(control_.front()),
+      phases_(now()), control_(config.control_addresses), leader_(control_.front()),
       renewal_interval_(config.lease / renewals_per_lease), random_(std::random_device{}()),
       clients_(io, keys, control_silence) {}
 
@@ -114,6 +114,9 @@
         return;
     }
     had_lease_ = has;
+    if (has) {
+        phases_.reached("lease", now());
+    }
     log_event(has ? severity::info : severity::warning, has ? "lease_held" : "lease_lost",
               {{"revision", cluster_.revision}});
     shares_end_ = has ? time_point{} : now() + (stopping_ ? duration{0} : share_grace);
@@ -349,6 +352,7 @@
         }
     }
     confirmed_once_ = true;
+    phases_.reached("state", now());
     answer_awaited();
     return is_awaited;
 }
@@ -427,6 +431,9 @@
         grew = grew || g.connections > (held == before.end() ? 0 : held->second);
         pools_.set_share(g.key, g.connections);
     }
+    if (grew) {
+        phases_.reached("shares", now());
+    }
     if (asked_for_share_ && !grew) {
         next_share_request_ = now() + renewal_interval_;
     }
--- a/src/daemon/agent.hpp
+++ b/src/daemon/agent.hpp
@@ -17,6 +17,7 @@
 #include "core/reachability.hpp"
 #include "core/routing.hpp"
 #include "daemon/pools.hpp"
+#include "daemon/start_phases.hpp"
 #include "io/backend_driver.hpp"
 #include "io/http2_clients.hpp"
 #include "io/settings.hpp"
@@ -181,6 +182,7 @@
     cluster_state cluster_;
     lease_state lease_;
     bool had_lease_ = false;
+    start_phases phases_;
     time_point shares_end_{}; // when the shares of an ended lease are given back; 0: no such
     bool confirmed_once_ = false;
     bool stopping_ = false;
--- a/src/daemon/control_node.cpp
+++ b/src/daemon/control_node.cpp
@@ -63,7 +63,7 @@
 control_node::control_node(asio::io_context& io, const settings& config, const shared_keys& keys,
                            const backend_driver& driver)
     : io_(io), config_(config), driver_(driver), random_(std::random_device{}()), clients_(io, keys),
-      timer_(io) {}
+      timer_(io), phases_(now()) {}
 
 control_node::~control_node() = default;
 
@@ -103,6 +103,7 @@
     if (config_.founds_cluster && found.node == founder_id(config_.peer_address)) {
         found_cluster();
     }
+    phases_.reached("log_read", now());
     pump();
     on_tick();
     return {};
@@ -127,6 +128,9 @@
 
 void control_node::on_tick() {
     tick(core_, now(), random_);
+    if (core_.consensus.leader != 0) {
+        phases_.reached("leader_known", now());
+    }
     pump();
     ask_to_join();
     answer_watchers();
--- a/src/daemon/control_node.hpp
+++ b/src/daemon/control_node.hpp
@@ -9,6 +9,7 @@
 #pragma once
 
 #include "core/control_core.hpp"
+#include "daemon/start_phases.hpp"
 #include "daemon/watch_replies.hpp"
 #include "io/http2_clients.hpp"
 #include "io/raft_store.hpp"
@@ -127,6 +128,7 @@
     http2_clients clients_;
     boost::asio::steady_timer timer_;
     time_point next_join_at_{};
+    start_phases phases_;
     std::size_t join_index_ = 0;
 };
 
