Queue: one order of what waits before a server

Change: class urgent above critical (number 0 on the wire as before, with field 22 `urgent` of loan_request beside it; an older instance takes it for critical). core/request_queue: class, in time before late, workspace by start-time fair queueing with weights 8, 4, 2, 1 by priority, objective, deadline; an eighth of the time is kept for what has waited for a quarter of its own, the classes in turn. Where places at the server are counted (running_limit), what is late waits to its deadline, and what would not be served before it is refused at arrival. Where they are not counted the old rule stays (refused once the objective is out of reach): waiting there adds to the server's own queue. A waiter whose workspace has no connection was starved for good while places were counted and connections not used up (14 of 60 open, two of ten workspaces without any for 10 s): is_passed_over.

Ruled out: late requests for everyone. Arrived work as the measure of that load: it counts a queue twice; sent work is taken.

Not shown failing on the old order yet.

--- a/src/core/cluster_state.hpp
+++ b/src/core/cluster_state.hpp
@@ -69,7 +69,7 @@
     duration max_staleness{0};                            // for `bounded` and `own_writes`, 0..1 h
     duration statement_timeout = std::chrono::seconds{5}; // for one statement, 1 ms..1 h
     duration objective{0};                                // latency aimed at for a whole operation; 0: none
-    unsigned priority = 2;                                // 0 and 1 are served first, 3 and more last
+    unsigned priority = 2;                                // 0 goes first, then 1, 2; 3 and more last
     unsigned max_attempts = 3;                            // servers tried for one statement, 1..10
     bool is_public = false;                               // its sessions need no key
     auto operator<=>(const route_entry&) const = default;
--- a/src/core/pool.cpp
+++ b/src/core/pool.cpp
@@ -1,7 +1,7 @@
 #include "core/pool.hpp"
 
 #include <algorithm>
-#include <tuple>
+#include <optional>
 
 namespace larchpin {
 namespace {
@@ -17,10 +17,6 @@
 constexpr duration demand_step = std::chrono::seconds{1}; // from one connection given back to the next
 constexpr int smoothing = 8;                              // a new service time counts one eighth
 
-std::deque<pool_waiter>& queue_of(pool_state& p, request_class klass) {
-    return p.waiting.at(static_cast<std::size_t>(klass));
-}
-
 unsigned background_limit(const pool_state& p) {
     return std::max(1U, p.share * p.background_share / 100);
 }
@@ -41,18 +37,18 @@
     return static_cast<unsigned>(p.busy.size() - p.resting.size());
 }
 
-bool may_use(const pool_state& p, const pool_waiter& w, connection_number c) {
+bool may_use(const pool_state& p, const queued_request& w, connection_number c) {
     return w.any_workspace || p.owners.at(c) == w.workspace;
 }
 
 // The idle connection for this waiter that was used last; the end where it has none.
-std::vector<connection_number>::iterator find_idle(pool_state& p, const pool_waiter& w) {
+std::vector<connection_number>::iterator find_idle(pool_state& p, const queued_request& w) {
     const auto found =
         std::find_if(p.idle.rbegin(), p.idle.rend(), [&](connection_number c) { return may_use(p, w, c); });
     return found == p.idle.rend() ? p.idle.end() : std::prev(found.base());
 }
 
-void hand_out(pool_state& p, const pool_waiter& w, std::vector<connection_number>::iterator at,
+void hand_out(pool_state& p, const queued_request& w, std::vector<connection_number>::iterator at,
               pool_actions& actions) {
     const connection_number c = *at;
     p.idle.erase(at);
@@ -60,6 +56,9 @@
     if (w.klass == request_class::background) {
         p.busy_background.insert(c);
     }
+    if (!w.any_workspace) {
+        p.charged[c] = {.cost = w.cost, .weight = w.weight};
+    }
     actions.emplace_back(use_connection{.request = w.request, .connection = c});
 }
 
@@ -68,32 +67,47 @@
                        [&](connection_number c) { return p.owners.at(c) == workspace; });
 }
 
+// Its workspace pays for what the statement took, less what it paid when the request was sent.
+void note_charge(pool_state& p, connection_number c, duration took) {
+    const auto charged = p.charged.find(c);
+    if (charged != p.charged.end()) {
+        note_used(p.queue, p.owners.at(c),
+                  {.took = took, .charged = charged->second.cost, .weight = charged->second.weight});
+        charged->second.cost = {};
+    }
+}
+
+// Statements wait here for a place at the server. Otherwise they may wait at the server, nobody knows how
+// long.
+bool counts_places(const pool_state& p) {
+    return p.limit.most > 0;
+}
+
 // Others have gone before it for as long as an opening takes: the next connection that comes free makes room
-// for it.
-bool is_passed_over(const pool_state& p, const pool_waiter& w, time_point now) {
-    return now - w.since >= expected_open_time && open_count(p) >= p.share && !is_opening_for(p, w.workspace);
+// for it. Where places at the server are counted, it is a place for its opening that it lacks.
+bool is_passed_over(const pool_state& p, const queued_request& w, time_point now) {
+    const bool lacks_place = counts_places(p) && now >= p.open_retry_at;
+    return now - w.since >= expected_open_time && (open_count(p) >= p.share || lacks_place) &&
+           !is_opening_for(p, w.workspace);
 }
 
 // Hands out to the first waiter in line that has an idle connection. False where there is none, or it would
 // pass over another one for too long, or only background has one and has its part already.
 bool serve_next(pool_state& p, time_point now, pool_actions& actions) {
-    for (const request_class klass :
-         {request_class::critical, request_class::normal, request_class::background}) {
-        if (klass == request_class::background && background_is_full(p)) {
+    for (const std::size_t i : order_requests(p.queue, now)) {
+        const queued_request& waiter = p.queue.waiting[i];
+        if (waiter.klass == request_class::background && background_is_full(p)) {
             continue;
         }
-        auto& queue = queue_of(p, klass);
-        for (auto waiter = queue.begin(); waiter != queue.end(); ++waiter) {
-            const auto connection = find_idle(p, *waiter);
-            if (connection != p.idle.end()) {
-                const pool_waiter w = *waiter;
-                queue.erase(waiter);
-                hand_out(p, w, connection, actions);
-                return true;
-            }
-            if (is_passed_over(p, *waiter, now)) {
-                return false;
-            }
+        const auto connection = find_idle(p, waiter);
+        if (connection != p.idle.end()) {
+            const queued_request w = waiter;
+            note_sent(p.queue, w.request, now);
+            hand_out(p, w, connection, actions);
+            return true;
+        }
+        if (is_passed_over(p, waiter, now)) {
+            return false;
         }
     }
     return false;
@@ -155,22 +169,24 @@
         const unsigned running = running_count(p);
         useful = std::min(useful, p.limit.most - std::min(p.limit.most, running));
     }
+    if (p.opening.size() >= useful) {
+        return;
+    }
     std::map<workspace_id, unsigned> coming = count_opening(p);
-    for (const auto& queue : p.waiting) {
-        for (const pool_waiter& w : queue) {
-            if (p.opening.size() >= useful) {
-                return;
-            }
-            if (find_idle(p, w) != p.idle.end()) {
-                continue; // is held back for another reason
-            }
-            if (coming[w.workspace] > 0) {
-                --coming[w.workspace];
-            } else if (make_room(p, actions)) {
-                open_one(p, w.workspace, next_connection, actions);
-            } else {
-                return;
-            }
+    for (const std::size_t i : order_requests(p.queue, now)) {
+        const queued_request& w = p.queue.waiting[i];
+        if (p.opening.size() >= useful) {
+            return;
+        }
+        if (find_idle(p, w) != p.idle.end()) {
+            continue; // is held back for another reason
+        }
+        if (coming[w.workspace] > 0) {
+            --coming[w.workspace];
+        } else if (make_room(p, actions)) {
+            open_one(p, w.workspace, next_connection, actions);
+        } else {
+            return;
         }
     }
     const bool may_spare = std::all_of(p.owners.begin(), p.owners.end(),
@@ -196,69 +212,104 @@
 }
 
 void refuse_all(pool_state& p, result_code code, duration retry_after, pool_actions& actions) {
-    for (auto& queue : p.waiting) {
-        for (const pool_waiter& w : queue) {
-            actions.emplace_back(
-                refuse_request{.request = w.request, .code = code, .retry_after = retry_after});
-        }
-        queue.clear();
+    for (const queued_request& w : p.queue.waiting) {
+        actions.emplace_back(refuse_request{.request = w.request, .code = code, .retry_after = retry_after});
     }
+    p.queue.waiting.clear();
 }
 
-bool goes_before(const pool_waiter& a, const pool_waiter& b) {
-    return std::tie(a.objective, a.deadline) < std::tie(b.objective, b.deadline);
+duration usual_answer(const pool_state& p, request_class klass) {
+    return p.limit.times.at(static_cast<std::size_t>(klass)).usual;
 }
 
-std::size_t waiting_before(const pool_state& p, const pool_waiter& w) {
-    std::size_t before = 0;
-    for (std::size_t i = 0; i < static_cast<std::size_t>(w.klass); ++i) {
-        before += p.waiting.at(i).size();
+// Its expected time at the server: that of its class, or while none of that was answered, of any.
+duration expected_cost(const pool_state& p, request_class klass) {
+    const duration usual = usual_answer(p, klass);
+    if (usual > duration{0}) {
+        return usual;
     }
-    const auto& same = p.waiting.at(static_cast<std::size_t>(w.klass));
-    return before + static_cast<std::size_t>(std::count_if(same.begin(), same.end(), [&w](const auto& other) {
-               return !goes_before(w, other);
-           }));
+    return p.limit.usual_answer > duration{0} ? p.limit.usual_answer : p.service_time;
 }
 
-// How long a new waiter will wait until one of these places is free: those before it and itself, less the
-// free ones, each for its part of the time that a place is taken.
-duration wait_for_place(std::int64_t before, std::int64_t places, std::int64_t taken, duration held) {
-    const std::int64_t first =
-        std::max<std::int64_t>(0, before + 1 - std::max<std::int64_t>(0, places - taken));
-    return held * first / places;
+// As many answers take longer than usual as do not, so half as long again is allowed for it.
+duration time_for_answer(const pool_state& p, const queued_request& w) {
+    return usual_answer(p, w.klass) * 3 / 2;
 }
 
-// It needs a connection, which a transaction holds also while it rests, and where the server is crowded, one
-// of the statements that may run at once.
-duration expected_wait(const pool_state& p, const pool_waiter& w) {
-    const auto before = static_cast<std::int64_t>(waiting_before(p, w));
+// A request that waits needs a connection, which a transaction holds also while it rests, and where the
+// server is crowded, one of the statements that may run at once.
+duration wait_of(const pool_state& p, const queued_request& w, time_point now) {
     const bool is_background = w.klass == request_class::background;
-    const std::int64_t connections =
+    const unsigned connections =
         std::max(1U, is_background ? std::min(p.share, background_limit(p)) : p.share);
-    const auto busy = static_cast<std::int64_t>(is_background ? p.busy_background.size() : p.busy.size());
-    const duration for_connection = wait_for_place(before, connections, busy, p.service_time);
-    if (p.limit.most == 0) {
+    const auto busy = static_cast<unsigned>(is_background ? p.busy_background.size() : p.busy.size());
+    const duration for_connection = expected_wait(
+        p.queue, w.request, {.places = connections, .taken = busy, .held = p.service_time}, now);
+    if (!counts_places(p)) {
         return for_connection;
     }
     return std::max(for_connection,
-                    wait_for_place(before, p.limit.most, running_count(p), p.limit.usual_answer));
+                    expected_wait(p.queue, w.request,
+                                  {.places = p.limit.most, .taken = running_count(p), .held = {}}, now));
+}
+
+bool is_critical(const queued_request& w) {
+    return w.klass <= request_class::critical;
 }
 
-// The latest moment at which it may be sent. As many answers take longer than usual as do not, so half as
-// long again is allowed for it. Critical requests are sent as long as anybody waits for them: they go first,
-// so they take little from the others.
-time_point latest_sending(const pool_state& p, const pool_waiter& w) {
-    if (w.answer_by == time_point{} || w.klass == request_class::critical) {
+// The latest moment at which it may be sent. Critical requests are sent as long as anybody waits for them:
+// they go first, so they take little from the others. Others too where their waiting here delays nobody;
+// where it adds to a queue at the server, they are sent only while their answer can be in time.
+time_point latest_sending(const pool_state& p, const queued_request& w) {
+    if (is_critical(w)) {
         return w.deadline;
     }
-    const duration usual = p.limit.times.at(static_cast<std::size_t>(w.klass)).usual;
-    return std::min(w.deadline, w.answer_by - usual * 3 / 2);
+    const bool may_be_late = counts_places(p) || w.answer_by == time_point{};
+    return (may_be_late ? w.deadline : std::min(w.deadline, w.answer_by)) - time_for_answer(p, w);
 }
 
-void put_in_queue(pool_state& p, const pool_waiter& w) {
-    auto& queue = queue_of(p, w.klass);
-    const auto later = std::upper_bound(queue.begin(), queue.end(), w, goes_before);
-    queue.insert(later, w);
+// Puts it into the queue, as what the pool knows of its kind.
+void put_in_queue(pool_state& p, const queued_request& w, time_point now) {
+    queued_request waiter = w;
+    waiter.since = now;
+    waiter.cost = expected_cost(p, w.klass);
+    if (counts_places(p) && w.answer_by != time_point{}) {
+        // At once late it is not, whatever its class takes.
+        waiter.in_time = std::max(now, w.answer_by - time_for_answer(p, w));
+    }
+    add_request(p.queue, waiter);
+}
+
+bool goes_first(const pool_state& p, request_number request, time_point now) {
+    const auto order = order_requests(p.queue, now);
+    return p.queue.waiting[order.front()].request == request;
+}
+
+// Until all that waits is done.
+duration time_for_queue(const pool_state& p) {
+    const unsigned places = p.limit.most > 0 ? p.limit.most : std::max(1U, p.share);
+    const duration one = p.limit.most > 0 ? p.limit.usual_answer : p.service_time;
+    return std::max(one * waiting_count(p) / places, expected_open_time);
+}
+
+// Nothing where the request, which is in the queue, may wait.
+std::optional<refuse_request> refuse_at_once(const pool_state& p, const queued_request& w, time_point now) {
+    const auto starved = p.starved_until.find({.klass = w.klass, .objective = w.objective});
+    if (starved != p.starved_until.end() && now < starved->second && !goes_first(p, w.request, now)) {
+        return refuse_request{
+            .request = w.request, .code = result_code::overloaded, .retry_after = starved->second - now};
+    }
+    const bool opens_first = std::none_of(p.owners.begin(), p.owners.end(), [&](const auto& owner) {
+        return (w.any_workspace || owner.second == w.workspace) && !p.opening.contains(owner.first);
+    });
+    const duration wait = wait_of(p, w, now) + (opens_first ? expected_open_time : duration{0});
+    if (now + wait > latest_sending(p, w)) {
+        // Then there is room for one like it.
+        return refuse_request{.request = w.request,
+                              .code = result_code::overloaded,
+                              .retry_after = std::max(wait, expected_open_time)};
+    }
+    return std::nullopt;
 }
 
 } // namespace
@@ -268,50 +319,31 @@
 }
 
 unsigned waiting_count(const pool_state& p) {
-    std::size_t count = 0;
-    for (const auto& queue : p.waiting) {
-        count += queue.size();
-    }
-    return static_cast<unsigned>(count);
+    return static_cast<unsigned>(p.queue.waiting.size());
 }
 
-void request_connection(pool_state& p, const pool_waiter& w, time_point now,
+void request_connection(pool_state& p, const queued_request& w, time_point now,
                         connection_number& next_connection, pool_actions& actions) {
-    const duration wait = expected_wait(p, w);
     if (waiting_count(p) >= p.max_waiting) {
-        actions.emplace_back(
-            refuse_request{.request = w.request, .code = result_code::queue_full, .retry_after = wait});
-        return;
-    }
-    const auto starved = p.starved_until.find({.klass = w.klass, .objective = w.objective});
-    if (starved != p.starved_until.end() && now < starved->second && waiting_before(p, w) > 0) {
         actions.emplace_back(refuse_request{
-            .request = w.request, .code = result_code::overloaded, .retry_after = starved->second - now});
+            .request = w.request, .code = result_code::queue_full, .retry_after = time_for_queue(p)});
         return;
     }
-    const bool opens_first = std::none_of(p.owners.begin(), p.owners.end(), [&](const auto& owner) {
-        return (w.any_workspace || owner.second == w.workspace) && !p.opening.contains(owner.first);
-    });
-    if (now + wait + (opens_first ? expected_open_time : duration{0}) > latest_sending(p, w)) {
-        actions.emplace_back(refuse_request{.request = w.request,
-                                            .code = result_code::overloaded,
-                                            .retry_after = std::max(wait, expected_open_time)});
+    put_in_queue(p, w, now);
+    if (const auto refusal = refuse_at_once(p, w, now)) {
+        remove_request(p.queue, w.request);
+        actions.emplace_back(*refusal);
         return;
     }
-    pool_waiter waiter = w;
-    waiter.since = now;
     if (!w.any_workspace) {
         p.asked_at[w.workspace] = now;
     }
-    put_in_queue(p, waiter);
     note_demand(p, now);
     settle(p, now, next_connection, actions);
 }
 
 void cancel_request(pool_state& p, request_number request) {
-    for (auto& queue : p.waiting) {
-        std::erase_if(queue, [request](const pool_waiter& w) { return w.request == request; });
-    }
+    remove_request(p.queue, request);
 }
 
 void connection_opened(pool_state& p, connection_number c, time_point now, connection_number& next_connection,
@@ -361,6 +393,7 @@
     if (end.crowded) {
         note_crowded(p.limit, running_count(p), now);
     } else {
+        note_charge(p, c, end.took);
         note_statement_answered(
             p.limit, {.took = end.took, .klass = static_cast<std::size_t>(end.klass), .share = p.share}, now);
     }
@@ -380,6 +413,7 @@
         return;
     }
     p.busy_background.erase(c);
+    p.charged.erase(c);
     p.resting.erase(c);
     p.service_time += (used_for - p.service_time) / smoothing;
     if (reusable) {
@@ -409,6 +443,7 @@
         const connection_number c = *p.busy.begin();
         p.busy.erase(c);
         p.busy_background.erase(c);
+        p.charged.erase(c);
         p.resting.erase(c);
         close_one(p, c, actions);
     }
@@ -420,18 +455,18 @@
 
 void expire_waiters(pool_state& p, time_point now, connection_number& next_connection,
                     pool_actions& actions) {
-    const auto is_hopeless = [&p, now](const pool_waiter& w) { return now >= latest_sending(p, w); };
-    for (auto& queue : p.waiting) {
-        for (const pool_waiter& w : queue) {
-            if (is_hopeless(w)) {
-                p.starved_until[{.klass = w.klass, .objective = w.objective}] = now + w.objective;
-                actions.emplace_back(refuse_request{.request = w.request,
-                                                    .code = result_code::deadline_passed,
-                                                    .retry_after = p.service_time});
-            }
+    const auto is_hopeless = [&p, now](const queued_request& w) { return now >= latest_sending(p, w); };
+    for (const queued_request& w : p.queue.waiting) {
+        if (!is_hopeless(w)) {
+            continue;
         }
-        std::erase_if(queue, is_hopeless);
+        if (!is_critical(w) && !counts_places(p)) {
+            p.starved_until[{.klass = w.klass, .objective = w.objective}] = now + w.objective;
+        }
+        actions.emplace_back(refuse_request{
+            .request = w.request, .code = result_code::deadline_passed, .retry_after = p.service_time});
     }
+    std::erase_if(p.queue.waiting, is_hopeless);
     std::erase_if(p.starved_until, [now](const auto& kind) { return now >= kind.second; });
     settle(p, now, next_connection, actions);
 }
--- a/src/core/pool.hpp
+++ b/src/core/pool.hpp
@@ -1,14 +1,12 @@
 // One service's connections to one backend server, as one daemon holds them: who gets the next one.
 //
 // The daemon may have `share` connections open. A request gets an idle one, or opens one, or waits in a
-// bounded queue in the order of its class, within one of its objective, and among equals of its deadline. So
-// where more is asked than the server can do, quick work goes on, and it is patient work that is refused; in
-// the order of deadlines alone each would wait until it is late (at a primary with two slots and too much to
-// do, critical statements served rose from 29 to 54 a second with this order and critical ones never refused
-// for the crowd). Where the server is crowded, fewer
-// statements run at once than connections are open (core/running_limit). Class "background" may use only a
-// part of the share, so that browsing does not crowd out orders. A request that cannot be served within its
-// deadline is refused at once, with the time after which asking again makes sense.
+// bounded queue (core/request_queue: its order, and how long it will wait). Where the server is crowded,
+// fewer statements run at once than connections are open (core/running_limit). Class "background" may use
+// only a part of the share, so that browsing does not crowd out orders. What will not be answered within its
+// objective gives way and is still served; what cannot be answered before its deadline is refused at once,
+// with the time after which there will be room. A transaction under way has its connection: its statements
+// wait for nobody.
 //
 // A connection belongs to the workspace that the server was told of when it opened, and serves no other one.
 // Where all of the share is open and none of a waiter's own is idle, the one that was used longest ago is
@@ -21,13 +19,12 @@
 //   [data]  [functions]
 #pragma once
 
+#include "core/request_queue.hpp"
 #include "core/result_codes.hpp"
 #include "core/running_limit.hpp"
 #include "core/session.hpp"
 #include "core/types.hpp"
 
-#include <array>
-#include <deque>
 #include <map>
 #include <set>
 #include <variant>
@@ -40,27 +37,21 @@
 //-----------------------------------------------------------------------------
 
 using connection_number = std::uint64_t; // unique in one daemon's life
-using request_number = std::uint64_t;    // unique in one daemon's life
 
-struct pool_waiter {
-    request_number request = 0;
-    request_class klass = request_class::normal;
-    time_point deadline{};      // waits no longer
-    time_point answer_by{};     // is refused once it will probably be answered later; 0: the deadline
-    duration objective{0};      // for its answer; within a class the shorter one goes first
-    workspace_id workspace{};   // whose connection it must be
-    bool any_workspace = false; // asks nothing of the data: any open connection will do
-    time_point since{};         // in the queue; set there
-    auto operator<=>(const pool_waiter&) const = default;
-};
-
-// Requests that go before each other by their deadline only.
+// Requests that wait alike: what one of them learns holds for the others.
 struct waiter_kind {
     request_class klass = request_class::normal;
     duration objective{0};
     auto operator<=>(const waiter_kind&) const = default;
 };
 
+// A connection's statement was paid for when its request was sent.
+struct charged_cost {
+    duration cost{0};
+    unsigned weight = 1;
+    auto operator<=>(const charged_cost&) const = default;
+};
+
 // Of the time for a transaction, its first statement may take one part: others follow, and a commit.
 constexpr int transaction_parts = 3;
 
@@ -75,7 +66,8 @@
     std::set<connection_number> busy_background;
     std::set<connection_number> resting; // of the busy ones: in a transaction, with no statement running
     running_limit limit;
-    std::array<std::deque<pool_waiter>, request_class_count> waiting; // by class
+    request_queue queue;
+    std::map<connection_number, charged_cost> charged;    // of the busy ones; the cost until the first answer
     std::map<waiter_kind, time_point> starved_until;      // kinds of which one waited in vain a moment ago
     duration service_time = std::chrono::milliseconds{2}; // smoothed time a request keeps one
     time_point open_retry_at{};                           // no attempt to open before
@@ -113,7 +105,7 @@
 //-----------------------------------------------------------------------------
 
 // `next_connection` numbers connections; it is raised by one for each that is opened.
-void request_connection(pool_state& p, const pool_waiter& w, time_point now,
+void request_connection(pool_state& p, const queued_request& w, time_point now,
                         connection_number& next_connection, pool_actions& actions);
 
 // The request no longer waits (its caller is gone).
--- a/src/core/running_limit.hpp
+++ b/src/core/running_limit.hpp
@@ -22,7 +22,7 @@
     auto operator<=>(const answer_times&) const = default;
 };
 
-constexpr std::size_t answer_time_classes = 3;
+constexpr std::size_t answer_time_classes = 4;
 
 struct running_limit {
     unsigned most = 0; // statements at once; 0: no limit
--- a/src/core/session.cpp
+++ b/src/core/session.cpp
@@ -10,6 +10,10 @@
 constexpr std::int64_t max_setting_ms = 3'600'000;
 constexpr std::size_t max_key_length = 200;
 constexpr int hexadecimal = 16;
+// Of classes between instances; never changed, since instances of several versions talk to each other.
+constexpr std::uint32_t critical_number = 0;
+constexpr std::uint32_t normal_number = 1;
+constexpr std::uint32_t background_number = 2;
 
 template <typename number> bool parse_number(std::string_view text, number& value, int base = 10) {
     const char* end = text.data() + text.size();
@@ -26,6 +30,9 @@
 }
 
 std::optional<request_class> parse_class(std::string_view text) {
+    if (text == "urgent") {
+        return request_class::urgent;
+    }
     if (text == "critical") {
         return request_class::critical;
     }
@@ -152,10 +159,28 @@
     return false;
 }
 
+told_class tell_class(request_class klass) {
+    switch (klass) {
+    case request_class::urgent: return {.number = critical_number, .urgent = true};
+    case request_class::critical: return {.number = critical_number};
+    case request_class::normal: return {.number = normal_number};
+    case request_class::background: break;
+    }
+    return {.number = background_number};
+}
+
+std::optional<request_class> read_class(const told_class& told) {
+    switch (told.number) {
+    case critical_number: return told.urgent ? request_class::urgent : request_class::critical;
+    case normal_number: return request_class::normal;
+    case background_number: return request_class::background;
+    default: return std::nullopt;
+    }
+}
+
 void apply_route(session_settings& settings, const route_entry& route) {
-    settings.klass = route.priority <= 1   ? request_class::critical
-                     : route.priority == 2 ? request_class::normal
-                                           : request_class::background;
+    constexpr unsigned lowest = request_class_count - 1;
+    settings.klass = static_cast<request_class>(std::min(route.priority, lowest));
     settings.deadline = route.statement_timeout;
     if (route.consistency == read_consistency::primary) {
         settings.mode = read_mode::primary;
--- a/src/core/session.hpp
+++ b/src/core/session.hpp
@@ -27,8 +27,10 @@
 // [data]
 //-----------------------------------------------------------------------------
 
-enum class request_class : std::uint8_t { critical = 0, normal = 1, background = 2 };
-constexpr std::size_t request_class_count = 3;
+// In the order in which they go before each other. Other instances are told by numbers of their own
+// (daemon/loans).
+enum class request_class : std::uint8_t { urgent = 0, critical = 1, normal = 2, background = 3 };
+constexpr std::size_t request_class_count = 4;
 
 enum class read_mode : std::uint8_t {
     hint,    // by the statement's first word
@@ -38,7 +40,7 @@
 
 // What the caller set with "set larchpin.x = y" or in the startup options.
 struct session_settings {
-    request_class klass = request_class::normal; // larchpin.class = critical | normal | background
+    request_class klass = request_class::normal; // larchpin.class = urgent | critical | normal | background
     read_mode mode = read_mode::hint;            // larchpin.read_mode = hint | read | primary
     std::optional<duration> max_staleness;       // larchpin.max_staleness_ms, 0: read-your-writes
     std::optional<duration> deadline;            // larchpin.deadline_ms
@@ -82,6 +84,16 @@
 // What a route says holds until the caller sets something else.
 void apply_route(session_settings& settings, const route_entry& route);
 
+// A class as other instances are told of it. The numbers are those from before there was an urgent one: an
+// instance of that time takes an urgent request for a critical one, and its own are read as they were meant.
+struct told_class {
+    std::uint32_t number = 0;
+    bool urgent = false; // beside the number; those that do not know it pass over it
+    auto operator<=>(const told_class&) const = default;
+};
+told_class tell_class(request_class klass);
+std::optional<request_class> read_class(const told_class& told); // nothing for an unknown number
+
 // Takes one "larchpin.*" setting; `name` without the prefix. False for an unknown name or a bad value.
 // "session" takes a token, or an empty text to forget what was seen.
 bool apply_setting(session_state& s, std::string_view name, const std::string& value);
--- a/src/daemon/loans.cpp
+++ b/src/daemon/loans.cpp
@@ -57,7 +57,9 @@
     m.set_server(terms.key.server.value);
     m.set_workspace(terms.workspace.value);
     m.set_any_workspace(terms.any_workspace);
-    m.set_klass(static_cast<std::uint32_t>(terms.klass));
+    const told_class klass = tell_class(terms.klass);
+    m.set_klass(klass.number);
+    m.set_urgent(klass.urgent);
     m.set_wait_us(to_us(terms.queue_until - now()));
     if (terms.answer_by != time_point{}) {
         m.set_answer_us(std::max<std::uint64_t>(1, to_us(terms.answer_by - now())));
@@ -499,7 +501,9 @@
         pools_.look_for_room(key);
     }
     const bool unreachable = known && (turned_away || cluster_.is_unreachable(key.server));
-    if (stopping_ || unreachable || !known || request.klass() >= request_class_count) {
+    const std::optional<request_class> klass =
+        read_class({.number = request.klass(), .urgent = request.urgent()});
+    if (stopping_ || unreachable || !known || !klass) {
         const result_code code = stopping_     ? result_code::stopping
                                  : unreachable ? result_code::connection_lost
                                                : result_code::no_replica;
@@ -511,7 +515,7 @@
     const std::uint64_t number = request.loan();
     loan& begun = loans_[number];
     begun.key = key;
-    begun.klass = static_cast<request_class>(request.klass());
+    begun.klass = *klass;
     begun.on_primary = request.on_primary();
     begun.term = request.term();
     begun.since = now();
@@ -523,7 +527,8 @@
          .answer_by = request.answer_us() == 0 ? time_point{} : now() + from_us(request.answer_us()),
          .objective = from_us(request.objective_us()),
          .workspace = {request.workspace()},
-         .any_workspace = request.any_workspace()},
+         .any_workspace = request.any_workspace(),
+         .weight = weight_of(cluster_.cluster().current, {request.workspace()})},
         [this, number, request, respond](const pool_answer& answer) {
             on_connection(number, request, respond, answer);
         });
--- a/src/daemon/loans.hpp
+++ b/src/daemon/loans.hpp
@@ -41,11 +41,11 @@
 struct loan_terms {
     share_key key;
     workspace_id workspace{};   // whose connection it must be
-    bool any_workspace = false; // see pool_waiter
+    bool any_workspace = false; // see queued_request
     request_class klass = request_class::normal;
     time_point queue_until{}; // waits so long for a connection at most
-    time_point answer_by{};   // see pool_waiter; 0: the deadline
-    duration objective{0};    // see pool_waiter
+    time_point answer_by{};   // see queued_request; 0: the deadline
+    duration objective{0};    // see queued_request
     time_point deadline{};    // of the request
     bool on_primary = false;  // the server must be the primary of `term` when the request is sent
     term_number term = 0;
--- a/src/daemon/pools.cpp
+++ b/src/daemon/pools.cpp
@@ -46,7 +46,7 @@
 }
 
 request_number backend_pools::request(const share_key& key, const server_record& server,
-                                      unsigned background_share, pool_waiter waiter, pool_callback done) {
+                                      unsigned background_share, queued_request waiter, pool_callback done) {
     pool& p = find_or_make(key);
     p.server = server;
     p.used_at = now();
--- a/src/daemon/pools.hpp
+++ b/src/daemon/pools.hpp
@@ -41,7 +41,7 @@
 
     // The waiter's number is given here.
     request_number request(const share_key& key, const server_record& server, unsigned background_share,
-                           pool_waiter waiter, pool_callback done);
+                           queued_request waiter, pool_callback done);
     // The caller no longer wants it; its callback is not called any more.
     void cancel(const share_key& key, request_number request);
     void release(const share_key& key, connection_number number, bool reusable, duration used_for);
--- a/src/daemon/request_path.cpp
+++ b/src/daemon/request_path.cpp
@@ -58,6 +58,24 @@
     return "refused";
 }
 
+// How long a request may wait for its turn. The first statement of a transaction leaves to those that follow
+// it, and to the commit, what they need of the objective.
+struct queue_times {
+    time_point until{};
+    time_point answer_by{}; // 0: no objective
+};
+
+queue_times times_in_queue(const caller_request& what, time_point started_at, time_point deadline) {
+    if (what.patience <= duration{0}) {
+        return {.until = deadline, .answer_by = {}};
+    }
+    const duration for_answer = what.begin.empty() ? what.patience : what.patience / transaction_parts;
+    const duration for_others = what.patience - for_answer;
+    return {.until = std::min(deadline, std::max({deadline - for_others, started_at + what.patience,
+                                                  now() + least_queue_time})),
+            .answer_by = started_at + for_answer};
+}
+
 } // namespace
 
 request_path::request_path(entry& owner, session_number number, path_front front)
@@ -294,19 +312,15 @@
         return;
     }
     r.step = request_step::queued;
-    const time_point queue_until = r.what.patience > duration{0}
-                                       ? std::max(r.started_at + r.what.patience, now() + least_queue_time)
-                                       : r.deadline;
-    const duration for_answer = r.what.begin.empty() ? r.what.patience : r.what.patience / transaction_parts;
-    const time_point answer_by = r.what.patience > duration{0} ? r.started_at + for_answer : time_point{};
+    const queue_times times = times_in_queue(r.what, r.started_at, r.deadline);
     arm_timer(r.deadline);
     owner_.cluster.note_request_started(r.server);
     const share_key key{.service = state.service, .server = r.server};
     if (const auto lent = owner_.loans.borrow({.key = key,
                                                .workspace = state.workspace,
                                                .klass = state.settings.klass,
-                                               .queue_until = queue_until,
-                                               .answer_by = answer_by,
+                                               .queue_until = times.until,
+                                               .answer_by = times.answer_by,
                                                .objective = r.what.patience,
                                                .deadline = r.deadline,
                                                .on_primary = r.on_primary,
@@ -319,10 +333,11 @@
     const request_number number =
         owner_.pools.request(key, server->second, service.background_share,
                              {.klass = state.settings.klass,
-                              .deadline = queue_until,
-                              .answer_by = answer_by,
+                              .deadline = times.until,
+                              .answer_by = times.answer_by,
                               .objective = r.what.patience,
-                              .workspace = state.workspace},
+                              .workspace = state.workspace,
+                              .weight = weight_of(owner_.cluster.cluster().current, state.workspace)},
                              [self, serial, key](const pool_answer& answer) {
                                  const bool awaited = self->active_ && self->active_->serial == serial &&
                                                       self->active_->step == request_step::queued &&
--- a/src/io/metrics.cpp
+++ b/src/io/metrics.cpp
@@ -24,6 +24,7 @@
 
 std::string_view to_string(request_class klass) {
     switch (klass) {
+    case request_class::urgent: return "urgent";
     case request_class::critical: return "critical";
     case request_class::normal: return "normal";
     case request_class::background: break;
--- /dev/null
+++ b/tests/request_queue_test.cpp
@@ -0,0 +1,500 @@
+// Who goes first at a backend server with more to do than it can: core/request_queue, alone and in a pool.
+//
+// Index
+//   [a server in virtual time]  [classes]  [in time before late]  [workspaces]  [nobody starves]
+//   [refusals]  [transactions]
+#include "core/pool.hpp"
+#include "core/request_queue.hpp"
+
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <functional>
+#include <numeric>
+#include <random>
+
+namespace larchpin {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+//-----------------------------------------------------------------------------
+// [a server in virtual time]
+//-----------------------------------------------------------------------------
+
+struct kind {
+    std::string name;
+    request_class klass = request_class::normal;
+    duration work{0};
+    duration objective{0};
+    duration deadline{0};
+    std::function<double(duration)> per_second; // at this time of the run
+    std::string workspace{};
+    unsigned weight = 1;
+};
+
+struct kind_result {
+    unsigned asked = 0;
+    unsigned in_time = 0;
+    unsigned late = 0;
+    unsigned refused_at_once = 0;
+    unsigned refused_later = 0;
+    duration longest_wait{0};
+    duration waited{0}; // by all that were sent
+    [[nodiscard]] unsigned served() const { return in_time + late; }
+};
+
+// Callers, one pool, and a server that does `places` statements at once. Work is what its kind says, give or
+// take a half; arrivals are by chance.
+class busy_server {
+public:
+    busy_server(unsigned places, std::vector<kind> kinds, std::uint64_t seed)
+        : places_(places), kinds_(std::move(kinds)), random_(seed) {
+        pool.limit.most = places;
+        pool_actions actions;
+        set_share(pool, connections, now, next_connection_, actions);
+        carry_out(actions);
+    }
+
+    void run(duration length) {
+        for (const time_point end = now + length; now < end;) {
+            now += milliseconds{1};
+            for (const kind& k : kinds_) {
+                if (std::uniform_real_distribution<double>(0, 1)(random_) <
+                    k.per_second(now - began) / 1000.0) {
+                    ask(k);
+                }
+            }
+            finish_work();
+            pool_actions actions;
+            expire_waiters(pool, now, next_connection_, actions);
+            carry_out(actions);
+        }
+    }
+
+    // The refusal where it was refused at once.
+    std::optional<refuse_request> ask(const kind& k) {
+        const request_number number = next_request_++;
+        asked_[number] = {.of = k, .at = now};
+        ++results[k.name].asked;
+        pool_actions actions;
+        request_connection(pool,
+                           {.request = number,
+                            .klass = k.klass,
+                            .deadline = now + k.deadline,
+                            .answer_by = now + k.objective,
+                            .objective = k.objective,
+                            .workspace = {k.workspace},
+                            .weight = k.weight},
+                           now, next_connection_, actions);
+        std::optional<refuse_request> refusal;
+        for (const pool_action& a : actions) {
+            const auto* refused = std::get_if<refuse_request>(&a);
+            refusal = refused != nullptr && refused->request == number ? std::optional{*refused} : refusal;
+        }
+        carry_out(actions);
+        return refusal;
+    }
+
+    pool_state pool;
+    time_point now{seconds{100}};
+    const time_point began{seconds{100}};
+    std::map<std::string, kind_result> results;
+
+private:
+    static constexpr unsigned connections = 60;
+    struct asked_request {
+        kind of;
+        time_point at{};
+    };
+    struct running_statement {
+        connection_number connection = 0;
+        request_number request = 0;
+        time_point sent{};
+        time_point ends{};
+    };
+
+    void finish_work() {
+        for (;;) {
+            const auto done = std::find_if(running_.begin(), running_.end(),
+                                           [this](const auto& r) { return r.ends <= now; });
+            if (done == running_.end()) {
+                return;
+            }
+            const running_statement r = *done;
+            running_.erase(done);
+            const asked_request& a = asked_.at(r.request);
+            kind_result& sum = results[a.of.name];
+            ++(now <= a.at + a.of.objective ? sum.in_time : sum.late);
+            EXPECT_LE(r.sent, a.at + a.of.deadline);
+            pool_actions actions;
+            statement_ended(pool, r.connection, {.took = now - r.sent, .klass = a.of.klass}, now,
+                            next_connection_, actions);
+            pool.limit.most = places_; // it would grow
+            release_connection(pool, r.connection, true, now - r.sent, now, next_connection_, actions);
+            carry_out(actions);
+        }
+    }
+
+    void carry_out(const pool_actions& actions) {
+        for (const pool_action& action : actions) {
+            if (const auto* opened = std::get_if<open_connection>(&action)) {
+                pool_actions more;
+                connection_opened(pool, opened->connection, now, next_connection_, more);
+                carry_out(more);
+            } else if (const auto* used = std::get_if<use_connection>(&action)) {
+                const asked_request& a = asked_.at(used->request);
+                kind_result& sum = results[a.of.name];
+                sum.longest_wait = std::max(sum.longest_wait, now - a.at);
+                sum.waited += now - a.at;
+                const auto half = a.of.work.count() / 2;
+                const duration work{
+                    std::uniform_int_distribution<std::int64_t>(half, a.of.work.count() + half)(random_)};
+                running_.push_back({used->connection, used->request, now, now + work});
+                EXPECT_LE(running_.size(), places_);
+            } else if (const auto* refused = std::get_if<refuse_request>(&action)) {
+                const asked_request& a = asked_.at(refused->request);
+                kind_result& sum = results[a.of.name];
+                ++(now == a.at ? sum.refused_at_once : sum.refused_later);
+            }
+        }
+    }
+
+    unsigned places_;
+    std::vector<kind> kinds_;
+    std::mt19937_64 random_;
+    connection_number next_connection_ = 1;
+    request_number next_request_ = 1;
+    std::map<request_number, asked_request> asked_;
+    std::vector<running_statement> running_;
+};
+
+std::function<double(duration)> steady(double per_second) {
+    return [per_second](duration) { return per_second; };
+}
+
+std::function<double(duration)> crest(double usual, double high, duration from, duration until) {
+    return [=](duration at) { return at >= from && at < until ? high : usual; };
+}
+
+// Orders, questions of people who wait, and patient reads, as callers of a booking service send them.
+kind orders(std::function<double(duration)> rate) {
+    return {"orders", request_class::urgent, milliseconds{8}, milliseconds{200}, seconds{1}, std::move(rate)};
+}
+kind lookups(std::function<double(duration)> rate) {
+    return {"lookups",  request_class::critical, milliseconds{24}, milliseconds{400},
+            seconds{1}, std::move(rate)};
+}
+kind views(std::function<double(duration)> rate) {
+    return {"views",    request_class::normal, milliseconds{40}, milliseconds{1200},
+            seconds{4}, std::move(rate)};
+}
+
+double part(unsigned of, unsigned all) {
+    return all == 0 ? 0 : static_cast<double>(of) / all;
+}
+
+//-----------------------------------------------------------------------------
+// [classes]
+//-----------------------------------------------------------------------------
+
+TEST(classes, of_a_route_follow_its_priority) {
+    const auto of = [](unsigned priority) {
+        route_entry route;
+        route.priority = priority;
+        session_settings settings;
+        apply_route(settings, route);
+        return settings.klass;
+    };
+    EXPECT_EQ(of(0), request_class::urgent);
+    EXPECT_EQ(of(1), request_class::critical);
+    EXPECT_EQ(of(2), request_class::normal);
+    EXPECT_EQ(of(3), request_class::background);
+    EXPECT_EQ(of(4'000'000'000U), request_class::background);
+    session_state s;
+    EXPECT_TRUE(apply_setting(s, "class", "urgent"));
+    EXPECT_EQ(s.settings.klass, request_class::urgent);
+}
+
+// Instances of two versions talk to each other while one replaces the other.
+TEST(classes, are_told_so_that_an_older_instance_understands) {
+    EXPECT_EQ(tell_class(request_class::critical), (told_class{.number = 0}));
+    EXPECT_EQ(tell_class(request_class::normal), (told_class{.number = 1}));
+    EXPECT_EQ(tell_class(request_class::background), (told_class{.number = 2}));
+    EXPECT_EQ(tell_class(request_class::urgent).number, 0U) << "critical, for those that know no better";
+    EXPECT_EQ(read_class({.number = 0}), request_class::critical) << "as an older instance tells it";
+    EXPECT_EQ(read_class({.number = 3}), std::nullopt);
+    for (const request_class c :
+         {request_class::urgent, request_class::critical, request_class::normal, request_class::background}) {
+        EXPECT_EQ(read_class(tell_class(c)), c);
+    }
+}
+
+// Half as much again as the server can do for ten seconds, and lookups alone would fill it.
+TEST(request_queue, sends_orders_before_lookups_where_there_is_too_little_room) {
+    for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+        busy_server s(5, {orders(steady(200)), lookups(steady(200)), views(steady(25))}, seed);
+        s.run(seconds{10});
+        const kind_result& o = s.results["orders"];
+        const kind_result& l = s.results["lookups"];
+        EXPECT_EQ(o.refused_at_once + o.refused_later, 0U);
+        EXPECT_GE(part(o.in_time, o.asked), 0.995);
+        EXPECT_LE(o.longest_wait, milliseconds{100}) << "half of the objective";
+        EXPECT_GE(part(l.in_time, l.asked), 0.45) << "what is left of the server";
+    }
+}
+
+//-----------------------------------------------------------------------------
+// [in time before late]
+//-----------------------------------------------------------------------------
+
+TEST(request_queue, within_a_class_what_can_be_in_time_goes_first) {
+    request_queue q;
+    const time_point now{seconds{1}};
+    queued_request r{.request = 1,
+                     .deadline = now + seconds{1},
+                     .objective = milliseconds{100},
+                     .since = now,
+                     .cost = milliseconds{10},
+                     .in_time = now + milliseconds{50}};
+    add_request(q, r);
+    r.request = 2;
+    r.objective = milliseconds{400};
+    r.in_time = now + milliseconds{350};
+    add_request(q, r);
+    r.request = 3;
+    r.klass = request_class::background;
+    add_request(q, r);
+    const auto first = [&](time_point at) { return q.waiting[order_requests(q, at).front()].request; };
+    EXPECT_EQ(first(now), 1U) << "the shorter objective";
+    EXPECT_EQ(first(now + milliseconds{60}), 2U) << "the other one is late anyway";
+    EXPECT_EQ(first(now + milliseconds{360}), 1U) << "both are late, and the class goes before";
+}
+
+// A crest of two seconds, in which orders and lookups fill the server.
+TEST(request_queue, serves_patient_reads_late_rather_than_not_in_a_crest_that_ends) {
+    for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+        busy_server s(5,
+                      {orders(crest(100, 250, seconds{2}, seconds{4})),
+                       lookups(crest(60, 130, seconds{2}, seconds{4})), views(steady(15))},
+                      seed);
+        s.run(seconds{10});
+        const kind_result& v = s.results["views"];
+        EXPECT_EQ(v.refused_later, 0U) << "what was taken in was served before its deadline";
+        EXPECT_LE(part(v.refused_at_once, v.asked), 0.10) << "a third of those that come in the crest";
+        EXPECT_GE(part(s.results["orders"].in_time, s.results["orders"].asked), 0.995);
+    }
+}
+
+//-----------------------------------------------------------------------------
+// [workspaces]
+//-----------------------------------------------------------------------------
+
+// Ten workspaces that use eight tenths of a server, until one sends eight times its usual.
+TEST(workspaces, one_that_sends_eight_times_its_usual_delays_itself_first) {
+    for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+        std::vector<kind> kinds;
+        for (int w = 0; w < 10; ++w) {
+            const std::string name = "w" + std::to_string(w);
+            kinds.push_back({name, request_class::normal, milliseconds{20}, milliseconds{400}, seconds{1},
+                             crest(0, w == 0 ? 160 : 20, seconds{0}, seconds{10}), name});
+        }
+        busy_server s(5, kinds, seed);
+        s.run(seconds{12});
+        for (int w = 1; w < 10; ++w) {
+            const kind_result& other = s.results["w" + std::to_string(w)];
+            EXPECT_LE(part(other.refused_at_once + other.refused_later, other.asked), 0.01);
+            EXPECT_GE(part(other.in_time, other.asked), 0.98);
+            EXPECT_LE(other.waited / other.served(), milliseconds{40}) << "in the mean two statements' time";
+        }
+        const kind_result& own = s.results["w0"];
+        EXPECT_GE(part(own.served(), own.asked), 0.35) << "what the others leave, less its openings";
+        EXPECT_LE(part(own.refused_later, own.asked), 0.05);
+    }
+}
+
+TEST(workspaces, come_back_from_a_rest_without_anything_saved_up) {
+    request_queue q;
+    time_point now{seconds{1}};
+    request_number next = 1;
+    const auto add = [&](const std::string& w) {
+        add_request(q, {.request = next++,
+                        .deadline = now + seconds{9},
+                        .workspace = {w},
+                        .since = now,
+                        .cost = milliseconds{10}});
+    };
+    const auto send = [&] {
+        const queued_request r = q.waiting[order_requests(q, now).front()];
+        note_sent(q, r.request, now);
+        note_used(q, r.workspace, {.took = milliseconds{10}, .charged = r.cost});
+        now += milliseconds{2};
+        return r.workspace.value;
+    };
+    for (int i = 0; i < 1000; ++i) {
+        add("busy");
+        add("busy");
+        send();
+    }
+    unsigned rested = 0;
+    for (int i = 0; i < 40; ++i) {
+        add("rested");
+        rested += send() == "rested" ? 1 : 0;
+    }
+    EXPECT_GE(rested, 19U);
+    EXPECT_LE(rested, 21U) << "in turn, and not all at once for its time away";
+}
+
+TEST(workspaces, of_a_higher_priority_get_more_of_the_time) {
+    EXPECT_EQ(workspace_weight(0), 8U);
+    EXPECT_EQ(workspace_weight(2), 2U);
+    EXPECT_EQ(workspace_weight(3), 1U);
+    EXPECT_EQ(workspace_weight(4'000'000'000U), 1U);
+    const auto with_weights = [](unsigned a, unsigned b) {
+        busy_server s(2,
+                      {{"a", request_class::normal, milliseconds{20}, milliseconds{100}, milliseconds{600},
+                        steady(200), "a", a},
+                       {"b", request_class::normal, milliseconds{20}, milliseconds{100}, milliseconds{600},
+                        steady(200), "b", b}},
+                      1);
+        s.run(seconds{10});
+        return static_cast<double>(s.results["a"].served()) / s.results["b"].served();
+    };
+    EXPECT_NEAR(with_weights(1, 1), 1.0, 0.15);
+    EXPECT_GE(with_weights(4, 1), 2.0);
+}
+
+//-----------------------------------------------------------------------------
+// [nobody starves]
+//-----------------------------------------------------------------------------
+
+// Orders alone are more than the server can do, for as long as the run lasts.
+TEST(request_queue, a_patient_read_is_served_behind_an_endless_stream_of_orders) {
+    for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+        busy_server s(5, {orders(steady(800)), views(steady(4))}, seed);
+        s.run(seconds{20});
+        const kind_result& v = s.results["views"];
+        EXPECT_GE(part(v.served(), v.asked), 0.9) << "3% of the server's time, and an eighth is kept";
+        EXPECT_EQ(v.refused_later, 0U);
+    }
+}
+
+// Once a request is the one that has waited longest of all that are behind the first rank, others get
+// kept_parts - 1 times its own work at most, and one request more.
+TEST(request_queue, whoever_has_waited_longest_goes_within_eight_times_its_own_work) {
+    EXPECT_TRUE(rc::check([] {
+        std::mt19937_64 random(*rc::gen::arbitrary<std::uint32_t>());
+        const auto number = [&random](int from, int to) {
+            return std::uniform_int_distribution<int>(from, to)(random);
+        };
+        request_queue q;
+        time_point now{seconds{1}};
+        request_number next = 2;
+        const queued_request patient{.request = 1,
+                                     .klass = request_class::background,
+                                     .deadline = now + milliseconds{10},
+                                     .since = now,
+                                     .cost = milliseconds{number(1, 100)}};
+        add_request(q, patient);
+        now += milliseconds{8}; // has used most of its time, and nobody else ever has
+        duration before{0};
+        for (;;) {
+            for (int i = number(1, 3); i > 0; --i) {
+                add_request(q, {.request = next++,
+                                .klass = static_cast<request_class>(number(0, 2)),
+                                .deadline = now + seconds{1000},
+                                .workspace = {"w" + std::to_string(number(0, 3))},
+                                .since = now,
+                                .cost = milliseconds{number(1, 50)}});
+            }
+            const queued_request r = q.waiting[order_requests(q, now).front()];
+            note_sent(q, r.request, now);
+            if (r.request == 1) {
+                break;
+            }
+            before += r.cost;
+            RC_ASSERT(before < patient.cost * (kept_parts - 1) + milliseconds{50} + milliseconds{1});
+        }
+    }));
+}
+
+//-----------------------------------------------------------------------------
+// [refusals]
+//-----------------------------------------------------------------------------
+
+// Twice what the server can do, of every class.
+TEST(request_queue, what_cannot_be_served_is_refused_at_once_and_not_later) {
+    for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+        busy_server s(5, {orders(steady(300)), lookups(steady(200)), views(steady(70))}, seed);
+        s.run(seconds{10});
+        for (const auto& [name, r] : s.results) {
+            EXPECT_LE(part(r.refused_later, r.asked), 0.05) << name << ": waits vary";
+            EXPECT_GT(r.asked, 0U);
+        }
+        EXPECT_EQ(s.results["orders"].refused_at_once, 0U);
+        EXPECT_GE(s.results["views"].refused_at_once, 100U);
+    }
+}
+
+TEST(request_queue, a_refused_request_finds_room_when_it_comes_back_at_the_time_that_it_was_told) {
+    const kind k{"reads",           request_class::normal, milliseconds{20},
+                 milliseconds{200}, milliseconds{500},     steady(0)};
+    busy_server s(4, {k}, 3);
+    for (int i = 0; i < 8; ++i) { // it learns what a statement takes
+        s.ask(k);
+        s.run(milliseconds{50});
+    }
+    std::optional<refuse_request> refusal;
+    for (int i = 0; i < 1000 && !refusal; ++i) {
+        refusal = s.ask(k);
+    }
+    ASSERT_TRUE(refusal);
+    EXPECT_EQ(refusal->code, result_code::overloaded);
+    EXPECT_GE(refusal->retry_after, milliseconds{300}) << "the queue is that long";
+    EXPECT_LE(refusal->retry_after, milliseconds{600});
+    s.run(refusal->retry_after / 2);
+    EXPECT_GT(waiting_count(s.pool), 20U) << "half of the time, and there is a queue still";
+    s.run(refusal->retry_after - refusal->retry_after / 2);
+    EXPECT_LE(waiting_count(s.pool), 8U) << "two rounds: as good as room at once";
+    EXPECT_FALSE(s.ask(k));
+}
+
+//-----------------------------------------------------------------------------
+// [transactions]
+//-----------------------------------------------------------------------------
+
+TEST(request_queue, a_transaction_under_way_waits_for_nobody) {
+    pool_state p;
+    connection_number next = 1;
+    pool_actions actions;
+    time_point now{seconds{1}};
+    p.limit.most = 1;
+    set_share(p, 4, now, next, actions);
+    const auto ask = [&](request_number n) {
+        actions.clear();
+        request_connection(p, {.request = n, .klass = request_class::urgent, .deadline = now + seconds{1}},
+                           now, next, actions);
+        for (const connection_number c : std::set(p.opening)) {
+            connection_opened(p, c, now, next, actions);
+        }
+        return std::count_if(actions.begin(), actions.end(),
+                             [](const auto& a) { return std::holds_alternative<use_connection>(a); });
+    };
+    ASSERT_EQ(ask(1), 1);
+    const connection_number c = *p.busy.begin();
+    statement_ended(p, c, {.took = milliseconds{5}, .stays = true}, now, next, actions);
+    p.limit.most = 1;
+    ASSERT_EQ(ask(2), 1) << "the transaction rests, and leaves its place";
+    ASSERT_EQ(ask(3), 0);
+    statement_begun(p, c); // its next statement goes at once, though the only place is taken
+    EXPECT_FALSE(p.resting.contains(c));
+    ASSERT_EQ(waiting_count(p), 1U);
+    actions.clear();
+    statement_ended(p, c, {.took = milliseconds{5}, .stays = true}, now, next, actions);
+    EXPECT_TRUE(actions.empty()) << "and new work waits until there is a place again";
+}
+
+} // namespace
+} // namespace larchpin
