--- a/src/daemon/pools.cpp
+++ b/src/daemon/pools.cpp
@@ -46,7 +46,7 @@
 }
 
 request_number backend_pools::request(const share_key& key, const server_record& server,
-                                      unsigned background_share, pool_waiter waiter, pool_callback done) {
+                                      unsigned background_share, queued_request waiter, pool_callback done) {
     pool& p = find_or_make(key);
     p.server = server;
     p.used_at = now();
@@ -201,8 +201,9 @@
                        .running = running_count(p.state),
                        .waiting = {},
                        .use = p.state.use};
-        std::transform(p.state.waiting.begin(), p.state.waiting.end(), r.waiting.begin(),
-                       [](const auto& queue) { return queue.size(); });
+        for (const queued_request& w : p.state.queue.waiting) {
+            ++r.waiting.at(static_cast<std::size_t>(w.klass));
+        }
         reports.push_back(r);
     }
     return reports;
--- a/tests/ordering_test.cpp
+++ b/tests/ordering_test.cpp
@@ -583,12 +583,10 @@
                     urgent_waits.push_back(s.now - asked[s.used[i]]);
                 }
             }
-            const bool long_wait =
-                std::any_of(s.p.waiting.begin(), s.p.waiting.end(), [&](const auto& queue) {
-                    return std::any_of(queue.begin(), queue.end(), [&](const pool_waiter& w) {
-                        return s.now - w.since > milliseconds{10};
-                    });
-                });
+            const auto& waiting = s.p.queue.waiting;
+            const bool long_wait = std::any_of(waiting.begin(), waiting.end(), [&](const queued_request& w) {
+                return s.now - w.since > milliseconds{10};
+            });
             if (long_wait) {
                 const auto busy = std::min<std::size_t>(slots, s.at_server.size());
                 idle += milliseconds{1} * (slots - busy);
