--- a/src/daemon/entry.cpp
+++ b/src/daemon/entry.cpp
@@ -31,7 +31,6 @@
         tls->use_private_key_file(config.tls_key, asio::ssl::context::pem);
     }
     evacuated_ = config.close_without_lease; // until the first lease
-    started_at_ = now();
     cluster.on_change = [this] {
         watch_lease();
         follow_table();
@@ -56,19 +55,6 @@
     });
 }
 
-start_state entry::start() const {
-    return {.started_at = started_at_,
-            .usual_start = usual_start_time(config.election, config.lease),
-            .takes_sessions = !evacuated_,
-            .had_lease = has_served_,
-            .waiting = waiting_openings_};
-}
-
-void entry::note_opening_waits(session_number number) {
-    ++waiting_openings_;
-    note_waiting(number);
-}
-
 void entry::remove(session_number number) {
     waiting_.erase(number);
     // The session may be running one of its own functions now.
--- a/src/daemon/entry.hpp
+++ b/src/daemon/entry.hpp
@@ -1,7 +1,6 @@
 // The entry: listens for callers and owns their sessions, whatever protocol they speak.
 #pragma once
 
-#include "core/opening.hpp"
 #include "daemon/agent.hpp"
 #include "daemon/loans.hpp"
 #include "daemon/pools.hpp"
@@ -69,11 +68,6 @@
     // instance, and a session that began here would be refused everything.
     [[nodiscard]] bool is_evacuating() const { return evacuated_; }
     [[nodiscard]] bool is_draining() const { return draining_; }
-    // What becomes of a session that is opened now. One that waits says so until it does not any more, and is
-    // poked when there is news.
-    [[nodiscard]] start_state start() const;
-    void note_opening_waits(session_number number);
-    void note_opening_over() { --waiting_openings_; }
     [[nodiscard]] std::size_t session_count() const { return sessions_.size(); }
     void note_waiting(session_number number) { waiting_.insert(number); }
 
@@ -95,9 +89,7 @@
     bool draining_ = false;              // refuses new sessions
     bool stopping_ = false;              // will be draining after drain_notice
     bool wake_posted_ = false;
-    bool has_served_ = false; // has held a lease
-    time_point started_at_{};
-    std::size_t waiting_openings_ = 0;
+    bool has_served_ = false;    // has held a lease
     bool evacuated_ = false;     // see is_evacuating()
     bool lease_watched_ = false; // the timer runs
     time_point drain_deadline_{};
--- a/tests/platform_site.cpp
+++ b/tests/platform_site.cpp
@@ -458,12 +458,8 @@
     throw std::runtime_error("the site does not become ready");
 }
 
-site_daemon& platform_site::start_entry(const std::string& domain) {
-    return start_daemon(false, domain);
-}
-
 site_daemon& platform_site::add_entry(const std::string& domain) {
-    site_daemon& d = start_entry(domain);
+    site_daemon& d = start_daemon(false, domain);
     if (!run_until([&] { return d.core->is_ready(); })) {
         throw std::runtime_error("the entry does not become ready");
     }
@@ -474,10 +470,6 @@
     control_frozen_ = true;
 }
 
-void platform_site::thaw_control() {
-    control_frozen_ = false;
-}
-
 void platform_site::pump() {
     io.restart();
     control_io.restart();
--- a/tests/platform_site.hpp
+++ b/tests/platform_site.hpp
@@ -142,9 +142,7 @@
     void start();
     // A daemon that takes callers but keeps no control log.
     site_daemon& add_entry(const std::string& domain = "z1");
-    site_daemon& start_entry(const std::string& domain = "z1"); // the same, not ready yet
     void freeze_control();
-    void thaw_control();
 
     line_caller connect(const std::string& database);
     platform::http_result post(unsigned port, const std::string& path, const std::string& body);
