--- a/src/core/pool.cpp
+++ b/src/core/pool.cpp
@@ -272,14 +272,14 @@
 }
 
 // The latest moment at which it may be sent. Critical requests are sent as long as anybody waits for them:
-// they go first, so they take little from the others. Others too where their waiting here delays nobody;
-// where it adds to a queue at the server, they are sent only while their answer can be in time.
+// they go first, so they take little from the others. What is patient and already late would only make those
+// late that still can be in time, so it is refused.
 time_point latest_sending(const pool_state& p, const queued_request& w) {
     if (is_critical(w)) {
         return w.deadline;
     }
-    const bool may_be_late = counts_places(p) || w.answer_by == time_point{};
-    return (may_be_late ? w.deadline : std::min(w.deadline, w.answer_by)) - time_for_answer(p, w);
+    const time_point until = w.answer_by == time_point{} ? w.deadline : std::min(w.deadline, w.answer_by);
+    return until - time_for_answer(p, w);
 }
 
 // Puts it into the queue, as what the pool knows of its kind.
