--- a/src/core/pool.cpp
+++ b/src/core/pool.cpp
@@ -271,21 +271,23 @@
     return w.klass <= request_class::critical;
 }
 
-// The latest moment at which it may be sent. Critical requests are sent as long as anybody waits for them:
-// they go first, so they take little from the others. What is patient and already late would only make those
-// late that still can be in time, so it is refused.
+// Critical requests are sent as long as anybody waits for them: they go first, so they take little from the
+// others. What is patient and already late would only make those late that still can be in time.
+time_point served_until(const queued_request& w) {
+    const bool may_be_late = is_critical(w) || w.answer_by == time_point{};
+    return may_be_late ? w.deadline : std::min(w.deadline, w.answer_by);
+}
+
+// The latest moment at which it may be sent.
 time_point latest_sending(const pool_state& p, const queued_request& w) {
-    if (is_critical(w)) {
-        return w.deadline;
-    }
-    const time_point until = w.answer_by == time_point{} ? w.deadline : std::min(w.deadline, w.answer_by);
-    return until - time_for_answer(p, w);
+    return is_critical(w) ? w.deadline : served_until(w) - time_for_answer(p, w);
 }
 
 // Puts it into the queue, as what the pool knows of its kind.
 void put_in_queue(pool_state& p, const queued_request& w, time_point now) {
     queued_request waiter = w;
     waiter.since = now;
+    waiter.given_up = served_until(w);
     waiter.cost = expected_cost(p, w.klass);
     if (counts_places(p) && w.answer_by != time_point{}) {
         // At once late it is not, whatever its class takes.
--- a/src/core/request_queue.cpp
+++ b/src/core/request_queue.cpp
@@ -49,14 +49,18 @@
     return {.klass = r.klass, .late = is_late(r, now)};
 }
 
+duration time_to_wait(const queued_request& r) {
+    return (r.given_up == time_point{} ? r.deadline : r.given_up) - r.since;
+}
+
 // From then on it may use the time that is kept for those that have waited long.
 time_point kept_from(const queued_request& r) {
-    return r.since + (r.deadline - r.since) / kept_after;
+    return r.since + time_to_wait(r) / kept_after;
 }
 
 double used_part(const queued_request& r, time_point now) {
     return static_cast<double>((now - r.since).count()) /
-           static_cast<double>(std::max<std::int64_t>(1, (r.deadline - r.since).count()));
+           static_cast<double>(std::max<std::int64_t>(1, time_to_wait(r).count()));
 }
 
 rank first_rank(const request_queue& q, time_point now) {
--- a/src/core/request_queue.hpp
+++ b/src/core/request_queue.hpp
@@ -39,6 +39,7 @@
     request_number request = 0;
     request_class klass = request_class::normal;
     time_point deadline{};      // waits no longer
+    time_point given_up{};      // is refused at this moment, before its deadline; 0: at the deadline
     time_point answer_by{};     // its answer is late after that; 0: never
     duration objective{0};      // for the whole operation; 0: none
     workspace_id workspace{};   // whose connection it must be; empty: the table names none
