--- a/bench/model/loaded_group.cpp
+++ b/bench/model/loaded_group.cpp
@@ -47,6 +47,7 @@
             entries_[e].health.resize(servers_.size());
             for (std::size_t s = 0; s < servers_.size(); ++s) {
                 pool_actions actions;
+                entries_[e].pools[s].limit.most = pattern_.running_at_most;
                 set_share(entries_[e].pools[s], pattern_.shares[e], now_, next_connection_, actions);
                 carry_out(e, s, actions);
             }
@@ -258,13 +259,19 @@
         request_connection(entries_[e].pools[*s],
                            {.request = number,
                             .klass = kind.klass,
-                            .deadline = now_ + kind.objective,
+                            .deadline = now_ + latest_sending(kind, parts),
                             .answer_by = now_ + kind.objective / parts,
                             .objective = policy_.by_deadline_only ? duration{0} : kind.objective},
                            now_, next_connection_, actions);
         carry_out(e, *s, actions);
     }
 
+    // As the daemon has it: the first statement leaves the others of its transaction what they need.
+    duration latest_sending(const request_kind& kind, int parts) const {
+        const bool counts_places = pattern_.running_at_most > 0;
+        return counts_places ? kind.deadline - (kind.objective - kind.objective / parts) : kind.objective;
+    }
+
     void run(const attempt& a) {
         const request_kind& kind = pattern_.kinds[a.who.kind];
         pool_state& pool = entries_[a.entry].pools[a.server];
@@ -283,8 +290,8 @@
         statement_ended(pool, a.connection,
                         {.took = now_ - sent_at, .klass = kind.klass, .crowded = false, .stays = a.left > 0},
                         now_, next_connection_, actions);
-        if (policy_.no_running_limit) {
-            pool.limit.most = 0;
+        if (policy_.no_running_limit || pattern_.running_at_most > 0) {
+            pool.limit.most = pattern_.running_at_most;
         }
         carry_out(a.entry, a.server, actions);
         if (a.left > 0) {
@@ -400,6 +407,9 @@
 }
 
 request_class read_class(const std::string& file, const std::string& name) {
+    if (name == "urgent") {
+        return request_class::urgent;
+    }
     if (name == "critical") {
         return request_class::critical;
     }
@@ -407,7 +417,7 @@
         return request_class::background;
     }
     if (name != "normal") {
-        fail(file, "class is critical, normal or background, not " + name);
+        fail(file, "class is urgent, critical, normal or background, not " + name);
     }
     return request_class::normal;
 }
@@ -444,6 +454,7 @@
     p.name = t["name"].value_or(std::string{});
     p.length = read_ms(t, "length_ms");
     p.slots = t["slots"].value_or(p.slots);
+    p.running_at_most = t["running_at_most"].value_or(p.running_at_most);
     p.replicas = t["replicas"].value_or(p.replicas);
     p.retries = t["retries"].value_or(p.retries);
     p.come_back = read_ms(t, "come_back_ms");
--- a/bench/model/loaded_group.hpp
+++ b/bench/model/loaded_group.hpp
@@ -50,6 +50,7 @@
     duration length{0};
     unsigned slots = 2; // of each server
     unsigned replicas = 2;
+    unsigned running_at_most = 0; // statements that an entry has at a server at once; 0: no limit
     unsigned retries = 2;         // of a caller
     duration come_back{0};        // a caller's pause before it asks again
     std::vector<double> callers;  // an entry's part of them
--- a/src/core/request_queue.cpp
+++ b/src/core/request_queue.cpp
@@ -41,12 +41,12 @@
 // Requests of one rank go before all of the next.
 struct rank {
     request_class klass = request_class::urgent;
-    bool late = false;
+    unsigned late = 0; // 1: it is
     auto operator<=>(const rank&) const = default;
 };
 
 rank rank_of(const queued_request& r, time_point now) {
-    return {.klass = r.klass, .late = is_late(r, now)};
+    return {.klass = r.klass, .late = is_late(r, now) ? 1U : 0U};
 }
 
 // From then on it may use the time that is kept for those that have waited long.
@@ -60,7 +60,7 @@
 }
 
 rank first_rank(const request_queue& q, time_point now) {
-    rank first{.klass = request_class::background, .late = true};
+    rank first{.klass = request_class::background, .late = 1};
     for (const queued_request& r : q.waiting) {
         first = std::min(first, rank_of(r, now));
     }
@@ -120,9 +120,10 @@
 
 // The part of the time of all places that went to the first classes lately.
 double part_given(const request_queue& q, std::size_t classes, unsigned places, time_point now) {
-    const auto end = q.load.begin() + static_cast<std::ptrdiff_t>(classes);
     const double left = std::exp(-to_ms(now - q.load_at) / to_ms(load_memory));
-    return std::accumulate(q.load.begin(), end, 0.0) * left / (to_ms(load_memory) * places);
+    return std::accumulate(q.load.begin(), std::next(q.load.begin(), static_cast<std::ptrdiff_t>(classes)),
+                           0.0) *
+           left / (to_ms(load_memory) * places);
 }
 
 } // namespace
@@ -338,7 +339,7 @@
         // It will be late, and then all of its class that is not goes first.
         wait = std::max(wait, wait_when_late(q, r, s, now));
     }
-    if (rank{.klass = r.klass, .late = r.in_time != time_point{}} <= first_rank(q, now)) {
+    if (rank{.klass = r.klass, .late = r.in_time != time_point{} ? 1U : 0U} <= first_rank(q, now)) {
         return from_ms(wait); // nobody will go before its rank
     }
     return from_ms(std::min(wait, wait_for_kept(q, r, s, now)));
