--- a/src/core/server_load.hpp
+++ b/src/core/server_load.hpp
@@ -28,12 +28,12 @@
 struct server_load {
     server_id server{};
     std::uint64_t start_number = 0; // of the server, that this tells of
-    unsigned slots = 0;       // statements that it runs at once; 0: not known
-    unsigned running = 0;     // statements there now
-    unsigned waiting = 0;     // requests that wait at the instance until they may be sent
-    duration usual_answer{0}; // smoothed time from sending to answer; 0: unknown
-    duration wait{0};         // that a request of class "normal" has to expect before it is sent
-    double failed = 0;        // 0..1: share of answers that failed lately, or of what got none
+    unsigned slots = 0;             // statements that it runs at once; 0: not known
+    unsigned running = 0;           // statements there now
+    unsigned waiting = 0;           // requests that wait at the instance until they may be sent
+    duration usual_answer{0};       // smoothed time from sending to answer; 0: unknown
+    duration wait{0};               // that a request of class "normal" has to expect before it is sent
+    double failed = 0;              // 0..1: share of answers that failed lately, or of what got none
     std::optional<position_sample> position{}; // of its log, by the clock of whoever reads it
     time_point as_of{};                        // by the clock of whoever reads it, at the latest
     auto operator<=>(const server_load&) const = default;
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -261,14 +261,15 @@
     const auto seconds = [](duration d) { return std::chrono::duration<double>(d).count(); };
     counts_.drop_gauges("ordered_");
     for (const order_report& r : pools_.order_reports()) {
-        const std::string of =
-            "service=\"" + r.key.service.value + "\",server=\"" + r.key.server.value + "\"";
+        std::string of = "service=\"" + r.key.service.value;
+        of += "\",server=\"" + r.key.server.value + "\"";
         counts_.set_gauge("ordered_permits{" + of + "}", r.permits);
         counts_.set_gauge("ordered_running{" + of + "}", r.running);
         for (std::size_t i = 0; i < r.waiting.size(); ++i) {
-            const std::string klass(to_string(static_cast<request_class>(i)));
-            counts_.set_gauge("ordered_waiting{" + of + ",class=\"" + klass + "\"}",
-                              static_cast<double>(r.waiting.at(i)));
+            std::string of_class = of + ",class=\"";
+            of_class += to_string(static_cast<request_class>(i));
+            of_class += "\"";
+            counts_.set_gauge("ordered_waiting{" + of_class + "}", static_cast<double>(r.waiting.at(i)));
         }
         counts_.set_gauge("ordered_waited_seconds{" + of + "}", seconds(r.use.waited));
         counts_.set_gauge("ordered_idle_while_waiting_seconds{" + of + "}",
--- a/tests/ordering_site_test.cpp
+++ b/tests/ordering_site_test.cpp
@@ -67,7 +67,7 @@
                              [this](site_daemon& d) { return &d != first && orders(d); });
     }
     static bool orders(site_daemon& d) {
-        return d.core->metrics_text().find("larchpin_ordered_permits{service=\"svc\",server=\"s1\"} 4") !=
+        return d.core->metrics_text().find(R"(larchpin_ordered_permits{service="svc",server="s1"} 4)") !=
                std::string::npos;
     }
 };
