--- a/src/daemon/agent.cpp
+++ b/src/daemon/agent.cpp
@@ -237,7 +237,11 @@
     wire::renewal_reply m;
     if (!o.answered || o.status != 200 || !m.ParseFromString(o.body)) {
         rotate_control();
-        search_on(std::min(watch_pause * (1 << std::min(unanswered_renewals_++, 3U)), longest_search_pause));
+        // One that refuses at once is not there, and asking the next one costs nobody; one that lets it wait
+        // has too much to do.
+        const bool timed_out = now() - sent >= renew_timeout;
+        unanswered_renewals_ = timed_out ? unanswered_renewals_ + 1 : 0;
+        search_on(std::min(watch_pause * (1 << std::min(unanswered_renewals_, 3U)), longest_search_pause));
         return;
     }
     unanswered_renewals_ = 0;
--- a/src/daemon/loans.hpp
+++ b/src/daemon/loans.hpp
@@ -96,7 +96,7 @@
         time_point used_at{};
     };
 
-    // How this instance stands to a server whose statements one instance orders.
+    // How this instance stands to a server whose statements a few instances order.
     struct order_place {
         bool is_ordering = false;
         bool has_refused_slots = false; // they were found too many, and the log says so
