--- a/src/core/control_talk.cpp
+++ b/src/core/control_talk.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 constexpr int usual_renewals_per_lease = 5;
-// A renewal costs a leader about 0.1 ms of a processor, so these are an eighth of one.
+// A renewal costs a leader about 0.1 ms of a processor, so these are a sixteenth of one.
 constexpr std::int64_t renewals_per_second = 600;
 // Told of urgent news a leader is in use for a third of its time, where it has a third of a processor.
 constexpr duration news_per_instance = std::chrono::microseconds{1000};
--- a/src/core/home_order.hpp
+++ b/src/core/home_order.hpp
@@ -1,9 +1,9 @@
-// Through which instances the statements for a backend server go.
+// Through which instance the statements for a backend server go.
 //
 // A server that runs a few statements at once serves what it gets in the order of arrival. So that urgent
-// work goes first and the rest waits here, a few instances order all statements for a server, each with its
-// part of the slots: the first ones of a list that everyone computes alike. The others of the list stand by:
-// whoever finds one silent, or hears that control has lost it, goes to the next.
+// work goes first and the rest waits here, one instance orders all statements for a server: the first of a
+// list that everyone computes alike. The others of the list stand by: whoever finds the first one silent, or
+// hears that control has lost it, goes to the next.
 #pragma once
 
 #include "core/cluster_state.hpp"
--- a/src/core/lost_instances.hpp
+++ b/src/core/lost_instances.hpp
@@ -4,8 +4,8 @@
 // waiting. The leading control instance knows after one lease. It tells the set with the answer to a renewal,
 // and only to those that hold another one: while nobody is lost, nothing at all is sent.
 //
-// On the wire the set is one bit an instance, in the order of their ids, so that a day on which half of a
-// large deployment is cut off costs each of the others a hundred bytes.
+// On the wire the set is one bit an instance, in the order of their ids, so that a cut through the
+// middle of a large deployment costs each of the others a hundred bytes.
 //
 // Index
 //   [messages]  [control's side]  [a daemon's side]
--- a/src/core/pool.hpp
+++ b/src/core/pool.hpp
@@ -3,10 +3,10 @@
 // The daemon may have `share` connections open. A request gets an idle one, or opens one, or waits in a
 // bounded queue (core/request_queue: its order, and how long it will wait). Where the server is crowded,
 // fewer statements run at once than connections are open (core/running_limit). Class "background" may use
-// only a part of the share, so that browsing does not crowd out orders. What will not be answered within its
-// objective gives way and is still served; what cannot be answered before its deadline is refused at once,
-// with the time after which there will be room. A transaction under way has its connection: its statements
-// wait for nobody.
+// only a part of the share, so that browsing does not crowd out orders. Urgent and critical requests wait
+// until their deadline; others are refused once they would miss their objective. What cannot be served in
+// that time is refused at once, with the time after which there will be room. A transaction under way has its
+// connection: its statements wait for nobody.
 //
 // A connection belongs to the workspace that the server was told of when it opened, and serves no other one.
 // Where all of the share is open and none of a waiter's own is idle, the one that was used longest ago is
--- a/src/core/session.hpp
+++ b/src/core/session.hpp
@@ -28,7 +28,7 @@
 //-----------------------------------------------------------------------------
 
 // In the order in which they go before each other. Other instances are told by numbers of their own
-// (daemon/loans).
+// (told_class).
 enum class request_class : std::uint8_t { urgent = 0, critical = 1, normal = 2, background = 3 };
 constexpr std::size_t request_class_count = 4;
 
@@ -84,8 +84,8 @@
 // What a route says holds until the caller sets something else.
 void apply_route(session_settings& settings, const route_entry& route);
 
-// A class as other instances are told of it. The numbers are those from before there was an urgent one: an
-// instance of that time takes an urgent request for a critical one, and its own are read as they were meant.
+// A class as other instances are told of it. Urgent has the number of critical and a flag beside it: an
+// instance that does not know the flag takes an urgent request for a critical one.
 struct told_class {
     std::uint32_t number = 0;
     bool urgent = false; // beside the number; those that do not know it pass over it
--- a/src/daemon/load_report.hpp
+++ b/src/daemon/load_report.hpp
@@ -29,7 +29,7 @@
     void tell(time_point now);
 
 private:
-    std::map<std::string, path_load> by_path_; // paths that are served, no others
+    std::map<std::string, path_load> by_path_; // a few paths
     time_point told_at_{};
 };
 
--- a/src/daemon/loans.cpp
+++ b/src/daemon/loans.cpp
@@ -343,7 +343,7 @@
         return true;
     }
     if (orders_statements()) {
-        return is_ordering(terms.key) && (terms.workspace.value.empty() || is_first_of_ordering(terms));
+        return is_ordering(terms.key);
     }
     if (terms.workspace.value.empty()) {
         return std::find(homes.begin(), homes.end(), config_.id) != homes.end();
@@ -351,16 +351,6 @@
     return is_first_home(terms);
 }
 
-// The workspace's first one of those that order the server's statements.
-bool connection_loans::is_first_of_ordering(const loan_terms& terms) {
-    const auto rank = [&](const instance_id& id) {
-        return rank_for_workspace(terms.workspace, cluster_.cluster().instances.at(id).address);
-    };
-    const auto ordering = find_ordering(terms.key);
-    return std::none_of(ordering.begin(), ordering.end(),
-                        [&](const instance_id& id) { return rank(id) < rank(config_.id); });
-}
-
 // No other home that answers goes before this instance for the workspace.
 bool connection_loans::is_first_home(const loan_terms& terms) {
     const cluster_state& s = cluster_.cluster();
@@ -468,7 +458,7 @@
 std::vector<std::string> connection_loans::rank_homes(const loan_terms& terms) {
     const cluster_state& s = cluster_.cluster();
     if (orders_statements() && !homes_of(terms.key).empty()) {
-        return rank_in_order(terms);
+        return rank_in_order(terms.key);
     }
     const auto server = s.servers.find(terms.key.server);
     const bool by_workspace = !terms.workspace.value.empty() && server != s.servers.end();
--- a/src/daemon/loans.hpp
+++ b/src/daemon/loans.hpp
@@ -96,7 +96,7 @@
         time_point used_at{};
     };
 
-    // How this instance stands to a server whose statements a few instances order.
+    // How this instance stands to a server whose statements one instance orders.
     struct order_place {
         bool is_ordering = false;
         bool has_refused_slots = false; // they were found too many, and the log says so
@@ -106,29 +106,24 @@
     };
 
     // [ordering]
-    // Each costs a round trip (3 ms between failure domains). After a loss of power some five of a server's
-    // 23 connections are left for nine instances (estimated from one played day), so one of five asked
-    // usually holds one.
+    // Each costs a round trip; a few tries usually find one that has a connection.
     static constexpr unsigned homes_tried = 5;
     [[nodiscard]] bool orders_statements() const;
     [[nodiscard]] bool may_order(const share_key& key, const instance_id& id) const;
     const instance_id* find_first(const share_key& key);
-    std::vector<instance_id> find_ordering(const share_key& key);
     bool is_ordering(const share_key& key);
-    unsigned permits_of(const share_key& key, unsigned slots);
     unsigned slots_of(const share_key& key, order_place& place);
     void follow_order(const share_key& key);
     void follow_orders();
     void ping_first(const share_key& key);
     void ping(const std::string& address);
     bool have_those_before_refused(const share_key& key, const std::string& address);
-    std::vector<std::string> rank_in_order(const loan_terms& terms);
+    std::vector<std::string> rank_in_order(const share_key& key);
     // [borrowing]
     std::vector<instance_id> lenders_of(const share_key& key);
     std::vector<std::string> rank_homes(const loan_terms& terms);
     bool uses_own(const loan_terms& terms);
     bool is_first_home(const loan_terms& terms);
-    bool is_first_of_ordering(const loan_terms& terms);
     void note_lender(const share_key& key, const std::string& address, const backend_outcome& outcome);
     bool have_servers_changed();
     const std::vector<instance_id>& homes_of(const share_key& key);
--- a/src/daemon/loans_ordering.cpp
+++ b/src/daemon/loans_ordering.cpp
@@ -16,9 +16,6 @@
 // Those behind the one that orders a server's statements which keep a connection for the time after it: the
 // next one, and one for the case that both are lost.
 constexpr std::size_t standbys = 2;
-// That order a server's statements between them, each with its part of the slots: one alone has neither the
-// processor nor the link for a busy primary, and its loss would stop the whole server.
-constexpr std::size_t homes_in_use = 3;
 // Of few connections each of these is a large part; a standby that has none asks for one when it is needed.
 constexpr unsigned connections_per_standby = 8;
 constexpr duration ordering_memory =
@@ -52,31 +49,13 @@
     return first == homes.end() ? nullptr : &*first;
 }
 
-// The instances that order the server's statements between them, as far as is known here.
-std::vector<instance_id> connection_loans::find_ordering(const share_key& key) {
-    std::vector<instance_id> ordering;
-    for (const instance_id& id : homes_of(key)) {
-        if (ordering.size() < homes_in_use && may_order(key, id)) {
-            ordering.push_back(id);
-        }
-    }
-    return ordering;
-}
-
 bool connection_loans::is_ordering(const share_key& key) {
     const auto place = order_places_.find(key);
     if (place != order_places_.end() && now() < place->second.instead_until && may_order(key, config_.id)) {
         return true;
     }
-    const auto ordering = find_ordering(key);
-    return std::find(ordering.begin(), ordering.end(), config_.id) != ordering.end();
-}
-
-// The part of the server's slots that this instance lets statements through for, and one more over all: it
-// covers the way of an answer back, so that a slot is not idle meanwhile. 0: slots are not known.
-unsigned connection_loans::permits_of(const share_key& key, unsigned slots) {
-    const auto parts = static_cast<unsigned>(std::max<std::size_t>(1, find_ordering(key).size()));
-    return slots == 0 ? 0 : (slots + parts) / parts;
+    const instance_id* first = find_first(key);
+    return first != nullptr && *first == config_.id;
 }
 
 // Statements that the server runs at once; 0: not known.
@@ -111,16 +90,14 @@
     order_place& place = order_places_[key];
     const bool orders = is_ordering(key);
     const unsigned slots = slots_of(key, place);
+    const instance_id* first = find_first(key);
+    const auto& homes = homes_of(key);
     if (orders != place.is_ordering) {
-        const auto& homes = homes_of(key);
-        const instance_id* first = find_first(key);
-        const auto in_use = homes.begin() + static_cast<std::ptrdiff_t>(std::min(homes.size(), homes_in_use));
-        const bool is_early = std::find(homes.begin(), in_use, config_.id) != in_use;
-        const char* why = is_early                                ? "among the first of the list"
+        const char* why = orders && homes.front() == config_.id   ? "first of the list"
                           : orders && now() < place.instead_until ? "those before it refuse"
                           : orders                                ? "those before it are gone"
                           : first == nullptr                      ? "the server is out of reach"
-                                                                  : "one before it orders";
+                                                                  : "another one orders";
         log_event(severity::info, orders ? "ordering_begun" : "ordering_ended",
                   {{"server", key.server.value},
                    {"service", key.service.value},
@@ -129,14 +106,14 @@
                    {"why", why}});
         place.is_ordering = orders;
     }
-    const auto& homes = homes_of(key);
     const service_entry* service = find_service(cluster_.cluster().current, key.service);
     const unsigned connections = service == nullptr ? 0 : service->max_connections;
     const std::size_t keepers = std::clamp<std::size_t>(connections / connections_per_standby, 1, standbys);
-    const auto kept =
-        homes.begin() + static_cast<std::ptrdiff_t>(std::min(homes.size(), keepers + homes_in_use));
+    const auto kept = homes.begin() + static_cast<std::ptrdiff_t>(std::min(homes.size(), keepers + 1));
     const bool is_next = std::find(homes.begin(), kept, config_.id) != kept;
-    pools_.set_order(key, {.permits = orders ? permits_of(key, slots) : standby_permits,
+    // The one more covers the way of an answer back, so that a slot is not idle meanwhile.
+    const unsigned ordering_permits = slots == 0 ? 0 : slots + 1;
+    pools_.set_order(key, {.permits = orders ? ordering_permits : standby_permits,
                            .claims_at_most = orders ? 0U : 1U,
                            .keeps_one = !orders && !stopping_ && is_next,
                            .is_ordering = orders});
@@ -193,7 +170,6 @@
     if (!orders_statements()) {
         return false;
     }
-    std::size_t before = 0;
     for (const instance_id& id : homes_of(key)) {
         const auto record = cluster_.cluster().instances.find(id);
         if (record == cluster_.cluster().instances.end()) {
@@ -205,17 +181,15 @@
         }
         const bool has_refused = id == config_.id || cluster_.is_lost(id) ||
                                  is_without_connection(book_, key.server, other, now());
-        if (!has_refused && ++before == homes_in_use) {
+        if (!has_refused) {
             return false;
         }
     }
     return false;
 }
 
-// The first ones of the list that may order, and where none may, one that is asked all the same. Of those
-// that order, a workspace has one that it goes to first; other requests take any.
-std::vector<std::string> connection_loans::rank_in_order(const loan_terms& terms) {
-    const share_key& key = terms.key;
+// The first ones of the list that may order, and where none may, one that is asked all the same.
+std::vector<std::string> connection_loans::rank_in_order(const share_key& key) {
     const cluster_state& s = cluster_.cluster();
     std::vector<std::string> addresses;
     const instance_id* any = nullptr;
@@ -234,14 +208,6 @@
     if (addresses.empty() && any != nullptr) {
         addresses.push_back(s.instances.at(*any).address);
     }
-    const auto in_use =
-        addresses.begin() + static_cast<std::ptrdiff_t>(std::min(addresses.size(), homes_in_use));
-    std::shuffle(addresses.begin(), in_use, random_);
-    if (!terms.workspace.value.empty()) {
-        std::stable_sort(addresses.begin(), in_use, [&](const std::string& a, const std::string& b) {
-            return rank_for_workspace(terms.workspace, a) < rank_for_workspace(terms.workspace, b);
-        });
-    }
     return addresses;
 }
 
--- a/src/io/settings.hpp
+++ b/src/io/settings.hpp
@@ -58,7 +58,7 @@
     std::string backend_user;          // empty: the caller's user
     std::string backend_password_file; // empty: none
     unsigned kept_connections = 0;     // of a service's limit to one server, kept back for our own probes
-    // Three instances order all statements for a server between them, where few hold its connections.
+    // One instance orders all statements for a server, where few instances hold a server's connections.
     bool order_statements = false;
     unsigned slots = 0; // statements that a server runs at once which announces no number; 0: not known
     duration probe_interval = std::chrono::milliseconds{50};
--- a/tests/balance_test.cpp
+++ b/tests/balance_test.cpp
@@ -386,8 +386,8 @@
 // [idle servers]
 //-----------------------------------------------------------------------------
 
-// Seen: both replicas of a group idle, while their primary had a queue. Each instance had ejected them for
-// the failures of the way there, for up to 16 s.
+// The pattern: both replicas of a group idle while their primary has a queue. Each instance has ejected them
+// for failures of the way there.
 TEST(idle_servers, ejected_replicas_do_not_leave_everything_to_the_primary) {
     told_group g;
     g.server("a").ejected_until = start + seconds{8};
