Control tells whom an election waits for, who votes, how a log ended, and when its loop is late

Added, each bounded by the log's own budget: no_control_leader (one a second, with the voters and whom the election waits for), vote_refused (with the reason and both ends of the logs), control_members (each change and its commit), dropped_bytes in control_started, control_loop_late (100 ms), control_log_rewrite_started and control_log_rewritten.

raft: refusals of votes come out with the other output; votes themselves are decided as before (the two conditions were named, in the same order). No other logic was changed.

--- a/src/core/raft.cpp
+++ b/src/core/raft.cpp
@@ -330,24 +330,61 @@
     return s.current_role == role::leader ? leader_has_lease(s, now) : heard_from_leader_lately(s, now);
 }
 
+void note_refusal(state& s, const message& m, refusal_reason reason) {
+    s.out.refusals.push_back({.candidate = m.from,
+                              .pre_vote = m.kind == message_kind::pre_vote_request,
+                              .reason = reason,
+                              .term = m.term,
+                              .candidate_log_term = m.log_term,
+                              .candidate_log_index = m.log_index});
+}
+
+// Why a pre-vote is refused, or nothing where it is granted.
+std::optional<refusal_reason> find_pre_vote_refusal(const state& s, const message& m, time_point now) {
+    if (m.term <= s.hard.term) {
+        return refusal_reason::older_term;
+    }
+    if (refuses_elections(s, now)) {
+        return refusal_reason::hears_leader;
+    }
+    return log_is_current(s, m) ? std::nullopt : std::optional{refusal_reason::older_log};
+}
+
 void on_pre_vote_request(state& s, const message& m, time_point now) {
     message reply = make_message(s, message_kind::pre_vote_reply, m.from);
-    reply.granted = m.term > s.hard.term && log_is_current(s, m) && !refuses_elections(s, now);
+    const auto refusal = find_pre_vote_refusal(s, m, now);
+    reply.granted = !refusal;
     reply.term = reply.granted ? m.term : s.hard.term;
     s.out.messages.push_back(std::move(reply));
+    if (refusal) {
+        note_refusal(s, m, *refusal);
+    }
+}
+
+// Why a vote in the own term is refused, or nothing where it is granted.
+std::optional<refusal_reason> find_vote_refusal(const state& s, const message& m) {
+    if (s.hard.voted_for != 0 && s.hard.voted_for != m.from) {
+        return refusal_reason::voted_for_another;
+    }
+    return log_is_current(s, m) ? std::nullopt : std::optional{refusal_reason::older_log};
 }
 
 void on_vote_request(state& s, const message& m, time_point now, std::mt19937_64& random) {
-    if (refuses_elections(s, now) || m.term < s.hard.term) {
+    const bool hears_leader = refuses_elections(s, now);
+    if (hears_leader || m.term < s.hard.term) {
         s.out.messages.push_back(make_message(s, message_kind::vote_reply, m.from));
+        note_refusal(s, m, hears_leader ? refusal_reason::hears_leader : refusal_reason::older_term);
         return;
     }
     if (m.term > s.hard.term) {
         become_follower(s, m.term, 0, now, random);
     }
     message reply = make_message(s, message_kind::vote_reply, m.from);
-    reply.granted = (s.hard.voted_for == 0 || s.hard.voted_for == m.from) && log_is_current(s, m);
-    if (reply.granted && s.hard.voted_for == 0) {
+    const auto refusal = find_vote_refusal(s, m);
+    reply.granted = !refusal;
+    if (refusal) {
+        note_refusal(s, m, *refusal);
+    } else if (s.hard.voted_for == 0) {
         s.hard.voted_for = m.from;
         store_hard(s);
         reset_election_timer(s, now, random);
@@ -536,6 +573,19 @@
 // [public functions]
 //-----------------------------------------------------------------------------
 
+std::vector<node_id> awaited_voters(const state& s) {
+    std::vector<node_id> awaited;
+    if (s.current_role != role::pre_candidate && s.current_role != role::candidate) {
+        return awaited;
+    }
+    for (const member& m : s.members.members) {
+        if (m.voter && !s.votes.contains(m.id)) {
+            awaited.push_back(m.id);
+        }
+    }
+    return awaited;
+}
+
 const member* find_member(const configuration& c, node_id id) {
     const auto found =
         std::find_if(c.members.begin(), c.members.end(), [id](const member& m) { return m.id == id; });
--- a/src/core/raft.hpp
+++ b/src/core/raft.hpp
@@ -110,10 +110,24 @@
     bool operator==(const record&) const = default;
 };
 
+enum class refusal_reason : std::uint8_t { hears_leader = 1, older_term, older_log, voted_for_another };
+
+// A vote that this node did not grant, for the log.
+struct vote_refusal {
+    node_id candidate = 0;
+    bool pre_vote = false;
+    refusal_reason reason = refusal_reason::hears_leader;
+    std::uint64_t term = 0; // asked for
+    std::uint64_t candidate_log_term = 0;
+    std::uint64_t candidate_log_index = 0;
+    auto operator<=>(const vote_refusal&) const = default;
+};
+
 struct output {
-    std::vector<record> records;      // sync these in order before sending messages
-    std::vector<message> messages;    // to be sent after the records are synced
-    std::vector<entry> committed;     // to be applied, in order
+    std::vector<record> records;   // sync these in order before sending messages
+    std::vector<message> messages; // to be sent after the records are synced
+    std::vector<entry> committed;  // to be applied, in order
+    std::vector<vote_refusal> refusals;
     std::optional<snapshot> restored; // replace the applied state by this before `committed`
     std::uint64_t persist_index = 0;  // pass both to persisted() once the records are synced
     std::uint64_t persist_term = 0;
@@ -211,6 +225,9 @@
 // True once an entry of the leader's own term is committed: it then knows every committed entry.
 bool leader_is_ready(const state& s);
 
+// Voters that this candidate still waits for; nobody where it is no candidate.
+std::vector<node_id> awaited_voters(const state& s);
+
 const member* find_member(const configuration& c, node_id id);
 bool is_voter(const configuration& c, node_id id);
 std::uint64_t last_index(const state& s);
--- a/src/daemon/control_node.cpp
+++ b/src/daemon/control_node.cpp
@@ -27,6 +27,7 @@
 namespace {
 
 constexpr duration tick_interval = std::chrono::milliseconds{10};
+constexpr duration late_tick = std::chrono::milliseconds{100}; // worth a log line
 constexpr duration message_timeout = std::chrono::milliseconds{1000};
 constexpr duration watch_time = std::chrono::seconds{5};
 constexpr duration join_interval = std::chrono::milliseconds{300};
@@ -48,6 +49,13 @@
     return id == 0 ? 1 : id;
 }
 
+bool has_snapshot(const std::vector<raft::output>& batch) {
+    return std::any_of(batch.begin(), batch.end(), [](const raft::output& out) {
+        return std::any_of(out.records.begin(), out.records.end(),
+                           [](const raft::record& r) { return r.snap.has_value(); });
+    });
+}
+
 std::string operator_reply(result_code code, const std::string& detail, revision_number table_revision = 0,
                            revision_number revision = 0) {
     wire::operator_reply m;
@@ -99,6 +107,7 @@
                {"new_identity", found.is_new},
                {"log_entries", static_cast<std::uint64_t>(found.state.log.size())},
                {"log_bytes", found.file_bytes},
+               {"dropped_bytes", found.dropped_bytes},
                {"term", found.state.hard.term}});
     if (config_.founds_cluster && found.node == founder_id(config_.peer_address)) {
         found_cluster();
@@ -126,8 +135,21 @@
                {"is_founder", founded}});
 }
 
+// A loop that is late answers nobody in time: too much to do, or a process that stood still.
+void control_node::log_late_tick() {
+    const time_point at = now();
+    if (next_tick_ != time_point{} && at - next_tick_ >= late_tick) {
+        const auto late = std::chrono::duration_cast<std::chrono::milliseconds>(at - next_tick_);
+        log_event(severity::warning, "control_loop_late",
+                  {{"late_ms", late.count()}, {"watchers", static_cast<std::uint64_t>(watchers_.size())}});
+    }
+    next_tick_ = at + tick_interval;
+}
+
 void control_node::on_tick() {
+    log_late_tick();
     tick(core_, now(), random_);
+    log_consensus(consensus_log_, core_.consensus, now());
     if (core_.consensus.leader != 0) {
         phases_.reached("leader_known", now());
     }
@@ -151,6 +173,9 @@
 void control_node::pump() {
     control_output out = take_output(core_);
     raft::output& log = out.log;
+    for (const raft::vote_refusal& refusal : log.refusals) {
+        log_refusal(refusal, core_.consensus);
+    }
     if (!log.records.empty() || !log.messages.empty()) {
         const bool at_once = log.records.empty() && to_write_.empty() && !writing_;
         if (at_once) {
@@ -183,6 +208,10 @@
 }
 
 void control_node::write_batch(const std::shared_ptr<std::vector<raft::output>>& batch) {
+    if (has_snapshot(*batch)) {
+        log_event(severity::info, "control_log_rewrite_started",
+                  {{"entries", static_cast<std::uint64_t>(core_.consensus.log.size())}});
+    }
     run_on_log_worker([this, batch] {
         std::vector<raft::record> records;
         for (const raft::output& out : *batch) {
@@ -210,6 +239,9 @@
     }
     store_failed_ = false;
     writing_ = false;
+    if (has_snapshot(*batch)) {
+        log_event(severity::info, "control_log_rewritten");
+    }
     for (const raft::output& out : *batch) {
         persisted(core_, out.persist_index, out.persist_term, now());
         send_messages(out.messages);
--- a/src/daemon/control_node.hpp
+++ b/src/daemon/control_node.hpp
@@ -9,6 +9,7 @@
 #pragma once
 
 #include "core/control_core.hpp"
+#include "daemon/consensus_log.hpp"
 #include "daemon/start_phases.hpp"
 #include "daemon/watch_replies.hpp"
 #include "io/http2_clients.hpp"
@@ -90,6 +91,7 @@
     };
 
     void on_tick();
+    void log_late_tick();
     void pump();
     void write_next();
     void write_batch(const std::shared_ptr<std::vector<raft::output>>& batch);
@@ -128,7 +130,9 @@
     http2_clients clients_;
     boost::asio::steady_timer timer_;
     time_point next_join_at_{};
+    time_point next_tick_{};
     start_phases phases_;
+    consensus_log consensus_log_;
     std::size_t join_index_ = 0;
 };
 
--- a/src/io/raft_store.cpp
+++ b/src/io/raft_store.cpp
@@ -191,6 +191,7 @@
     found.node = node_;
     found.state = replay_records(log.records);
     found.file_bytes = log.good_bytes;
+    found.dropped_bytes = bytes.size() - log.good_bytes;
     good_bytes_ = static_cast<off_t>(log.good_bytes);
     hard_ = found.state.hard;
     if (found.is_new && write_and_sync(encode_record({}, node_)) != result_code::ok) {
--- a/src/io/raft_store.hpp
+++ b/src/io/raft_store.hpp
@@ -26,6 +26,7 @@
     raft::recovered_state state;
     bool is_new = false; // the folder held nothing: the node has a new identity
     std::uint64_t file_bytes = 0;
+    std::uint64_t dropped_bytes = 0; // cut off its end
 };
 
 class raft_store {
--- /dev/null
+++ b/tests/cluster_losses.cpp
@@ -0,0 +1,109 @@
+// Losses of control instances within what the cluster is to bear: see cluster_model.hpp.
+#include "cluster_model.hpp"
+
+#include <algorithm>
+#include <numeric>
+
+namespace larchpin::testing {
+namespace {
+
+constexpr duration catch_up_time = std::chrono::seconds{6}; // after a loss, before it counts no more
+constexpr int longest_loss_ms = 5000;
+
+} // namespace
+
+std::size_t cluster_model::count_lost() const {
+    return static_cast<std::size_t>(std::count_if(
+        controls_.begin(), controls_.end(), [this](const auto& c) { return !c.up || now_ < c.lost_until; }));
+}
+
+void cluster_model::end_stops() {
+    for (std::size_t i = 0; i < controls_.size(); ++i) {
+        model_control& c = controls_[i];
+        if (!c.up && c.start_at != time_point{} && now_ >= c.start_at) {
+            c.start_at = {};
+            start_control(i, false);
+        }
+    }
+}
+
+bool cluster_model::has_all_voters() const {
+    return std::any_of(controls_.begin(), controls_.end(), [this](const model_control& c) {
+        return c.up && may_lead(c.core, clock_of(c)) && keeps_changes(c.core);
+    });
+}
+
+void cluster_model::inject_tolerated_loss() {
+    founded_ = founded_ || has_all_voters();
+    if (!founded_ || !chance(rates_.tolerated_loss) || count_lost() >= rates_.tolerated_losses) {
+        return;
+    }
+    const auto i = static_cast<std::size_t>(number(rates_.controls - 1));
+    model_control& c = controls_[i];
+    if (!c.up || now_ < c.lost_until) {
+        return;
+    }
+    ++silences;
+    const time_point until = now_ + duration{std::chrono::milliseconds{number(longest_loss_ms)}};
+    c.lost_until = until + catch_up_time;
+    enum kind { stop, freeze, cut, cut_from_peers, lose_disk, kinds };
+    switch (number(kinds - 1)) {
+    case stop:
+        stop_control(i);
+        c.start_at = until;
+        break;
+    case freeze: c.frozen_until = until; break;
+    case cut: c.cut_until = until; break;
+    case cut_from_peers: c.peer_cut_until = until; break;
+    default:
+        ++disks_lost;
+        stop_control(i);
+        c.disk.clear();
+        start_control(i, true);
+        c.frozen_until = until; // until the machine is back
+        break;
+    }
+}
+
+bool cluster_model::knows_all_edits(const control_core& core) const {
+    return std::all_of(decided_.begin(), decided_.end(), [&core](const auto& edit) {
+        return edit.second.revision <= core.cluster.revision && find_change(core.cluster, edit.first);
+    });
+}
+
+std::string cluster_model::run_closing_loss() {
+    rates_.tolerated_loss = 0;
+    while (violation_.empty() && count_lost() > 0) {
+        end_stops();
+        step();
+    }
+    const std::size_t decided = decided_.size();
+    for (int i = 0; i < 10'000 && violation_.empty() && decided_.size() == decided; ++i) {
+        step();
+    }
+    if (decided_.size() == decided) {
+        return "no edit is decided with every control instance back";
+    }
+    std::vector<std::size_t> order(controls_.size());
+    std::iota(order.begin(), order.end(), 0);
+    std::shuffle(order.begin(), order.end(), random_);
+    for (std::size_t i = 0; i < controls_.size(); ++i) {
+        stop_control(i);
+    }
+    for (std::size_t n = 0; n < order.size(); ++n) {
+        const bool empty_disk = n < rates_.tolerated_losses;
+        disks_lost += empty_disk ? 1 : 0;
+        start_control(order[n], empty_disk);
+        controls_[order[n]].frozen_until = now_ + duration{std::chrono::milliseconds{number(300)}};
+    }
+    const std::string not_recovered = run_until_healthy();
+    if (!not_recovered.empty()) {
+        return not_recovered;
+    }
+    const bool kept = std::any_of(controls_.begin(), controls_.end(), [this](const model_control& c) {
+        return may_lead(c.core, clock_of(c)) && knows_all_edits(c.core);
+    });
+    return kept ? "" : "a decided edit is gone";
+}
+
+} // namespace larchpin::testing
