Model: losses that are to be borne, one after another, and then two disks with a loss of power right after an edit

The model of the cluster lost a disk only where a majority of every known list of voters kept theirs, so it never asked the question of the incident: whether the lists themselves stay such that any two disks may go. Now a control instance is stopped, frozen, cut off (from all, or from the others) or loses its disk whenever fewer than two are lost, one counting until 6 s after it is back; then all come back, and in the moment in which an edit is decided two disks are lost and all others lose power. A leader, every vote needed, and all decided edits are demanded afterwards.

--- a/tests/cluster_fuzz_test.cpp
+++ b/tests/cluster_fuzz_test.cpp
@@ -108,6 +108,21 @@
     expect_no_violation(rates, "standing by");
 }
 
+// All that the cluster is to bear, and nothing beyond: whatever is lost when, with everybody back it decides
+// edits, and keeps them when two disks go and all others lose power right after.
+TEST(cluster_fuzz, keeps_edits_over_two_lost_disks_and_a_loss_of_power_after_any_tolerated_losses) {
+    fault_rates rates{.controls = 6, .tolerated_losses = 2, .loss = 0, .max_delay_ms = 10};
+    rates.tolerated_loss = 0.01;
+    EXPECT_TRUE(rc::check("tolerated losses", [&] {
+        const auto seed = *rc::gen::arbitrary<std::uint32_t>();
+        cluster_model model(seed, rates, {});
+        const std::string violation = model.run(steps);
+        RC_ASSERT(violation == std::string{});
+        const std::string not_recovered = model.run_closing_loss();
+        RC_ASSERT(not_recovered == std::string{});
+    }));
+}
+
 TEST(cluster_fuzz, holds_when_one_instance_stands_by) {
     fault_rates rates = all_faults();
     rates.controls = 4;
--- a/tests/cluster_model.cpp
+++ b/tests/cluster_model.cpp
@@ -523,7 +523,7 @@
         if (c.up && chance(rates_.control_crash)) {
             ++silences;
             stop_control(i);
-        } else if (!c.up && chance(0.01)) {
+        } else if (!c.up && c.start_at == time_point{} && chance(0.01)) {
             start_control(i, false);
         }
         if (c.up && chance(rates_.control_freeze)) {
@@ -566,6 +566,10 @@
             s.frozen_until = now_ + ms(number(2000));
         }
     }
+    if (rates_.tolerated_loss > 0) {
+        end_stops();
+        inject_tolerated_loss();
+    }
     if (chance(rates_.edit)) {
         propose_random_edit();
     }
@@ -830,6 +834,7 @@
         controls_[i].frozen_until = {};
         controls_[i].cut_until = {};
         controls_[i].peer_cut_until = {};
+        controls_[i].start_at = {};
         if (!controls_[i].up) {
             start_control(i, false);
         }
--- a/tests/cluster_model.hpp
+++ b/tests/cluster_model.hpp
@@ -33,6 +33,9 @@
     double server_freeze = 0.0;
     double cut = 0.0;      // of one control instance from everyone
     double peer_cut = 0.0; // of one control instance from the other ones only
+    // A control instance is stopped, frozen, cut off or loses its disk, while fewer than tolerated_losses are
+    // lost: one is lost until catch_up after it is back.
+    double tolerated_loss = 0.0;
     double edit = 0.02;
     double switchover = 0.002;
     double leave = 0.0; // of a server, while none leaves; it ends later and starts again under its id
@@ -63,6 +66,8 @@
     time_point sync_free_at{};
     time_point next_tick{};
     time_point next_join{};
+    time_point start_at{}; // while stopped by a tolerated loss
+    time_point lost_until{};
 };
 
 struct model_daemon {
@@ -103,6 +108,9 @@
     std::string run(int steps);
     // Faults end; returns what does not recover, or nothing.
     std::string run_until_healthy();
+    // In the moment in which an edit is decided as many disks are lost as are tolerated, and all other
+    // control instances lose power. Returns what does not recover, or nothing.
+    std::string run_closing_loss();
 
     std::uint64_t failovers = 0;
     std::uint64_t planned_switches = 0;
@@ -120,6 +128,11 @@
 
     void step();
     void inject_faults();
+    void inject_tolerated_loss();
+    void end_stops();
+    [[nodiscard]] std::size_t count_lost() const;
+    [[nodiscard]] bool has_all_voters() const;
+    [[nodiscard]] bool knows_all_edits(const control_core& core) const;
     void send(std::size_t control_a, std::size_t control_b, const delivery& what);
     void deliver_later(const delivery& what);
     void start_control(std::size_t i, bool empty_disk);
@@ -175,6 +188,7 @@
     std::uint64_t next_edit_ = 1;
     raft::node_id founder_ = 1;
     raft::node_id next_node_ = 1;
+    bool founded_ = false; // all voters that the losses to be borne ask for have been there
     std::string violation_;
 };
 
