Control log: a write torn by a loss of power is cut off, in place of an instance that never starts again

With two disks lost in the same fault the three voters left are all needed, so one such log is enough for no leader, and for what was recorded.

Cause: the store took every bad record that is followed by anything for damage. But all records of the last batch may be bad at once: a batch has several records in one write, and a loss of power leaves any of its blocks, also later ones without earlier ones. Zeros in place of a missing block even passed for whole records of no bytes. Class: what was never acknowledged is held against the one who has it.

Change: a batch begins with a mark that holds its own offset. A batch is written after the one before it was synced, so a mark behind bad bytes shows that these had been synced: damage, refused as before. Without one they are of the last batch, and are cut off; the cut is synced, so that the rest cannot come back behind the next batch. 16 bytes a batch. Files without marks are read.

Test replaced: damage_before_the_end_is_refused damaged the only batch, which no reader can tell from a torn write. damage_of_what_was_synced_is_refused damages every single byte of a synced batch instead of one.

--- a/src/io/raft_store.cpp
+++ b/src/io/raft_store.cpp
@@ -13,6 +13,7 @@
 #include <algorithm>
 #include <filesystem>
 #include <fstream>
+#include <optional>
 #include <random>
 #include <sstream>
 
@@ -25,6 +26,10 @@
 constexpr const char* log_name = "control.log";
 constexpr const char* new_log_name = "control.log.new";
 constexpr std::size_t header_bytes = 8;
+// Its first four bytes are above any record's length.
+constexpr std::string_view mark_text = "\xff\xff\xff\xff"
+                                       "LPB1";
+constexpr std::size_t mark_bytes = 16; // the text and the offset
 constexpr std::uint32_t max_record_bytes = 64U * 1024 * 1024;
 
 std::uint32_t checksum(std::string_view bytes) {
@@ -49,6 +54,48 @@
     return v;
 }
 
+void put_u64(std::string& out, std::uint64_t v) {
+    constexpr unsigned half = 32;
+    put_u32(out, static_cast<std::uint32_t>(v));
+    put_u32(out, static_cast<std::uint32_t>(v >> half));
+}
+
+bool is_mark(std::string_view bytes, std::size_t offset) {
+    return bytes.substr(offset, mark_bytes) == encode_mark(offset);
+}
+
+bool has_mark_from(std::string_view bytes, std::size_t offset) {
+    for (std::size_t at = bytes.find(mark_text, offset); at != std::string_view::npos;
+         at = bytes.find(mark_text, at + 1)) {
+        if (is_mark(bytes, at)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+// The record at the start of `bytes`, and how many of them it takes. Nothing where there is no whole one:
+// zeros in place of what was not written are none either.
+struct read_record {
+    wire::raft_record record;
+    std::size_t bytes = 0;
+};
+std::optional<read_record> decode_record(std::string_view bytes) {
+    if (bytes.size() < header_bytes) {
+        return std::nullopt;
+    }
+    const std::uint32_t length = get_u32(bytes);
+    const std::uint32_t expected = get_u32(bytes.substr(sizeof(std::uint32_t)));
+    if (length == 0 || length > max_record_bytes || bytes.size() < header_bytes + length) {
+        return std::nullopt;
+    }
+    const std::string_view body = bytes.substr(header_bytes, length);
+    read_record read{.record = {}, .bytes = header_bytes + length};
+    const bool good =
+        checksum(body) == expected && read.record.ParseFromArray(body.data(), static_cast<int>(body.size()));
+    return good ? std::optional{std::move(read)} : std::nullopt;
+}
+
 bool write_all(int file, std::string_view bytes) {
     while (!bytes.empty()) {
         const ssize_t written = ::write(file, bytes.data(), bytes.size());
@@ -95,6 +142,12 @@
 
 } // namespace
 
+std::string encode_mark(std::uint64_t offset) {
+    std::string bytes(mark_text);
+    put_u64(bytes, offset);
+    return bytes;
+}
+
 std::string encode_record(const raft::record& r, raft::node_id node) {
     wire::raft_record m;
     to_wire(r, m);
@@ -108,30 +161,20 @@
 
 decoded_log decode_log(const std::string& bytes) {
     decoded_log log;
-    std::string_view rest = bytes;
-    while (rest.size() >= header_bytes) {
-        const std::uint32_t length = get_u32(rest);
-        const std::uint32_t expected = get_u32(rest.substr(sizeof(std::uint32_t)));
-        if (length > max_record_bytes) {
-            log.damaged = true;
+    const std::string_view all = bytes;
+    std::size_t at = 0;
+    while (at < all.size()) {
+        if (is_mark(all, at)) {
+            at += mark_bytes;
+        } else if (const auto read = decode_record(all.substr(at))) {
+            log.records.push_back(from_wire(read->record));
+            log.node = read->record.node() != 0 ? read->record.node() : log.node;
+            at += read->bytes;
+        } else {
+            log.damaged = has_mark_from(all, at);
             return log;
         }
-        if (rest.size() < header_bytes + length) {
-            return log; // cut off at the end
-        }
-        const std::string_view body = rest.substr(header_bytes, length);
-        const bool is_last = rest.size() == header_bytes + length;
-        wire::raft_record m;
-        if (checksum(body) != expected || !m.ParseFromArray(body.data(), static_cast<int>(body.size()))) {
-            log.damaged = !is_last; // the last one may have been written in part
-            return log;
-        }
-        log.records.push_back(from_wire(m));
-        if (m.node() != 0) {
-            log.node = m.node();
-        }
-        rest.remove_prefix(header_bytes + length);
-        log.good_bytes = bytes.size() - rest.size();
+        log.good_bytes = at;
     }
     return log;
 }
@@ -180,7 +223,7 @@
         return leaf::new_error(result_code::log_damaged);
     }
     recovered_store found;
-    if (log.good_bytes < bytes.size() && ::ftruncate(file_, static_cast<off_t>(log.good_bytes)) != 0) {
+    if (log.good_bytes < bytes.size() && cut_off_after(log.good_bytes) != result_code::ok) {
         return leaf::new_error(result_code::data_folder_unusable);
     }
     found.is_new = log.node == 0;
@@ -194,7 +237,7 @@
     found.dropped_bytes = bytes.size() - log.good_bytes;
     good_bytes_ = static_cast<off_t>(log.good_bytes);
     hard_ = found.state.hard;
-    if (found.is_new && write_and_sync(encode_record({}, node_)) != result_code::ok) {
+    if (found.is_new && write_batch(encode_record({}, node_)) != result_code::ok) {
         return leaf::new_error(result_code::data_folder_unusable);
     }
     if (!sync_folder(folder_)) {
@@ -203,7 +246,14 @@
     return found;
 }
 
-result_code raft_store::write_and_sync(const std::string& bytes) {
+// Synced at once: what was cut off must not be back behind the next batch after another loss of power.
+result_code raft_store::cut_off_after(std::uint64_t bytes) {
+    const bool done = ::ftruncate(file_, static_cast<off_t>(bytes)) == 0 && ::fdatasync(file_) == 0;
+    return done ? result_code::ok : result_code::data_folder_unusable;
+}
+
+result_code raft_store::write_batch(const std::string& records) {
+    const std::string bytes = encode_mark(static_cast<std::uint64_t>(good_bytes_)) + records;
     // Also after an earlier failure: a part of what was refused then may be in the file.
     const bool done =
         ::ftruncate(file_, good_bytes_) == 0 && write_all(file_, bytes) && ::fdatasync(file_) == 0;
@@ -221,14 +271,14 @@
         if (r.snap) {
             // Everything in front of a snapshot is replaced by it; write what came before it first, so
             // that log entries after its index are in the file when it is read back.
-            if (!bytes.empty() && write_and_sync(bytes) != result_code::ok) {
+            if (!bytes.empty() && write_batch(bytes) != result_code::ok) {
                 return result_code::data_folder_unusable;
             }
             return rewrite(r, {records.begin() + static_cast<std::ptrdiff_t>(i) + 1, records.end()});
         }
         bytes += encode_record(r, 0);
     }
-    return bytes.empty() ? result_code::ok : write_and_sync(bytes);
+    return bytes.empty() ? result_code::ok : write_batch(bytes);
 }
 
 result_code raft_store::rewrite(const raft::record& first, const std::vector<raft::record>& rest) {
@@ -236,7 +286,7 @@
     std::vector<raft::record> all = old.records;
     all.push_back(first);
     const raft::recovered_state kept = replay_records(all);
-    std::string bytes = encode_record({}, node_);
+    std::string bytes = encode_mark(0) + encode_record({}, node_);
     bytes += encode_record({.hard = hard_, .log_entry = {}, .snap = {}}, 0);
     bytes += encode_record({.hard = {}, .log_entry = {}, .snap = kept.snap}, 0);
     for (const raft::entry& e : kept.log) {
--- a/src/io/raft_store.hpp
+++ b/src/io/raft_store.hpp
@@ -1,9 +1,12 @@
 // The control log on disk: one file of checksummed records, appended and synced.
 //
-// File `control.log` in the data folder: a record is a length, a CRC-32 and a protobuf raft_record. The
-// first record names the node. A record cut short at the end of the file was never answered for and is cut
-// off; damage before the end means the disk lied, and the store refuses to open. A snapshot rewrites the
-// file under another name and renames it.
+// File `control.log` in the data folder: batches, one for each append. A batch is a mark with the offset it
+// stands at, and records: a length, a CRC-32 and a protobuf raft_record. The first record of the file names
+// the node. A snapshot rewrites the file under another name and renames it.
+//
+// A batch is written once the one before it is synced. So where bytes are bad and no mark stands behind them,
+// they are of the last batch, which a loss of power may leave in any part and nobody was answered for: they
+// are cut off. Bad bytes before a mark had been synced; then the disk lied, and the store refuses to open.
 //
 // open() and append() touch the disk and may take milliseconds: append() is called from a worker.
 #pragma once
@@ -49,7 +52,8 @@
 
 private:
     boost::leaf::result<recovered_store> read_back(raft::node_id identity);
-    result_code write_and_sync(const std::string& bytes);
+    result_code write_batch(const std::string& records);
+    result_code cut_off_after(std::uint64_t bytes);
     result_code rewrite(const raft::record& first, const std::vector<raft::record>& rest);
 
     std::string folder_;
@@ -59,14 +63,15 @@
     raft::hard_state hard_; // newest, repeated when the file is rewritten
 };
 
-// The bytes of records as the file holds them, and back; for tests and fuzzing.
+// The bytes of a batch's mark and of records as the file holds them, and back; for tests and fuzzing.
+std::string encode_mark(std::uint64_t offset);
 std::string encode_record(const raft::record& r, raft::node_id node);
 
 struct decoded_log {
     raft::node_id node = 0;
     std::vector<raft::record> records;
     std::size_t good_bytes = 0; // up to the end of the last whole record
-    bool damaged = false;       // something other than a cut-off end follows
+    bool damaged = false;       // bytes behind it were synced and cannot be read
 };
 decoded_log decode_log(const std::string& bytes);
 
--- a/tests/io_test.cpp
+++ b/tests/io_test.cpp
@@ -109,24 +109,87 @@
     }
 }
 
-TEST(log, damage_before_the_end_is_refused) {
+TEST(log, damage_of_what_was_synced_is_refused) {
     const log_folder folder;
     {
         raft_store store;
         ASSERT_TRUE(store.open(folder.path));
-        store.append({entry_record(1, 1, "first"), entry_record(2, 1, "second")});
+        store.append({entry_record(1, 1, "first")});
+        store.append({entry_record(2, 1, "second")});
+    }
+    const std::string whole = read_file(folder.file());
+    const std::size_t first_end =
+        whole.size() - encode_mark(0).size() - encode_record(entry_record(2, 1, "second"), 0).size();
+    for (std::size_t at = 0; at < first_end; ++at) {
+        std::string bytes = whole;
+        bytes[at] = static_cast<char>(bytes[at] ^ 1);
+        std::ofstream(folder.file(), std::ios::binary | std::ios::trunc) << bytes;
+        const auto code = leaf::try_handle_all(
+            [&]() -> leaf::result<result_code> {
+                raft_store store;
+                BOOST_LEAF_CHECK(store.open(folder.path));
+                return result_code::ok;
+            },
+            [](result_code c) { return c; }, [] { return result_code::ok; });
+        EXPECT_EQ(code, result_code::log_damaged) << at;
+    }
+}
+
+// Bytes of the file as a loss of power may leave them: those from `synced` on were written and not synced, so
+// each block of theirs is there or reads as zeros, and the file ends anywhere among them.
+std::string tear(const std::string& whole, std::size_t synced) {
+    constexpr std::size_t block_bytes = 512;
+    std::string torn = whole;
+    for (std::size_t block = synced / block_bytes; block * block_bytes < torn.size(); ++block) {
+        const std::size_t begin = std::max(synced, block * block_bytes);
+        const std::size_t end = std::min(torn.size(), (block + 1) * block_bytes);
+        if (!*rc::gen::arbitrary<bool>()) {
+            std::fill(torn.begin() + static_cast<std::ptrdiff_t>(begin),
+                      torn.begin() + static_cast<std::ptrdiff_t>(end), '\0');
+        }
     }
-    std::string bytes = read_file(folder.file());
-    bytes[bytes.size() - 30] = static_cast<char>(bytes[bytes.size() - 30] ^ 1);
-    std::ofstream(folder.file(), std::ios::binary | std::ios::trunc) << bytes;
-    const auto code = leaf::try_handle_all(
-        [&]() -> leaf::result<result_code> {
+    torn.resize(*rc::gen::inRange(synced, whole.size() + 1));
+    return torn;
+}
+
+// An instance refused to start for good after a loss of power that tore its last write, which nobody had been
+// answered for.
+TEST(log, a_write_torn_by_a_loss_of_power_is_cut_off_and_what_was_synced_is_kept) {
+    EXPECT_TRUE(rc::check([] {
+        const log_folder folder;
+        const auto sizes = *rc::gen::container<std::vector<std::size_t>>(rc::gen::inRange(0, 3000));
+        raft::node_id node = 0;
+        std::size_t synced = 0;
+        {
             raft_store store;
-            BOOST_LEAF_CHECK(store.open(folder.path));
-            return result_code::ok;
-        },
-        [](result_code c) { return c; }, [] { return result_code::ok; });
-    EXPECT_EQ(code, result_code::log_damaged);
+            const auto opened = store.open(folder.path);
+            RC_ASSERT(opened.has_value());
+            node = opened.value().node;
+            RC_ASSERT(store.append({entry_record(1, 1, std::string(700, 'a')), entry_record(2, 1, "b")}) ==
+                      result_code::ok);
+            synced = std::filesystem::file_size(folder.file());
+            std::vector<raft::record> last{entry_record(3, 1, "c")};
+            for (const std::size_t size : sizes) {
+                last.push_back(entry_record(last.size() + 3, 1, std::string(size, 'x')));
+            }
+            RC_ASSERT(store.append(last) == result_code::ok);
+        }
+        const std::string torn = tear(read_file(folder.file()), synced);
+        std::ofstream(folder.file(), std::ios::binary | std::ios::trunc) << torn;
+        raft_store again;
+        const auto opened = again.open(folder.path);
+        RC_ASSERT(opened.has_value());
+        RC_ASSERT(opened.value().node == node);
+        RC_ASSERT(opened.value().state.log.size() >= 2U);
+        RC_ASSERT(opened.value().state.log[1].command == "b");
+        const std::size_t kept = opened.value().state.log.size();
+        RC_ASSERT(again.append({entry_record(kept + 1, 2, "next")}) == result_code::ok);
+        raft_store third;
+        const auto reopened = third.open(folder.path);
+        RC_ASSERT(reopened.has_value());
+        RC_ASSERT(reopened.value().state.log.size() == kept + 1);
+        RC_ASSERT(reopened.value().state.log.back().command == "next");
+    }));
 }
 
 TEST(log, a_snapshot_drops_what_does_not_follow_it) {
