Control log: a rewrite that loses power or its folder's sync keeps the log

Cause, two of one class (a name that is not durable is taken for one that is): - open() removed control.log.new without looking whether control.log is there. Names that were created, renamed or removed since the folder's last sync may be kept or lost one by one, so the log may be there under its first name only. - after a rename whose folder could not be synced, the store went on appending to the old file, which has no name any more; and nothing would have synced the new name before the next rewrite.

Evidence: log.is_found_under_the_name_that_a_rewrite_gave_it and log.goes_on_in_the_renamed_file_when_its_folder_could_not_be_synced failed on the store as it was. Why it works: the new file is whole and synced before its rename, so where there is no other log it is the log; and no batch counts as kept before the name of the file that it is in is synced.

--- a/src/io/raft_store.cpp
+++ b/src/io/raft_store.cpp
@@ -207,17 +207,33 @@
     folder_ = folder;
     std::error_code error;
     std::filesystem::create_directories(folder, error);
-    std::filesystem::remove(folder + "/" + new_log_name, error);
-    const std::string path = folder + "/" + log_name;
-    file_ = ::open(path.c_str(), O_RDWR | O_CREAT | O_APPEND | O_CLOEXEC, S_IRUSR | S_IWUSR);
+    keep_one_log();
+    file_ = ::open(log_path().c_str(), O_RDWR | O_CREAT | O_APPEND | O_CLOEXEC, S_IRUSR | S_IWUSR);
     if (file_ < 0) {
         return leaf::new_error(result_code::data_folder_unusable);
     }
     return read_back(identity);
 }
 
+std::string raft_store::log_path() const {
+    return folder_ + "/" + log_name;
+}
+
+// A rewrite renames a synced file, and a loss of power may keep the end of the old name without the new one:
+// then the log is there under the name that it was written under. Beside a log that file may be of any
+// length.
+void raft_store::keep_one_log() const {
+    const std::string new_path = folder_ + "/" + new_log_name;
+    std::error_code error;
+    if (std::filesystem::exists(log_path(), error)) {
+        std::filesystem::remove(new_path, error);
+    } else {
+        std::filesystem::rename(new_path, log_path(), error);
+    }
+}
+
 leaf::result<recovered_store> raft_store::read_back(raft::node_id identity) {
-    const std::string bytes = read_file(folder_ + "/" + log_name);
+    const std::string bytes = read_file(log_path());
     decoded_log log = decode_log(bytes);
     if (log.damaged) {
         return leaf::new_error(result_code::log_damaged);
@@ -240,12 +256,18 @@
     if (found.is_new && write_batch(encode_record({}, node_)) != result_code::ok) {
         return leaf::new_error(result_code::data_folder_unusable);
     }
-    if (!sync_folder(folder_)) {
+    if (!sync_name()) {
         return leaf::new_error(result_code::data_folder_unusable);
     }
     return found;
 }
 
+// Nothing is kept by a file whose name a loss of power may take away.
+bool raft_store::sync_name() {
+    name_synced_ = name_synced_ || sync_folder(folder_);
+    return name_synced_;
+}
+
 // Synced at once: what was cut off must not be back behind the next batch after another loss of power.
 result_code raft_store::cut_off_after(std::uint64_t bytes) {
     const bool done = ::ftruncate(file_, static_cast<off_t>(bytes)) == 0 && ::fdatasync(file_) == 0;
@@ -255,8 +277,8 @@
 result_code raft_store::write_batch(const std::string& records) {
     const std::string bytes = encode_mark(static_cast<std::uint64_t>(good_bytes_)) + records;
     // Also after an earlier failure: a part of what was refused then may be in the file.
-    const bool done =
-        ::ftruncate(file_, good_bytes_) == 0 && write_all(file_, bytes) && ::fdatasync(file_) == 0;
+    const bool done = sync_name() && ::ftruncate(file_, good_bytes_) == 0 && write_all(file_, bytes) &&
+                      ::fdatasync(file_) == 0;
     good_bytes_ += done ? static_cast<off_t>(bytes.size()) : 0;
     return done ? result_code::ok : result_code::data_folder_unusable;
 }
@@ -282,7 +304,7 @@
 }
 
 result_code raft_store::rewrite(const raft::record& first, const std::vector<raft::record>& rest) {
-    const decoded_log old = decode_log(read_file(folder_ + "/" + log_name));
+    const decoded_log old = decode_log(read_file(log_path()));
     std::vector<raft::record> all = old.records;
     all.push_back(first);
     const raft::recovered_state kept = replay_records(all);
@@ -299,14 +321,18 @@
         return result_code::data_folder_unusable;
     }
     const bool written = write_all(file, bytes) && ::fdatasync(file) == 0;
-    const bool renamed = written && ::rename(new_path.c_str(), (folder_ + "/" + log_name).c_str()) == 0;
-    if (!renamed || !sync_folder(folder_)) {
+    if (!written || ::rename(new_path.c_str(), log_path().c_str()) != 0) {
         ::close(file);
         return result_code::data_folder_unusable;
     }
+    // From here on this is the log, whether or not its name is durable yet: the old file has none.
     ::close(file_);
     file_ = file;
     good_bytes_ = static_cast<off_t>(bytes.size());
+    name_synced_ = false;
+    if (!sync_name()) {
+        return result_code::data_folder_unusable;
+    }
     return append(rest);
 }
 
--- a/src/io/raft_store.hpp
+++ b/src/io/raft_store.hpp
@@ -51,6 +51,9 @@
     result_code append(const std::vector<raft::record>& records);
 
 private:
+    [[nodiscard]] std::string log_path() const;
+    void keep_one_log() const;
+    bool sync_name();
     boost::leaf::result<recovered_store> read_back(raft::node_id identity);
     result_code write_batch(const std::string& records);
     result_code cut_off_after(std::uint64_t bytes);
@@ -58,7 +61,8 @@
 
     std::string folder_;
     int file_ = -1;
-    off_t good_bytes_ = 0; // of the file; what follows was refused in part, and is cut off
+    off_t good_bytes_ = 0;     // of the file; what follows was refused in part, and is cut off
+    bool name_synced_ = false; // of the file, in its folder
     raft::node_id node_ = 0;
     raft::hard_state hard_; // newest, repeated when the file is rewritten
 };
--- a/tests/io_test.cpp
+++ b/tests/io_test.cpp
@@ -19,6 +19,7 @@
 #include <rapidcheck.h>
 
 #include <sys/resource.h>
+#include <unistd.h>
 
 #include <atomic>
 #include <csignal>
@@ -228,6 +229,59 @@
     EXPECT_EQ(opened.value().state.log.size(), 2U);
 }
 
+const raft::record whole_snapshot{.hard = {},
+                                  .log_entry = {},
+                                  .snap =
+                                      raft::snapshot{.index = 1, .term = 1, .config = {}, .data = "state"}};
+
+// An instance came back with a new identity after a loss of power in the middle of a rewrite: the log's old
+// name was gone and its new one not there yet.
+TEST(log, is_found_under_the_name_that_a_rewrite_gave_it) {
+    const log_folder folder;
+    raft::node_id node = 0;
+    {
+        raft_store store;
+        const auto opened = store.open(folder.path);
+        ASSERT_TRUE(opened.has_value());
+        node = opened.value().node;
+        ASSERT_EQ(store.append({entry_record(1, 1, "a"), whole_snapshot}), result_code::ok);
+    }
+    std::filesystem::rename(folder.file(), folder.file() + ".new");
+    raft_store again;
+    const auto opened = again.open(folder.path);
+    ASSERT_TRUE(opened.has_value());
+    EXPECT_EQ(opened.value().node, node);
+    EXPECT_EQ(opened.value().state.snap.data, "state");
+}
+
+// What was appended after a rewrite whose folder could not be synced went into a file without a name, and was
+// gone after the next start.
+TEST(log, goes_on_in_the_renamed_file_when_its_folder_could_not_be_synced) {
+    const log_folder folder;
+    {
+        raft_store store;
+        ASSERT_TRUE(store.open(folder.path).has_value());
+        ASSERT_EQ(store.append({entry_record(1, 1, "a")}), result_code::ok);
+        rlimit before{};
+        ::getrlimit(RLIMIT_NOFILE, &before);
+        // One more file may be open: the new log, and then not its folder.
+        const int next = ::dup(0);
+        ::close(next);
+        rlimit one_more = before;
+        one_more.rlim_cur = static_cast<rlim_t>(next) + 1;
+        ::setrlimit(RLIMIT_NOFILE, &one_more);
+        const result_code refused = store.append({whole_snapshot});
+        ::setrlimit(RLIMIT_NOFILE, &before);
+        EXPECT_EQ(refused, result_code::data_folder_unusable);
+        EXPECT_EQ(store.append({entry_record(2, 1, "b")}), result_code::ok);
+    }
+    raft_store again;
+    const auto opened = again.open(folder.path);
+    ASSERT_TRUE(opened.has_value());
+    ASSERT_EQ(opened.value().state.log.size(), 1U);
+    EXPECT_EQ(opened.value().state.log[0].command, "b");
+}
+
 // A disk that is full for a while: what it refused is not in the file, not even in part, and may be sent
 // again.
 TEST(log, goes_on_after_a_disk_was_full) {
