Control log: one that cannot be read is not taken for an empty one

What callers would have seen: a control instance that starts while descriptors are short gives itself a new identity and cuts its log to nothing; three of five such starts and control is gone for good.

Cause: read_file() returned what it got, nothing in the worst case, without an error. Evidence: log.that_cannot_be_read_is_not_taken_for_an_empty_one failed before.

--- a/src/io/raft_store.cpp
+++ b/src/io/raft_store.cpp
@@ -15,7 +15,6 @@
 #include <fstream>
 #include <optional>
 #include <random>
-#include <sstream>
 
 namespace larchpin {
 
@@ -117,11 +116,14 @@
     return synced;
 }
 
-std::string read_file(const std::string& path) {
+// The whole file, or nothing: a part of a log would pass for a shorter one.
+std::optional<std::string> read_file(const std::string& path) {
+    std::error_code error;
+    const auto size = std::filesystem::file_size(path, error);
     std::ifstream stream(path, std::ios::binary);
-    std::ostringstream bytes;
-    bytes << stream.rdbuf();
-    return bytes.str();
+    std::string bytes(error ? 0 : size, '\0');
+    stream.read(bytes.data(), static_cast<std::streamsize>(bytes.size()));
+    return error || !stream ? std::nullopt : std::optional{std::move(bytes)};
 }
 
 // The entries after a snapshot stay only where the log held the snapshot's last entry itself: what followed
@@ -233,13 +235,16 @@
 }
 
 leaf::result<recovered_store> raft_store::read_back(raft::node_id identity) {
-    const std::string bytes = read_file(log_path());
-    decoded_log log = decode_log(bytes);
+    const auto bytes = read_file(log_path());
+    if (!bytes) {
+        return leaf::new_error(result_code::data_folder_unusable);
+    }
+    const decoded_log log = decode_log(*bytes);
     if (log.damaged) {
         return leaf::new_error(result_code::log_damaged);
     }
     recovered_store found;
-    if (log.good_bytes < bytes.size() && cut_off_after(log.good_bytes) != result_code::ok) {
+    if (log.good_bytes < bytes->size() && cut_off_after(log.good_bytes) != result_code::ok) {
         return leaf::new_error(result_code::data_folder_unusable);
     }
     found.is_new = log.node == 0;
@@ -250,7 +255,7 @@
     found.node = node_;
     found.state = replay_records(log.records);
     found.file_bytes = log.good_bytes;
-    found.dropped_bytes = bytes.size() - log.good_bytes;
+    found.dropped_bytes = bytes->size() - log.good_bytes;
     good_bytes_ = static_cast<off_t>(log.good_bytes);
     hard_ = found.state.hard;
     if (found.is_new && write_batch(encode_record({}, node_)) != result_code::ok) {
@@ -304,8 +309,11 @@
 }
 
 result_code raft_store::rewrite(const raft::record& first, const std::vector<raft::record>& rest) {
-    const decoded_log old = decode_log(read_file(log_path()));
-    std::vector<raft::record> all = old.records;
+    const auto old = read_file(log_path());
+    if (!old || old->size() < static_cast<std::size_t>(good_bytes_)) {
+        return result_code::data_folder_unusable;
+    }
+    std::vector<raft::record> all = decode_log(*old).records;
     all.push_back(first);
     const raft::recovered_state kept = replay_records(all);
     std::string bytes = encode_mark(0) + encode_record({}, node_);
