Listeners: one that is short of descriptors pauses, in place of a loop that does nothing else

Cause: all three accept loops (between our processes, callers, the platform's calls) took every error for a moment's. Class: a failure that is answered by the same work at once. Evidence: peers.a_server_short_of_descriptors_... failed before (1,000 of 1,000 handlers run were the loop's own) and passes now. Change: io/listener, one copy for the three; a failed attempt is logged (accept_failed) and made again after 50 ms.

--- a/src/daemon/entry.cpp
+++ b/src/daemon/entry.cpp
@@ -23,8 +23,9 @@
              const backend_driver& d, connection_loans& l, rate_limiter& r, session_maker make_session)
     : io(context), config(s), cluster(a), pools(p), counts(m), driver(d), loans(l), limits(r),
       random(std::random_device{}()), make_session_(std::move(make_session)),
-      acceptor_(context, parse_endpoint(s.entry_listen).value_or(tcp::endpoint{})), drain_timer_(context),
-      lease_timer_(context) {
+      listener_(context, parse_endpoint(s.entry_listen).value_or(tcp::endpoint{}),
+                [this](tcp::socket socket) { start_session(std::move(socket)); }),
+      drain_timer_(context), lease_timer_(context) {
     if (!config.tls_certificate.empty()) {
         tls = std::make_unique<asio::ssl::context>(asio::ssl::context::tls_server);
         tls->use_certificate_chain_file(config.tls_certificate);
@@ -36,23 +37,14 @@
         follow_table();
         wake_waiting();
     };
-    accept();
 }
 
-void entry::accept() {
-    acceptor_.async_accept([this](const boost::system::error_code& error, tcp::socket socket) {
-        if (error == asio::error::operation_aborted) {
-            return;
-        }
-        if (!error) {
-            const session_number number = next_number_++;
-            const auto secret = static_cast<std::uint32_t>(random());
-            const session_handle session = make_session_(*this, number, secret, std::move(socket));
-            sessions_[number] = session;
-            session.start();
-        }
-        accept();
-    });
+void entry::start_session(tcp::socket socket) {
+    const session_number number = next_number_++;
+    const auto secret = static_cast<std::uint32_t>(random());
+    const session_handle session = make_session_(*this, number, secret, std::move(socket));
+    sessions_[number] = session;
+    session.start();
 }
 
 void entry::remove(session_number number) {
@@ -194,8 +186,7 @@
             session.close();
         }
         log_event(severity::info, "drain_ended", {{"cut", static_cast<std::uint64_t>(cut)}});
-        boost::system::error_code ignored;
-        acceptor_.close(ignored);
+        listener_.close();
         const auto done = std::move(on_drained_);
         on_drained_ = nullptr;
         done(cut);
--- a/src/daemon/entry.hpp
+++ b/src/daemon/entry.hpp
@@ -6,6 +6,7 @@
 #include "daemon/pools.hpp"
 #include "daemon/rate_limiter.hpp"
 #include "daemon/request_path.hpp"
+#include "io/listener.hpp"
 #include "io/metrics.hpp"
 #include "io/settings.hpp"
 
@@ -72,7 +73,7 @@
     void note_waiting(session_number number) { waiting_.insert(number); }
 
 private:
-    void accept();
+    void start_session(boost::asio::ip::tcp::socket socket);
     void wake_waiting();
     void follow_table();
     void stop_sessions();
@@ -81,7 +82,7 @@
     void check_drained();
 
     session_maker make_session_;
-    boost::asio::ip::tcp::acceptor acceptor_;
+    listener listener_;
     std::unordered_map<session_number, session_handle> sessions_;
     std::set<session_number> waiting_; // requests that wait for news
     session_number next_number_ = 1;
--- a/src/io/http2.cpp
+++ b/src/io/http2.cpp
@@ -4,6 +4,7 @@
 //   [server]  [client]
 #include "io/clock.hpp"
 #include "io/http2_internal.hpp"
+#include "io/listener.hpp"
 #include "io/log.hpp"
 
 #include <boost/asio/post.hpp>
@@ -11,6 +12,7 @@
 
 #include <deque>
 #include <map>
+#include <optional>
 #include <vector>
 
 namespace larchpin {
@@ -34,23 +36,12 @@
 //-----------------------------------------------------------------------------
 
 struct http2_server::implementation : std::enable_shared_from_this<http2_server::implementation> {
-    implementation(asio::io_context& io, const tcp::endpoint& at, const shared_keys& shared, http_handler h)
-        : acceptor(io, at), keys(shared), handler(std::move(h)) {}
-
-    void accept() {
-        auto self = shared_from_this();
-        acceptor.async_accept([self](const boost::system::error_code& error, tcp::socket socket) {
-            if (error == asio::error::operation_aborted) {
-                return;
-            }
-            if (!error && self->connections.size() < max_server_connections) {
-                self->add(std::move(socket));
-            }
-            self->accept();
-        });
-    }
+    implementation(const shared_keys& shared, http_handler h) : keys(shared), handler(std::move(h)) {}
 
     void add(tcp::socket socket) {
+        if (connections.size() >= max_server_connections) {
+            return;
+        }
         const std::uint64_t id = next_id++;
         std::weak_ptr<implementation> weak = weak_from_this();
         auto connection = std::make_shared<http2_connection>(
@@ -96,7 +87,7 @@
         });
     }
 
-    tcp::acceptor acceptor;
+    std::optional<listener> accepting;
     shared_keys keys;
     http_handler handler;
     std::map<std::uint64_t, std::shared_ptr<http2_connection>> connections;
@@ -105,13 +96,16 @@
 
 http2_server::http2_server(asio::io_context& io, const tcp::endpoint& at, const shared_keys& keys,
                            http_handler handler)
-    : self_(std::make_shared<implementation>(io, at, keys, std::move(handler))) {
-    self_->accept();
+    : self_(std::make_shared<implementation>(keys, std::move(handler))) {
+    self_->accepting.emplace(io, at, [weak = std::weak_ptr(self_)](tcp::socket socket) {
+        if (auto self = weak.lock()) {
+            self->add(std::move(socket));
+        }
+    });
 }
 
 http2_server::~http2_server() {
-    boost::system::error_code ignored;
-    self_->acceptor.close(ignored);
+    self_->accepting->close();
     const auto connections = self_->connections;
     for (const auto& [id, connection] : connections) {
         connection->close();
--- a/tests/io_test.cpp
+++ b/tests/io_test.cpp
@@ -13,6 +13,7 @@
 #include "io/raft_store.hpp"
 #include "io/settings.hpp"
 #include "io/workers.hpp"
+#include "ports.hpp"
 
 #include <boost/leaf/handle_errors.hpp>
 #include <gtest/gtest.h>
@@ -471,6 +472,41 @@
     EXPECT_EQ(accepted.size(), 2U);
 }
 
+// An instance that was short of descriptors tried to accept again and again, and did nothing else, so that no
+// connection was closed either.
+TEST(peers, a_server_short_of_descriptors_goes_on_with_its_other_work_and_accepts_later) {
+    using tcp = boost::asio::ip::tcp;
+    const shared_keys keys{.keys = {std::string(40, 'k')}};
+    boost::asio::io_context io(1);
+    const tcp::endpoint at(boost::asio::ip::make_address("127.0.0.1"),
+                           static_cast<std::uint16_t>(testing::free_port()));
+    const http2_server server(io, at, keys, [](const http_request&, const http_respond& respond) {
+        respond({.status = 200, .body = {}});
+    });
+    tcp::socket caller(io);
+    caller.connect(at);
+    rlimit before{};
+    ::getrlimit(RLIMIT_NOFILE, &before);
+    const int next = ::dup(0);
+    ::close(next);
+    rlimit none_more = before;
+    none_more.rlim_cur = static_cast<rlim_t>(next);
+    ::setrlimit(RLIMIT_NOFILE, &none_more);
+    constexpr int many = 1000;
+    int handled = 0;
+    while (handled < many && io.poll_one() != 0) {
+        ++handled;
+    }
+    ::setrlimit(RLIMIT_NOFILE, &before);
+    EXPECT_LT(handled, many);
+    bool answered = false;
+    http2_client client(io, at, keys);
+    client.post("/v1/x", "", std::chrono::minutes{1}, [&answered](const http_outcome&) { answered = true; });
+    while (!answered) {
+        io.run_one();
+    }
+}
+
 //-----------------------------------------------------------------------------
 // [settings]
 //-----------------------------------------------------------------------------
