Control: an instance whose time of day went back gets its lease again once its earlier life is over

What callers would have seen: an instance that starts again after its clock was set back (clock_step) is refused as an earlier life of itself, without end, until control changes its leader; so are its requests for the workspaces' rates.

Cause: lives are ordered by the time of day at their start, and a lower one was never believed. The comment in the agent said that control waits out the old lease; control did not. Now it does: a lower number counts once the known life holds no lease and has been silent for one. Leases of the known life stay counted, as with every new life, so nothing is granted that was not before.

--- a/src/core/control.cpp
+++ b/src/core/control.cpp
@@ -231,6 +231,13 @@
 // [renewals]
 //-----------------------------------------------------------------------------
 
+// Lives of an instance are ordered by the time of day at their start. Where that was set back, the next one
+// counts once the known one has been silent for a lease.
+bool is_next_life(const control_state& c, const daemon_state& d, const renewal& r, time_point now) {
+    const bool known_is_over = !has_live_lease(d, now) && now - d.seen_at >= grantor_length(c.config.lease);
+    return r.incarnation > d.incarnation || (r.incarnation < d.incarnation && known_is_over);
+}
+
 // Sent before the daemon acted upon a reply that a later renewal has named. What it claims may be less than
 // the daemon holds by now, and others would be given the difference.
 bool was_overtaken(const daemon_state& d, const renewal& r) {
@@ -322,16 +329,16 @@
                          control_actions& actions) {
     renewal_reply reply;
     daemon_state& d = c.daemons[r.instance.id];
-    if (r.incarnation < d.incarnation) {
-        reply.code = result_code::bad_message; // an earlier life of this instance
-        return reply;
-    }
-    if (r.incarnation > d.incarnation) {
+    if (is_next_life(c, d, r, now)) {
         const auto leases = d.leases; // the earlier life may not be dead yet, only slow
         d = daemon_state{};
         d.leases = leases;
         d.incarnation = r.incarnation;
+        c.rates.callers.erase(r.instance.id);
         forget_holder(c.shares, number_holder(c.shares, r.instance.id));
+    } else if (r.incarnation != d.incarnation) {
+        reply.code = result_code::bad_message; // an earlier life of this instance
+        return reply;
     }
     d.number = number_holder(c.shares, r.instance.id);
     d.domain = r.instance.domain;
--- a/tests/control_test.cpp
+++ b/tests/control_test.cpp
@@ -51,6 +51,7 @@
     }
 
     bool takes_callers = true; // of whoever renews next
+    std::uint64_t incarnation = 1;
     renewal_reply renew(const std::string& daemon, const std::vector<server_announcement>& announced = {},
                         const std::vector<server_observation>& seen = {},
                         const std::vector<share_claim>& claims = {}) {
@@ -59,7 +60,7 @@
                       .domain = {"d-" + daemon},
                       .address = "127.0.0.1:1",
                       .takes_callers = takes_callers};
-        r.incarnation = 1;
+        r.incarnation = incarnation;
         r.applied = cluster.revision;
         r.last_reply_seq = seqs[r.instance.id];
         r.announcements = announced;
@@ -1093,6 +1094,21 @@
     EXPECT_GT(s.renew("x").lease, duration{0});
 }
 
+// An instance that started again after its time of day had been set back got no lease, and served nothing,
+// until control changed its leader.
+TEST(leases, of_an_instance_whose_clock_went_back_are_given_once_its_earlier_life_is_over) {
+    control_site s = make_site();
+    s.incarnation = 5;
+    EXPECT_GT(s.renew("x").lease, duration{0});
+    s.incarnation = 4;
+    s.seqs.clear();
+    EXPECT_EQ(s.renew("x").code, result_code::bad_message) << "the other life may hold a lease";
+    s.now += std::chrono::seconds{2};
+    const renewal_reply reply = s.renew("x");
+    EXPECT_EQ(reply.code, result_code::ok);
+    EXPECT_GT(reply.lease, duration{0});
+}
+
 TEST(shares_of_connections, leave_room_for_probes) {
     control_site s = make_site();
     s.control.config.kept_connections = 4;
