--- a/src/daemon/consensus_log.cpp
+++ b/src/daemon/consensus_log.cpp
@@ -3,6 +3,9 @@
 #include "core/raft.hpp"
 #include "io/log.hpp"
 
+#include <algorithm>
+#include <string>
+
 namespace larchpin {
 namespace {
 
--- a/src/io/raft_store.cpp
+++ b/src/io/raft_store.cpp
@@ -274,7 +274,7 @@
 }
 
 // Synced at once: what was cut off must not be back behind the next batch after another loss of power.
-result_code raft_store::cut_off_after(std::uint64_t bytes) {
+result_code raft_store::cut_off_after(std::uint64_t bytes) const {
     const bool done = ::ftruncate(file_, static_cast<off_t>(bytes)) == 0 && ::fdatasync(file_) == 0;
     return done ? result_code::ok : result_code::data_folder_unusable;
 }
--- a/src/io/raft_store.hpp
+++ b/src/io/raft_store.hpp
@@ -56,7 +56,7 @@
     bool sync_name();
     boost::leaf::result<recovered_store> read_back(raft::node_id identity);
     result_code write_batch(const std::string& records);
-    result_code cut_off_after(std::uint64_t bytes);
+    [[nodiscard]] result_code cut_off_after(std::uint64_t bytes) const;
     result_code rewrite(const raft::record& first, const std::vector<raft::record>& rest);
 
     std::string folder_;
--- a/tests/cluster_losses.cpp
+++ b/tests/cluster_losses.cpp
@@ -96,7 +96,7 @@
         start_control(order[n], empty_disk);
         controls_[order[n]].frozen_until = now_ + duration{std::chrono::milliseconds{number(300)}};
     }
-    const std::string not_recovered = run_until_healthy();
+    std::string not_recovered = run_until_healthy();
     if (!not_recovered.empty()) {
         return not_recovered;
     }
