--- a/src/core/control.cpp
+++ b/src/core/control.cpp
@@ -139,8 +139,8 @@
 }
 
 // Whoever may still hold connections by an earlier leader's word has told this one. Instances without callers
-// hold none, so one that is gone for good, as a replaced control instance is, need not be waited out. With
-// that wait the first answer after a restart of everything came 0.6 s after the first lease (measured once).
+// hold none, so one that is gone for good, as a replaced control instance is, need not be waited out: that
+// would take the length of a lease at each start.
 bool knows_all_holders(const control_state& c, const cluster_state& s, time_point now) {
     if (!c.leading || outlived_earlier_leases(c, now)) {
         return c.leading;
--- a/src/core/lenders.cpp
+++ b/src/core/lenders.cpp
@@ -5,13 +5,12 @@
 namespace larchpin {
 namespace {
 
-// A lender that did not answer is left alone for so long: a restart takes 0.3 s (measured on the platform).
+// A lender that did not answer is left alone for so long: longer than a restart takes.
 constexpr duration silent_pause = std::chrono::milliseconds{500};
 // Three in the time that a lender which has started again needs to be found (0.3 s).
 constexpr duration ping_interval = std::chrono::milliseconds{100};
 // A lender without a connection tries for one every 50 to 200 ms (core/pool). Asked by each request
-// meanwhile, seven instances got 4,500 loans a second on a quarter of a core each (measured after a loss of
-// power).
+// meanwhile, it would spend its processor on refusals.
 constexpr duration without_pause = std::chrono::milliseconds{100};
 
 // Between two failure domains a round trip takes a few milliseconds; more than this beyond the quickest is
--- a/src/core/raft.cpp
+++ b/src/core/raft.cpp
@@ -15,7 +15,7 @@
 
 constexpr std::size_t max_open_rounds = 256;
 // Longer than a vote takes (two syncs of 2 to 5 ms and a round trip), so that the first one is done before
-// the next one stands; processes of one failure start within 10 to 110 ms (measured).
+// the next one stands.
 constexpr duration first_election_step = std::chrono::milliseconds{60};
 // A peer whose disk hangs keeps what it has got, and each copy costs the whole of the entries (a table of 340
 // routes is 100 KB). One that was lost with its connection is missed for as long at most.
--- a/src/core/reachability.hpp
+++ b/src/core/reachability.hpp
@@ -14,7 +14,7 @@
     auto operator<=>(const reachability&) const = default;
 };
 
-// Usual answers take 4 to 150 ms (measured), a queue at a busy server included.
+// Usual answers take 4 to 150 ms, a queue at a busy server included.
 constexpr duration reach_patience = std::chrono::milliseconds{250};
 constexpr duration reach_probe_interval = std::chrono::milliseconds{500};
 
--- a/src/core/routing.hpp
+++ b/src/core/routing.hpp
@@ -93,7 +93,7 @@
     double primary_reluctance = 3.0;
     double far_penalty = 2.0; // factor on the delay of another failure domain
     // A workspace's reads stay with one replica, where its connections are open, until another one is quicker
-    // by this factor. A choice, not measured against others.
+    // by this factor.
     double workspace_loyalty = 2.0;
     // At most this share of the reads goes to a primary that is far better: all others see it idle as well.
     double most_to_primary = 0.5;
--- a/src/core/running_limit.cpp
+++ b/src/core/running_limit.cpp
@@ -12,7 +12,7 @@
 constexpr int forgetting = 1024;
 // Times that an answer takes what it does at an idle server: one statement waits before each that runs.
 constexpr double crowded_stretch = 2.0;
-// Refusals that come within an answer's time (4 to 150 ms measured) tell of the same crowd.
+// Refusals that come within an answer's time (4 to 150 ms) tell of the same crowd.
 constexpr duration cut_pause = std::chrono::milliseconds{150};
 constexpr duration raise_pause = std::chrono::milliseconds{250};
 // While the server is crowded: often enough to find out that the crowd is others'.
--- a/src/daemon/request_path.cpp
+++ b/src/daemon/request_path.cpp
@@ -18,7 +18,7 @@
 constexpr duration failover_wait = std::chrono::seconds{4}; // for a primary, where no patience is stated
 constexpr duration come_back_after = std::chrono::milliseconds{500};
 constexpr duration look_again_after = std::chrono::milliseconds{50};
-// For the primary's position: several round trips and a new connection (15 ms measured).
+// For the primary's position: several round trips and a new connection.
 constexpr duration sample_wait = std::chrono::milliseconds{100};
 // A request that comes to a queue at the end of its patience may still get a connection that opens (15 ms).
 constexpr duration least_queue_time = std::chrono::milliseconds{30};
--- a/tests/io_test.cpp
+++ b/tests/io_test.cpp
@@ -59,6 +59,27 @@
     std::string path;
 };
 
+// While it lives, so many more files may be opened than are open now.
+class few_descriptors {
+public:
+    explicit few_descriptors(rlim_t more) {
+        ::getrlimit(RLIMIT_NOFILE, &before_);
+        const int next = ::dup(0);
+        ::close(next);
+        rlimit few = before_;
+        few.rlim_cur = static_cast<rlim_t>(next) + more;
+        ::setrlimit(RLIMIT_NOFILE, &few);
+    }
+    ~few_descriptors() { ::setrlimit(RLIMIT_NOFILE, &before_); }
+    few_descriptors(const few_descriptors&) = delete;
+    few_descriptors& operator=(const few_descriptors&) = delete;
+    few_descriptors(few_descriptors&&) = delete;
+    few_descriptors& operator=(few_descriptors&&) = delete;
+
+private:
+    rlimit before_{};
+};
+
 raft::record entry_record(std::uint64_t index, std::uint64_t term, const std::string& command) {
     return {.hard = {},
             .log_entry = raft::entry{.index = index, .term = term, .command = command, .config = {}},
@@ -263,16 +284,10 @@
         raft_store store;
         ASSERT_TRUE(store.open(folder.path).has_value());
         ASSERT_EQ(store.append({entry_record(1, 1, "a")}), result_code::ok);
-        rlimit before{};
-        ::getrlimit(RLIMIT_NOFILE, &before);
-        // One more file may be open: the new log, and then not its folder.
-        const int next = ::dup(0);
-        ::close(next);
-        rlimit one_more = before;
-        one_more.rlim_cur = static_cast<rlim_t>(next) + 1;
-        ::setrlimit(RLIMIT_NOFILE, &one_more);
-        store.append({whole_snapshot});
-        ::setrlimit(RLIMIT_NOFILE, &before);
+        {
+            const few_descriptors one_more(1); // for the new log, and then not for its folder
+            store.append({whole_snapshot});
+        }
         EXPECT_EQ(store.append({entry_record(2, 1, "b")}), result_code::ok);
     }
     raft_store again;
@@ -292,17 +307,9 @@
         ASSERT_EQ(store.append({entry_record(1, 1, "a")}), result_code::ok);
     }
     {
-        rlimit before{};
-        ::getrlimit(RLIMIT_NOFILE, &before);
-        const int next = ::dup(0);
-        ::close(next);
-        rlimit one_more = before; // the log may be opened for appending, and not once more for reading
-        one_more.rlim_cur = static_cast<rlim_t>(next) + 1;
-        ::setrlimit(RLIMIT_NOFILE, &one_more);
+        const few_descriptors one_more(1); // for appending, and not for reading as well
         raft_store store;
-        const auto opened = store.open(folder.path);
-        ::setrlimit(RLIMIT_NOFILE, &before);
-        EXPECT_FALSE(opened.has_value());
+        EXPECT_FALSE(store.open(folder.path).has_value());
     }
     raft_store again;
     const auto opened = again.open(folder.path);
@@ -485,19 +492,14 @@
     });
     tcp::socket caller(io);
     caller.connect(at);
-    rlimit before{};
-    ::getrlimit(RLIMIT_NOFILE, &before);
-    const int next = ::dup(0);
-    ::close(next);
-    rlimit none_more = before;
-    none_more.rlim_cur = static_cast<rlim_t>(next);
-    ::setrlimit(RLIMIT_NOFILE, &none_more);
     constexpr int many = 1000;
     int handled = 0;
-    while (handled < many && io.poll_one() != 0) {
-        ++handled;
+    {
+        const few_descriptors none_more(0);
+        while (handled < many && io.poll_one() != 0) {
+            ++handled;
+        }
     }
-    ::setrlimit(RLIMIT_NOFILE, &before);
     EXPECT_LT(handled, many);
     bool answered = false;
     http2_client client(io, at, keys);
