--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -298,7 +298,7 @@
         respond(response);
     });
     load_.note_asked(request.path, request.body.size());
-    load_.tell(now());
+    load_.tell(server_->counts(), now());
 }
 
 void daemon::serve_path(const http_request& request, const http_respond& respond) {
--- a/src/daemon/load_report.cpp
+++ b/src/daemon/load_report.cpp
@@ -23,7 +23,7 @@
     by_path_[path].bytes_out += bytes;
 }
 
-void load_report::tell(time_point now) {
+void load_report::tell(const http2_server_counts& connections, time_point now) {
     if (now - told_at_ < tell_interval) {
         return;
     }
@@ -35,7 +35,12 @@
                    {"bytes_in", load.bytes_in},
                    {"bytes_out", load.bytes_out}});
     }
+    log_event(severity::info, "peer_connections",
+              {{"over_us", to_us(now - told_at_)},
+               {"open", static_cast<std::uint64_t>(connections.open)},
+               {"accepted", connections.accepted - accepted_before_}});
     by_path_.clear();
+    accepted_before_ = connections.accepted;
     told_at_ = now;
 }
 
--- a/src/daemon/rate_limiter.cpp
+++ b/src/daemon/rate_limiter.cpp
@@ -126,6 +126,8 @@
     const std::vector<rate_grant> grants = answered ? from_wire(m) : std::vector<rate_grant>{};
     if (answered) {
         follow_leader(m.leader_term());
+    } else {
+        log_unanswered(o, now() - sent);
     }
     if (grants.size() != asked.size() || m.leader_term() < leader_term_) {
         return; // the next tick asks whoever leads by then
@@ -150,6 +152,20 @@
     }
 }
 
+// Requests that wait for a grant end with no_lease although this instance holds its lease, so the log must
+// tell that control did not answer.
+void rate_limiter::log_unanswered(const http_outcome& o, duration waited) const {
+    std::uint64_t waiting = 0;
+    for (const auto& [id, w] : workspaces_) {
+        waiting += w.waiting.size();
+    }
+    log_event(severity::warning, "rate_request_unanswered",
+              {{"to", cluster_.leader()},
+               {"answered", o.answered},
+               {"waited_ms", std::chrono::duration_cast<std::chrono::milliseconds>(waited).count()},
+               {"waiting", waiting}});
+}
+
 // What an earlier leader gave out counts no more once this daemon tells the new one that it goes by its word.
 void rate_limiter::follow_leader(std::uint64_t term) {
     if (term <= leader_term_) {
--- a/src/daemon/rate_limiter.hpp
+++ b/src/daemon/rate_limiter.hpp
@@ -51,6 +51,7 @@
 
     void ask();
     void on_answer(const http_outcome& o, time_point sent, const std::vector<workspace_id>& asked);
+    void log_unanswered(const http_outcome& o, duration waited) const;
     void follow_leader(std::uint64_t term);
     void serve(limited_workspace& w);
     void refuse_waiting(limited_workspace& w);
--- a/src/io/http2.cpp
+++ b/src/io/http2.cpp
@@ -43,6 +43,7 @@
             return;
         }
         const std::uint64_t id = next_id++;
+        ++accepted;
         std::weak_ptr<implementation> weak = weak_from_this();
         auto connection = std::make_shared<http2_connection>(
             std::move(socket), true,
@@ -92,6 +93,7 @@
     http_handler handler;
     std::map<std::uint64_t, std::shared_ptr<http2_connection>> connections;
     std::uint64_t next_id = 1;
+    std::uint64_t accepted = 0;
 };
 
 http2_server::http2_server(asio::io_context& io, const tcp::endpoint& at, const shared_keys& keys,
@@ -112,6 +114,10 @@
     }
 }
 
+http2_server_counts http2_server::counts() const {
+    return {.open = self_->connections.size(), .accepted = self_->accepted};
+}
+
 //-----------------------------------------------------------------------------
 // [client]
 //-----------------------------------------------------------------------------
@@ -159,6 +165,7 @@
             },
             [weak](http2_connection& from) { fail_streams(from); });
         connection->start();
+        connected_at = now();
         unheard_since = {};
         const auto ready = std::move(waiting);
         waiting.clear();
@@ -241,6 +248,17 @@
         return at - unheard_since >= silence;
     }
 
+    void log_silent_connection(const std::string& path, time_point at) const {
+        const auto to_ms = [](duration d) {
+            return std::chrono::duration_cast<std::chrono::milliseconds>(d).count();
+        };
+        log_event(severity::warning, "peer_connection_silent",
+                  {{"to", to.address().to_string()},
+                   {"path", path},
+                   {"silent_ms", to_ms(at - unheard_since)},
+                   {"connection_age_ms", to_ms(at - connected_at)}});
+    }
+
     // Returns whether anything is still open.
     bool expire() {
         const time_point at = now();
@@ -252,7 +270,7 @@
         }
         std::erase_if(waiting, [at](const waiting_request& r) { return at >= r.deadline; });
         std::vector<std::int32_t> reset;
-        bool silent = false; // nothing came since a request was sent that is late now
+        std::string silent_path; // of a late request since whose sending nothing came
         bool open = !waiting.empty();
         if (connection) {
             for (auto& [id, stream] : connection->streams()) {
@@ -260,7 +278,9 @@
                     late.push_back(std::move(stream.done));
                     stream.done = nullptr;
                     reset.push_back(id);
-                    silent = silent || is_silent_since(stream.sent_at, at);
+                    if (is_silent_since(stream.sent_at, at)) {
+                        silent_path = stream.path;
+                    }
                 }
                 open = open || stream.done != nullptr;
             }
@@ -269,8 +289,8 @@
             }
         }
         // The peer may be gone without a word: its successor would never see what we send on this connection.
-        if (silent) {
-            log_event(severity::warning, "peer_connection_silent", {{"to", to.address().to_string()}});
+        if (!silent_path.empty()) {
+            log_silent_connection(silent_path, at);
             connection->close();
         }
         if (!late.empty() && pending_socket) {
@@ -289,6 +309,7 @@
     duration silence;
     asio::steady_timer timer;
     time_point unheard_since{}; // when the first of the late requests was sent that nothing has come since
+    time_point connected_at{};
     std::shared_ptr<http2_connection> connection;
     std::shared_ptr<tcp::socket> pending_socket;
     std::deque<waiting_request> waiting;
--- a/src/io/http2.hpp
+++ b/src/io/http2.hpp
@@ -59,6 +59,12 @@
 // [server]
 //-----------------------------------------------------------------------------
 
+struct http2_server_counts {
+    std::size_t open = 0;       // connections
+    std::uint64_t accepted = 0; // connections since the start
+    auto operator<=>(const http2_server_counts&) const = default;
+};
+
 class http2_server {
 public:
     // Throws boost::system::system_error where the address cannot be listened to.
@@ -70,6 +76,8 @@
     http2_server(http2_server&&) = delete;
     http2_server& operator=(http2_server&&) = delete;
 
+    [[nodiscard]] http2_server_counts counts() const;
+
 private:
     struct implementation;
     std::shared_ptr<implementation> self_;
--- a/src/io/http2_connection.cpp
+++ b/src/io/http2_connection.cpp
@@ -98,6 +98,7 @@
         return id;
     }
     http2_stream& stream = streams_[id];
+    stream.path = path;
     stream.outgoing = body;
     stream.sent_signature = signature.signature;
     stream.done = done;
