--- a/src/io/http2.cpp
+++ b/src/io/http2.cpp
@@ -219,6 +219,16 @@
         }
     }
 
+    // Their owner is being destroyed, so nobody may be called back.
+    void drop_requests() {
+        waiting.clear();
+        if (connection) {
+            for (auto& [id, stream] : connection->streams()) {
+                stream.done = nullptr;
+            }
+        }
+    }
+
     // One timer for all requests: cheap, and a timeout may be late by the interval.
     void watch_deadlines() {
         if (watching || stopped) {
@@ -326,6 +336,7 @@
 http2_client::~http2_client() {
     self_->stopped = true;
     self_->timer.cancel();
+    self_->drop_requests();
     boost::system::error_code ignored;
     if (self_->pending_socket) {
         self_->pending_socket->close(ignored);
--- a/src/io/http2.hpp
+++ b/src/io/http2.hpp
@@ -99,7 +99,7 @@
     http2_client(http2_client&&) = delete;
     http2_client& operator=(http2_client&&) = delete;
 
-    // The callback runs once, never from inside this call.
+    // The callback runs once, never from inside this call, and not at all after the client was destroyed.
     void post(const std::string& path, const std::string& body, duration timeout, const http_callback& done);
 
 private:
--- a/tests/io_test.cpp
+++ b/tests/io_test.cpp
@@ -479,6 +479,25 @@
     EXPECT_EQ(accepted.size(), 2U);
 }
 
+// Guards against callbacks into an owner whose members are already destroyed: a crash when a process ends.
+TEST(peers, destroyed_client_calls_nobody_back) {
+    using tcp = boost::asio::ip::tcp;
+    boost::asio::io_context io(1);
+    const tcp::acceptor acceptor(io, tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0));
+    int called = 0;
+    {
+        http2_client client(io, acceptor.local_endpoint(), {.keys = {std::string(40, 'k')}});
+        const auto ask = [&] {
+            client.post("/v1/x", "", std::chrono::hours{1}, [&called](const http_outcome&) { ++called; });
+        };
+        ask();
+        io.run_one(); // connected, and the request is sent
+        ask();
+    }
+    io.poll();
+    EXPECT_EQ(called, 0);
+}
+
 // An instance that was short of descriptors tried to accept again and again, and did nothing else, so that no
 // connection was closed either.
 TEST(peers, a_server_short_of_descriptors_goes_on_with_its_other_work_and_accepts_later) {
