--- a/src/io/http2.cpp
+++ b/src/io/http2.cpp
@@ -127,12 +127,15 @@
         std::string path;
         std::string body;
         http_callback done;
+        time_point late_at{};
         time_point deadline{};
     };
 
     implementation(asio::io_context& context, const tcp::endpoint& endpoint, const shared_keys& shared,
-                   duration bearable)
-        : io(context), to(endpoint), keys(shared), silence(bearable), timer(context) {}
+                   duration silence)
+        : io(context), to(endpoint), keys(shared), timer(context) {
+        liveness.min_silence = silence;
+    }
 
     void connect() {
         if (connecting || now() < retry_at) {
@@ -166,7 +169,7 @@
             [weak](http2_connection& from) { fail_streams(from); });
         connection->start();
         connected_at = now();
-        unheard_since = {};
+        record_new_connection(liveness);
         const auto ready = std::move(waiting);
         waiting.clear();
         for (const waiting_request& r : ready) {
@@ -176,13 +179,18 @@
 
     void submit(const waiting_request& r) {
         const signed_nonce signature = sign_request(keys, r.path, r.body);
-        if (connection->submit_request(r.path, r.body, signature, r.done, r.deadline) < 0) {
+        const std::int32_t id = connection->submit_request(r.path, r.body, signature, r.done);
+        if (id >= 0) {
+            http2_stream& stream = connection->streams()[id];
+            stream.late_at = r.late_at;
+            stream.deadline = r.deadline;
+        } else {
             asio::post(io, [done = r.done] { done(http_outcome{}); });
             connection->close(); // out of stream numbers: the next request opens a new connection
         }
     }
 
-    void finish(http2_connection& from, std::int32_t id) const {
+    void finish(http2_connection& from, std::int32_t id) {
         const auto found = from.streams().find(id);
         if (found == from.streams().end() || !found->second.done) {
             return;
@@ -195,6 +203,9 @@
         }
         const http_callback done = std::move(stream.done);
         stream.done = nullptr;
+        if (now() < stream.late_at) {
+            record_timely_answer(liveness);
+        }
         done(outcome);
     }
 
@@ -248,24 +259,14 @@
         });
     }
 
-    // Whether the peer has said nothing since this request was sent, and for as long as is borne.
-    bool is_silent_since(time_point sent_at, time_point at) {
-        const time_point heard = connection->heard_at();
-        if (heard >= sent_at) {
-            return false;
-        }
-        unheard_since = heard >= unheard_since ? sent_at : unheard_since;
-        return at - unheard_since >= silence;
-    }
-
-    void log_silent_connection(const std::string& path, time_point at) const {
+    void log_silent_connection(time_point at) const {
         const auto to_ms = [](duration d) {
             return std::chrono::duration_cast<std::chrono::milliseconds>(d).count();
         };
         log_event(severity::warning, "peer_connection_silent",
                   {{"to", to.address().to_string()},
-                   {"path", path},
-                   {"silent_ms", to_ms(at - unheard_since)},
+                   {"path", late_path},
+                   {"silent_ms", to_ms(at - liveness.unheard_since)},
                    {"connection_age_ms", to_ms(at - connected_at)}});
     }
 
@@ -279,30 +280,9 @@
             }
         }
         std::erase_if(waiting, [at](const waiting_request& r) { return at >= r.deadline; });
-        std::vector<std::int32_t> reset;
-        std::string silent_path; // of a late request since whose sending nothing came
-        bool open = !waiting.empty();
-        if (connection) {
-            for (auto& [id, stream] : connection->streams()) {
-                if (stream.done && at >= stream.deadline) {
-                    late.push_back(std::move(stream.done));
-                    stream.done = nullptr;
-                    reset.push_back(id);
-                    if (is_silent_since(stream.sent_at, at)) {
-                        silent_path = stream.path;
-                    }
-                }
-                open = open || stream.done != nullptr;
-            }
-            for (const std::int32_t id : reset) {
-                connection->reset_stream(id);
-            }
-        }
-        // The peer may be gone without a word: its successor would never see what we send on this connection.
-        if (!silent_path.empty()) {
-            log_silent_connection(silent_path, at);
-            connection->close();
-        }
+        const bool has_open_stream = connection && expire_streams(at, late);
+        check_connection(at);
+        const bool open = has_open_stream || !waiting.empty() || is_in_doubt(liveness);
         if (!late.empty() && pending_socket) {
             boost::system::error_code ignored;
             pending_socket->close(ignored); // the next request tries anew
@@ -313,12 +293,53 @@
         return open || !waiting.empty();
     }
 
+    // Ends the streams whose deadline is over. Returns whether any other is open.
+    bool expire_streams(time_point at, std::vector<http_callback>& late) {
+        bool open = false;
+        std::vector<std::int32_t> reset;
+        for (auto& [id, stream] : connection->streams()) {
+            if (!stream.done) {
+                continue;
+            }
+            if (at >= stream.late_at) {
+                record_late_request(liveness, stream.sent_at, connection->heard_at());
+                late_path = stream.path;
+            }
+            if (at >= stream.deadline) {
+                late.push_back(std::move(stream.done));
+                stream.done = nullptr;
+                reset.push_back(id);
+            }
+            open = open || stream.done != nullptr;
+        }
+        for (const std::int32_t id : reset) {
+            connection->reset_stream(id);
+        }
+        return open;
+    }
+
+    void check_connection(time_point at) {
+        if (!connection || !connection->is_open()) {
+            record_new_connection(liveness);
+            return;
+        }
+        switch (check_liveness(liveness, connection->heard_at(), at)) {
+        case liveness_verdict::alive: break;
+        case liveness_verdict::ping: connection->ping(); break;
+        case liveness_verdict::gone:
+            log_silent_connection(at);
+            record_gone(liveness);
+            connection->close();
+            break;
+        }
+    }
+
     asio::io_context& io;
     tcp::endpoint to;
     shared_keys keys;
-    duration silence;
     asio::steady_timer timer;
-    time_point unheard_since{}; // when the first of the late requests was sent that nothing has come since
+    peer_liveness liveness;
+    std::string late_path; // of the newest late request
     time_point connected_at{};
     std::shared_ptr<http2_connection> connection;
     std::shared_ptr<tcp::socket> pending_socket;
@@ -348,12 +369,21 @@
 
 void http2_client::post(const std::string& path, const std::string& body, duration timeout,
                         const http_callback& done) {
+    post(path, body, http_wait{.timeout = timeout, .late_after = timeout}, done);
+}
+
+void http2_client::post(const std::string& path, const std::string& body, const http_wait& wait,
+                        const http_callback& done) {
     implementation& me = *self_;
-    const implementation::waiting_request request{
-        .path = path, .body = body, .done = done, .deadline = now() + timeout};
+    const time_point at = now();
+    const implementation::waiting_request request{.path = path,
+                                                  .body = body,
+                                                  .done = done,
+                                                  .late_at = at + wait.late_after,
+                                                  .deadline = at + wait.timeout};
     if (me.connection && me.connection->is_open()) {
         me.submit(request);
-    } else if (now() < me.retry_at) {
+    } else if (at < me.retry_at) {
         asio::post(me.io, [done] { done(http_outcome{}); }); // it was refused a moment ago
         return;
     } else {
--- a/src/io/http2.hpp
+++ b/src/io/http2.hpp
@@ -15,6 +15,7 @@
 //   [values]  [server]  [client]
 #pragma once
 
+#include "core/peer_liveness.hpp"
 #include "core/types.hpp"
 #include "io/auth.hpp"
 
@@ -51,6 +52,13 @@
     std::string body;
 };
 
+// How long a request may take, both from its sending.
+struct http_wait {
+    duration timeout{};    // then it ends without an answer
+    duration late_after{}; // then a peer that has sent nothing meanwhile is in doubt (peer_liveness)
+    auto operator<=>(const http_wait&) const = default;
+};
+
 using http_respond = std::function<void(const http_response&)>;
 using http_handler = std::function<void(const http_request&, const http_respond&)>;
 using http_callback = std::function<void(const http_outcome&)>;
@@ -89,10 +97,10 @@
 
 class http2_client {
 public:
-    // A connection is closed when a request is late and nothing has come since it was sent, nor for
-    // `silence`.
+    // `silence` is the time without any bytes, not even the answer to a ping, after which a connection with a
+    // late request is replaced.
     http2_client(boost::asio::io_context& io, const boost::asio::ip::tcp::endpoint& to,
-                 const shared_keys& keys, duration silence = duration{0});
+                 const shared_keys& keys, duration silence = default_peer_silence);
     ~http2_client();
     http2_client(const http2_client&) = delete;
     http2_client& operator=(const http2_client&) = delete;
@@ -100,6 +108,9 @@
     http2_client& operator=(http2_client&&) = delete;
 
     // The callback runs once, never from inside this call, and not at all after the client was destroyed.
+    void post(const std::string& path, const std::string& body, const http_wait& wait,
+              const http_callback& done);
+    // With a request that is late when it times out.
     void post(const std::string& path, const std::string& body, duration timeout, const http_callback& done);
 
 private:
--- a/src/io/http2_clients.hpp
+++ b/src/io/http2_clients.hpp
@@ -14,8 +14,8 @@
 
 class http2_clients {
 public:
-    // A connection on which a request was late is given up once nothing has come for `silence` since then.
-    http2_clients(boost::asio::io_context& io, shared_keys keys, duration silence = duration{0});
+    // `silence` as for http2_client.
+    http2_clients(boost::asio::io_context& io, shared_keys keys, duration silence = default_peer_silence);
 
     // "ip:port"; what is no such address is given a client whose requests all fail.
     http2_client& to(const std::string& address);
--- a/src/io/http2_connection.cpp
+++ b/src/io/http2_connection.cpp
@@ -82,8 +82,7 @@
 }
 
 std::int32_t http2_connection::submit_request(const std::string& path, const std::string& body,
-                                              const signed_nonce& signature, const http_callback& done,
-                                              time_point deadline) {
+                                              const signed_nonce& signature, const http_callback& done) {
     const std::array<nghttp2_nv, 6> headers{header(":method", "POST"),
                                             header(":scheme", "http"),
                                             header(":authority", "larchpin"),
@@ -102,12 +101,16 @@
     stream.outgoing = body;
     stream.sent_signature = signature.signature;
     stream.done = done;
-    stream.deadline = deadline;
     stream.sent_at = now();
     write_some();
     return id;
 }
 
+void http2_connection::ping() {
+    nghttp2_submit_ping(session_, NGHTTP2_FLAG_NONE, nullptr);
+    write_some();
+}
+
 void http2_connection::submit_response(std::int32_t stream, int status, const std::string& body,
                                        const std::string& signature) {
     const auto found = streams_.find(stream);
--- a/src/io/http2_internal.hpp
+++ b/src/io/http2_internal.hpp
@@ -21,9 +21,11 @@
     std::string outgoing;
     std::size_t outgoing_offset = 0;
     bool too_large = false;
-    http_callback done;    // client side
-    time_point deadline{}; // client side
-    time_point sent_at{};  // client side
+    // Client side
+    http_callback done;
+    time_point sent_at{};
+    time_point late_at{};
+    time_point deadline{};
 };
 
 class http2_connection : public std::enable_shared_from_this<http2_connection> {
@@ -47,8 +49,9 @@
 
     // Client side: sends a request; returns its stream, or a negative number.
     std::int32_t submit_request(const std::string& path, const std::string& body,
-                                const signed_nonce& signature, const http_callback& done,
-                                time_point deadline);
+                                const signed_nonce& signature, const http_callback& done);
+    // The peer answers at once, whatever else it has to do for its open requests.
+    void ping();
     // Server side: answers a request. Nothing happens where the stream is gone.
     void submit_response(std::int32_t stream, int status, const std::string& body,
                          const std::string& signature);
--- a/tests/io_test.cpp
+++ b/tests/io_test.cpp
@@ -463,7 +463,8 @@
         });
     };
     accept();
-    http2_client client(io, acceptor.local_endpoint(), {.keys = {std::string(40, 'k')}});
+    http2_client client(io, acceptor.local_endpoint(), {.keys = {std::string(40, 'k')}},
+                        std::chrono::milliseconds{30});
     int unanswered = 0;
     const auto ask = [&] {
         client.post("/v1/x", "", std::chrono::milliseconds{30},
@@ -473,12 +474,45 @@
             io.run_one();
         }
     };
-    ask();
+    ask(); // late, and the peer is pinged
+    ask(); // the ping has no answer either
     ask();
     io.poll();
     EXPECT_EQ(accepted.size(), 2U);
 }
 
+// Guards against a new connection for every late answer, which costs a busy peer more than the answer.
+TEST(peers, late_answers_keep_their_connection) {
+    using tcp = boost::asio::ip::tcp;
+    const shared_keys keys{.keys = {std::string(40, 'k')}};
+    const tcp::endpoint at(boost::asio::ip::make_address("127.0.0.1"),
+                           static_cast<std::uint16_t>(testing::free_port()));
+    boost::asio::io_context server_io(1);
+    std::atomic<std::uint64_t> accepted{0};
+    std::atomic<std::uint64_t> handled{0};
+    std::optional<http2_server> server;
+    server.emplace(server_io, at, keys, [&](const http_request&, const http_respond& respond) {
+        std::this_thread::sleep_for(std::chrono::milliseconds{40}); // its whole loop is late
+        respond({.status = 200, .body = {}});
+        accepted = server->counts().accepted;
+        ++handled;
+    });
+    std::thread serving([&server_io] { server_io.run(); });
+    boost::asio::io_context io(1);
+    http2_client client(io, at, keys);
+    const std::function<void()> ask = [&] {
+        client.post("/v1/x", "", std::chrono::milliseconds{10}, [&](const http_outcome&) { ask(); });
+    };
+    ask();
+    constexpr std::uint64_t requests = 20;
+    while (handled < requests) {
+        io.run_one();
+    }
+    server_io.stop();
+    serving.join();
+    EXPECT_LE(accepted, requests / 4);
+}
+
 // Guards against callbacks into an owner whose members are already destroyed: a crash when a process ends.
 TEST(peers, destroyed_client_calls_nobody_back) {
     using tcp = boost::asio::ip::tcp;
--- a/tests/slow_control_test.cpp
+++ b/tests/slow_control_test.cpp
@@ -187,6 +187,34 @@
 // [tests]
 //-----------------------------------------------------------------------------
 
+// Guards against a busy peer that is taken for one that is gone, and against connections to it that are
+// replaced as often as it is late.
+TEST(peer_liveness, peer_is_gone_only_after_silence_that_doubles) {
+    peer_liveness l{.min_silence = milliseconds{400}};
+    time_point at{std::chrono::seconds{10}};
+    const auto time_until_gone = [&l, &at] {
+        const time_point sent = at;
+        record_new_connection(l);
+        record_late_request(l, sent, {});
+        EXPECT_EQ(check_liveness(l, {}, at), liveness_verdict::ping);
+        while (check_liveness(l, {}, at) != liveness_verdict::gone) {
+            at += milliseconds{5};
+        }
+        record_gone(l);
+        return at - sent;
+    };
+    for (const int silence_ms : {400, 800, 1600, 3200, 3200}) {
+        EXPECT_EQ(time_until_gone(), milliseconds{silence_ms});
+    }
+    record_timely_answer(l);
+    EXPECT_EQ(time_until_gone(), milliseconds{400});
+    record_new_connection(l);
+    record_late_request(l, at, {});
+    EXPECT_EQ(check_liveness(l, {}, at), liveness_verdict::ping);
+    EXPECT_EQ(check_liveness(l, at + milliseconds{1}, at + std::chrono::hours{1}), liveness_verdict::alive);
+    EXPECT_FALSE(is_in_doubt(l)) << "the ping was answered";
+}
+
 // Guards against a control instance that gets a new connection for every answer that is late: its queue of
 // connections grows faster than it can take them, and nothing is answered any more.
 TEST(slow_control, late_rate_grants_open_no_new_connections) {
