--- a/src/daemon/agent.cpp
+++ b/src/daemon/agent.cpp
@@ -33,8 +33,6 @@
 constexpr duration watch_pause = std::chrono::milliseconds{30};           // after a failed one
 constexpr duration longest_search_pause = std::chrono::milliseconds{150}; // a quarter of a short lease
 constexpr int renewal_spread = 8; // one part in so many: instances that started together come apart
-// A control instance that has much to do answers late; a new connection would be one thing more.
-constexpr duration control_silence = std::chrono::milliseconds{500};
 constexpr duration announcement_age = std::chrono::seconds{1};
 constexpr duration share_request_interval = std::chrono::milliseconds{50};
 constexpr std::size_t max_announcements = 20'000;
@@ -53,7 +51,7 @@
     : io_(io), config_(config), pools_(pools), driver_(driver), timer_(io), incarnation_(make_incarnation()),
       phases_(now()), control_(config.control_addresses), leader_(control_.front()),
       renewal_interval_(config.lease / renewals_per_lease), random_(std::random_device{}()),
-      clients_(io, keys, control_silence) {}
+      clients_(io, keys, control_silence(config.lease)) {}
 
 agent::~agent() = default;
 
--- a/src/daemon/agent.hpp
+++ b/src/daemon/agent.hpp
@@ -31,6 +31,12 @@
 
 struct loan_terms;
 
+// Returns the silence after which a connection to control is replaced: a lease that was renewed just before
+// the connection failed can still be renewed over the next one.
+constexpr duration control_silence(duration lease) {
+    return lease * 2 / 3;
+}
+
 namespace wire {
 class watch_reply;
 }
--- a/src/daemon/rate_limiter.cpp
+++ b/src/daemon/rate_limiter.cpp
@@ -18,8 +18,9 @@
 constexpr duration tick_interval = std::chrono::milliseconds{5};
 // Holdings that run low are looked for so often: a tenth of a second's demand is within what they hold.
 constexpr duration look_interval = std::chrono::milliseconds{100};
-// Several round trips (3 ms); one that takes longer is lost, or control has changed hands.
-constexpr duration answer_timeout = std::chrono::milliseconds{100};
+constexpr duration late_answer = std::chrono::milliseconds{100}; // many round trips
+// A grant is counted from the sending of its request; one that comes later leaves too little time to use it.
+constexpr duration answer_timeout = grant_lifetime / 2;
 // Callers beyond their limit come back spread over so long: together they would meet the same empty bucket.
 constexpr duration come_back_spread = std::chrono::seconds{1};
 constexpr duration without_control_pause = std::chrono::milliseconds{300}; // an election, as set
@@ -41,9 +42,12 @@
 
 rate_limiter::rate_limiter(asio::io_context& io, const settings& config, const shared_keys& keys,
                            agent& cluster)
-    : io_(io), config_(config), cluster_(cluster), timer_(io), clients_(io, keys),
-      random_(std::random_device{}()) {
-    cluster_.on_leader = [this] { follow_leader(cluster_.leader_term()); };
+    : io_(io), config_(config), cluster_(cluster), timer_(io),
+      clients_(io, keys, control_silence(config.lease)), random_(std::random_device{}()) {
+    cluster_.on_leader = [this] {
+        follow_leader(cluster_.leader_term());
+        ask_new_leader();
+    };
     on_tick();
 }
 
@@ -94,10 +98,10 @@
 }
 
 void rate_limiter::ask() {
+    const time_point at = now();
     if (asking_) {
         return;
     }
-    const time_point at = now();
     rate_request request{
         .instance = config_.id, .incarnation = cluster_.incarnation(), .seq = seq_ + 1, .claims = {}};
     std::vector<workspace_id> asked;
@@ -115,22 +119,47 @@
     wire::rate_request m;
     to_wire(request, m);
     clients_.to(cluster_.leader())
-        .post("/v1/rates", m.SerializeAsString(), answer_timeout,
-              [this, at, asked](const http_outcome& o) { on_answer(o, at, asked); });
+        .post("/v1/rates", m.SerializeAsString(),
+              http_wait{.timeout = answer_timeout, .late_after = late_answer},
+              [this, at, asked, seq = seq_](const http_outcome& o) {
+                  if (seq == seq_) {
+                      on_answer(o, at, asked);
+                  }
+              });
+}
+
+// The open request may be at a leader that will never answer it.
+void rate_limiter::ask_new_leader() {
+    asking_ = false;
+    ask();
 }
 
 void rate_limiter::on_answer(const http_outcome& o, time_point sent, const std::vector<workspace_id>& asked) {
     asking_ = false;
+    if (!take_grants(o, sent, asked)) {
+        log_unanswered(o, now() - sent);
+        return;
+    }
+    for (const auto& [id, w] : workspaces_) {
+        if (!w.waiting.empty()) {
+            ask(); // came while control was asked
+            return;
+        }
+    }
+}
+
+// Returns whether the outcome holds grants of the leader that this daemon follows.
+bool rate_limiter::take_grants(const http_outcome& o, time_point sent,
+                               const std::vector<workspace_id>& asked) {
     wire::rate_reply m;
     const bool answered = o.answered && o.status == 200 && m.ParseFromString(o.body) && m.code() == 0;
-    const std::vector<rate_grant> grants = answered ? from_wire(m) : std::vector<rate_grant>{};
-    if (answered) {
-        follow_leader(m.leader_term());
-    } else {
-        log_unanswered(o, now() - sent);
+    if (!answered) {
+        return false;
     }
+    follow_leader(m.leader_term());
+    const std::vector<rate_grant> grants = from_wire(m);
     if (grants.size() != asked.size() || m.leader_term() < leader_term_) {
-        return; // the next tick asks whoever leads by then
+        return false;
     }
     for (const rate_grant& g : grants) {
         const auto found = workspaces_.find(g.workspace);
@@ -144,15 +173,10 @@
             refuse_waiting(found->second);
         }
     }
-    for (const auto& [id, w] : workspaces_) {
-        if (!w.waiting.empty()) {
-            ask(); // came while control was asked
-            return;
-        }
-    }
+    return true;
 }
 
-// Requests that wait for a grant end with no_lease although this instance holds its lease, so the log must
+// Operations that wait for a grant end with no_lease although this instance holds its lease, so the log must
 // tell that control did not answer.
 void rate_limiter::log_unanswered(const http_outcome& o, duration waited) const {
     std::uint64_t waiting = 0;
--- a/src/daemon/rate_limiter.hpp
+++ b/src/daemon/rate_limiter.hpp
@@ -1,10 +1,11 @@
-// Lets operations through within the workspaces' rate limits: the I/O round core/rate_limits of one daemon.
+// Admits operations within the rate limits of the workspaces: the I/O around core/rate_limits of one daemon.
 //
 // Usage
 //   limits.admit(workspace, until, [](const rate_verdict& v) { ... });   // once, maybe at once
-//   limits.end(workspace, may_have_run);                                 // after an operation let through
+//   limits.end(workspace, may_have_run);                                 // after an admitted operation
 //
-// One request to control is open at a time; it speaks for all workspaces at once.
+// One request to control is open at a time and claims for all workspaces, so a daemon asks at most as fast as
+// control answers.
 #pragma once
 
 #include "core/rate_limits.hpp"
@@ -32,11 +33,11 @@
     rate_limiter(boost::asio::io_context& io, const settings& config, const shared_keys& keys,
                  agent& cluster);
 
-    // An operation of this workspace wants to run, and may wait for control's word until then.
+    // Admits an operation of this workspace; it may wait for a grant until then.
     void admit(const workspace_id& workspace, time_point until, rate_callback done);
-    // One that was let through has ended.
+    // Records the end of an admitted operation.
     void end(const workspace_id& workspace, bool may_have_run);
-    // One that was let through is sent once more, and may run twice.
+    // Records that an admitted operation is sent once more, and may run twice.
     void charge_again(const workspace_id& workspace);
 
 private:
@@ -51,6 +52,8 @@
 
     void ask();
     void on_answer(const http_outcome& o, time_point sent, const std::vector<workspace_id>& asked);
+    bool take_grants(const http_outcome& o, time_point sent, const std::vector<workspace_id>& asked);
+    void ask_new_leader();
     void log_unanswered(const http_outcome& o, duration waited) const;
     void follow_leader(std::uint64_t term);
     void serve(limited_workspace& w);
@@ -66,8 +69,8 @@
     http2_clients clients_;
     std::mt19937_64 random_;
     std::map<workspace_id, limited_workspace> workspaces_; // those with a limit that were in use here
-    std::uint64_t leader_term_ = 0;                        // of whoever gave out what is held
-    std::uint64_t seq_ = 0;
+    std::uint64_t leader_term_ = 0;                        // of the leader that granted what is held
+    std::uint64_t seq_ = 0;                                // of the newest request
     bool asking_ = false;
     bool ask_posted_ = false;
     time_point next_look_{};
--- a/src/io/http2.cpp
+++ b/src/io/http2.cpp
@@ -28,6 +28,8 @@
 constexpr std::size_t max_server_connections = 4096;
 constexpr duration timeout_check_interval = std::chrono::milliseconds{5};
 constexpr duration reconnect_pause = std::chrono::milliseconds{20};
+// A first packet that was lost is sent again only after a second.
+constexpr duration connect_timeout = std::chrono::milliseconds{250};
 
 } // namespace
 
@@ -142,6 +144,7 @@
             return;
         }
         connecting = true;
+        connect_started_at = now();
         auto socket = std::make_shared<tcp::socket>(io);
         pending_socket = socket;
         auto self = shared_from_this();
@@ -283,7 +286,7 @@
         const bool has_open_stream = connection && expire_streams(at, late);
         check_connection(at);
         const bool open = has_open_stream || !waiting.empty() || is_in_doubt(liveness);
-        if (!late.empty() && pending_socket) {
+        if (pending_socket && (!late.empty() || at - connect_started_at >= connect_timeout)) {
             boost::system::error_code ignored;
             pending_socket->close(ignored); // the next request tries anew
         }
@@ -340,6 +343,7 @@
     asio::steady_timer timer;
     peer_liveness liveness;
     std::string late_path; // of the newest late request
+    time_point connect_started_at{};
     time_point connected_at{};
     std::shared_ptr<http2_connection> connection;
     std::shared_ptr<tcp::socket> pending_socket;
