--- a/src/daemon/rate_limiter.cpp
+++ b/src/daemon/rate_limiter.cpp
@@ -21,6 +21,8 @@
 constexpr duration late_answer = std::chrono::milliseconds{100}; // many round trips
 // A grant is counted from the sending of its request; one that comes later leaves too little time to use it.
 constexpr duration answer_timeout = grant_lifetime / 2;
+constexpr duration min_ask_pause = std::chrono::milliseconds{20};  // after a request without a usable answer
+constexpr duration max_ask_pause = std::chrono::milliseconds{160}; // half of an election
 // Callers beyond their limit come back spread over so long: together they would meet the same empty bucket.
 constexpr duration come_back_spread = std::chrono::seconds{1};
 constexpr duration without_control_pause = std::chrono::milliseconds{300}; // an election, as set
@@ -43,7 +45,8 @@
 rate_limiter::rate_limiter(asio::io_context& io, const settings& config, const shared_keys& keys,
                            agent& cluster)
     : io_(io), config_(config), cluster_(cluster), timer_(io),
-      clients_(io, keys, control_silence(config.lease)), random_(std::random_device{}()) {
+      clients_(io, keys, control_silence(config.lease)),
+      random_(std::random_device{}()), backoff_{.min_pause = min_ask_pause, .max_pause = max_ask_pause} {
     cluster_.on_leader = [this] {
         follow_leader(cluster_.leader_term());
         ask_new_leader();
@@ -99,7 +102,7 @@
 
 void rate_limiter::ask() {
     const time_point at = now();
-    if (asking_) {
+    if (asking_ || at < next_ask_) {
         return;
     }
     rate_request request{
@@ -131,6 +134,8 @@
 // The open request may be at a leader that will never answer it.
 void rate_limiter::ask_new_leader() {
     asking_ = false;
+    next_ask_ = {};
+    record_success(backoff_);
     ask();
 }
 
@@ -138,8 +143,10 @@
     asking_ = false;
     if (!take_grants(o, sent, asked)) {
         log_unanswered(o, now() - sent);
+        next_ask_ = now() + record_failure(backoff_, random_);
         return;
     }
+    record_success(backoff_);
     for (const auto& [id, w] : workspaces_) {
         if (!w.waiting.empty()) {
             ask(); // came while control was asked
--- a/src/daemon/rate_limiter.hpp
+++ b/src/daemon/rate_limiter.hpp
@@ -5,10 +5,11 @@
 //   limits.end(workspace, may_have_run);                                 // after an admitted operation
 //
 // One request to control is open at a time and claims for all workspaces, so a daemon asks at most as fast as
-// control answers.
+// control answers. After a request without a usable answer it pauses.
 #pragma once
 
 #include "core/rate_limits.hpp"
+#include "core/retry_backoff.hpp"
 #include "daemon/agent.hpp"
 #include "io/http2_clients.hpp"
 
@@ -74,6 +75,8 @@
     bool asking_ = false;
     bool ask_posted_ = false;
     time_point next_look_{};
+    retry_backoff backoff_;
+    time_point next_ask_{}; // no request before it
 };
 
 } // namespace larchpin
