--- a/src/daemon/agent.cpp
+++ b/src/daemon/agent.cpp
@@ -28,10 +28,9 @@
 // Below control's share_grace by more than the drift of two clocks.
 constexpr duration share_grace = std::chrono::milliseconds{1150};
 constexpr int renewals_per_lease = 5;
-constexpr duration renew_timeout = std::chrono::milliseconds{250};
+constexpr duration stop_timeout = std::chrono::milliseconds{250}; // for the last renewal
 constexpr duration watch_timeout = std::chrono::seconds{7};
-constexpr duration watch_pause = std::chrono::milliseconds{30};           // after a failed one
-constexpr duration longest_search_pause = std::chrono::milliseconds{150}; // a quarter of a short lease
+constexpr duration watch_pause = std::chrono::milliseconds{30}; // after a failed one
 constexpr int renewal_spread = 8; // one part in so many: instances that started together come apart
 constexpr duration announcement_age = std::chrono::seconds{1};
 constexpr duration share_request_interval = std::chrono::milliseconds{50};
@@ -49,7 +48,7 @@
 agent::agent(asio::io_context& io, const settings& config, const shared_keys& keys, backend_pools& pools,
              const backend_driver& driver)
     : io_(io), config_(config), pools_(pools), driver_(driver), timer_(io), incarnation_(make_incarnation()),
-      phases_(now()), control_(config.control_addresses), leader_(control_.front()),
+      phases_(now()), search_(make_control_search(config.control_addresses)),
       renewal_interval_(config.lease / renewals_per_lease), random_(std::random_device{}()),
       clients_(io, keys, control_silence(config.lease)) {}
 
@@ -76,9 +75,11 @@
 
 void agent::on_tick() {
     const time_point at = now();
-    const bool may_renew = !stopping_ && !renewing_ && at >= no_renewal_before_;
-    if (may_renew && (renew_again_ || at >= next_renewal_)) {
-        renew();
+    if (!stopping_) {
+        const bool is_due = renew_again_ || at >= next_renewal_;
+        if (const auto control = choose_control(search_, is_due, at)) {
+            renew(*control);
+        }
     }
     if (!stopping_ && !watching_ && at >= next_watch_) {
         watch();
@@ -204,58 +205,51 @@
     renew_again_ = true;
 }
 
-void agent::renew() {
-    renewing_ = true;
-    renew_again_ = false;
+void agent::renew(const std::string& control) {
     const time_point sent = now();
-    next_renewal_ = sent + renewal_interval_ - spread(renewal_interval_ / renewal_spread);
+    record_sent(search_, control, sent);
+    if (control == search_.leader) {
+        renew_again_ = false;
+        next_renewal_ = sent + renewal_interval_ - spread(renewal_interval_ / renewal_spread);
+    }
     wire::renewal m;
     to_wire(make_renewal(), m);
-    clients_.to(leader_).post("/v1/renew", m.SerializeAsString(), renew_timeout,
-                              [this, sent](const http_outcome& o) { on_renewed(o, sent); });
-}
-
-void agent::rotate_control() {
-    control_index_ = (control_index_ + 1) % control_.size();
-    leader_ = control_[control_index_];
-}
-
-// Many look for the leader at the same time; later ones come apart.
-void agent::search_on(duration pause) {
-    no_renewal_before_ = now() + pause + spread(pause / 2);
-    next_renewal_ = no_renewal_before_;
+    clients_.to(control).post("/v1/renew", m.SerializeAsString(),
+                              http_wait{.timeout = config_.lease, .late_after = late_renewal},
+                              [this, control, sent](const http_outcome& o) { on_renewed(o, control, sent); });
 }
 
 duration agent::spread(duration most) {
     return duration{std::uniform_int_distribution<duration::rep>(0, most.count())(random_)};
 }
 
-void agent::on_renewed(const http_outcome& o, time_point sent) {
-    renewing_ = false;
+void agent::on_renewed(const http_outcome& o, const std::string& control, time_point sent) {
+    const std::string asked_leader = search_.leader;
     wire::renewal_reply m;
-    if (!o.answered || o.status != 200 || !m.ParseFromString(o.body)) {
-        rotate_control();
-        // One that refuses at once is not there, and asking the next one costs nobody; one that lets it wait
-        // has too much to do.
-        const bool timed_out = now() - sent >= renew_timeout;
-        unanswered_renewals_ = timed_out ? unanswered_renewals_ + 1 : 0;
-        search_on(std::min(watch_pause * (1 << std::min(unanswered_renewals_, 3U)), longest_search_pause));
-        return;
-    }
-    unanswered_renewals_ = 0;
-    const renewal_reply reply = from_wire(m);
-    if (reply.code == result_code::not_leader) {
-        if (m.leader_address().empty() || m.leader_address() == leader_) {
-            rotate_control();
+    const bool answered = o.answered && o.status == 200 && m.ParseFromString(o.body);
+    const renewal_reply reply = answered ? from_wire(m) : renewal_reply{};
+    if (!answered || reply.code == result_code::not_leader) {
+        if (answered) {
+            record_not_leader(search_, control, m.leader_address(), reply.renew_after, now(), random_);
         } else {
-            leader_ = m.leader_address();
+            record_unanswered(search_, control, now(), random_);
+        }
+        if (control == asked_leader || search_.leader != asked_leader) {
+            next_renewal_ = search_.next_request;
         }
-        search_on(std::clamp(reply.renew_after, watch_pause, longest_search_pause));
         return;
     }
-    if (reply.code != result_code::ok || stopping_) {
+    if (reply.code != result_code::ok || reply.seq < last_reply_seq_) {
+        search_.open.erase(control); // of no use, or overtaken by the answer of a later leader
         return;
     }
+    record_granted(search_, control);
+    if (!stopping_) {
+        apply_renewal(reply, sent);
+    }
+}
+
+void agent::apply_renewal(const renewal_reply& reply, time_point sent) {
     const duration usual_interval = config_.lease / renewals_per_lease;
     renewal_interval_ = std::clamp(reply.renew_after, usual_interval, usual_interval * 2);
     add_grant(lease_, sent, reply.lease, reply.revision, cluster_.revision);
@@ -269,9 +263,10 @@
         on_leader();
     }
     if (!reply.control_addresses.empty()) {
-        control_ = reply.control_addresses;
+        search_.addresses = reply.control_addresses;
         // The settings' addresses stay the last resort.
-        control_.insert(control_.end(), config_.control_addresses.begin(), config_.control_addresses.end());
+        search_.addresses.insert(search_.addresses.end(), config_.control_addresses.begin(),
+                                 config_.control_addresses.end());
     }
     if (reply.lost && apply_lost_instances_update(lost_, *reply.lost, cluster_)) {
         log_event(severity::info, "lost_instances",
@@ -279,7 +274,7 @@
     }
     apply_shares(reply);
     follow_assignment(reply.servers_to_observe);
-    if (reply.revision > cluster_.revision && watch_address_ != leader_) {
+    if (reply.revision > cluster_.revision && watch_address_ != search_.leader) {
         watching_ = false; // the one being watched is behind or silent
         ++watch_generation_;
         next_watch_ = {};
@@ -293,8 +288,9 @@
     follow_lease();
     wire::renewal m;
     to_wire(make_renewal(), m);
-    clients_.to(leader_).post("/v1/renew", m.SerializeAsString(), renew_timeout,
-                              [done = std::move(done)](const http_outcome&) { done(); });
+    clients_.to(search_.leader)
+        .post("/v1/renew", m.SerializeAsString(), stop_timeout,
+              [done = std::move(done)](const http_outcome&) { done(); });
 }
 
 //-----------------------------------------------------------------------------
@@ -303,7 +299,7 @@
 
 void agent::watch() {
     watching_ = true;
-    watch_address_ = leader_;
+    watch_address_ = search_.leader;
     wire::watch_request m;
     m.set_applied(cluster_.revision);
     m.set_wait(true);
--- a/src/daemon/agent.hpp
+++ b/src/daemon/agent.hpp
@@ -2,14 +2,16 @@
 // and the positions it can prove.
 //
 // Loops, each with one request open at a time
-//   renew      every lease / 5, and at once after news that others wait for: keeps the lease, reports
-//              observations, passes on announcements, claims connection shares
+//   renew      every lease / 5, and at once after a change that others wait for: keeps the lease, reports
+//              observations, passes on announcements, claims connection shares; while the leader is late the
+//              other control instances are asked too (core/control_search)
 //   watch      a long poll for the next commands; the copy follows the leader within a round trip
 //   probe      asks the servers that control assigned to this daemon for role and position
 //   positions  asks the daemons that probe, in this failure domain, for the groups in use here
 #pragma once
 
 #include "core/control.hpp"
+#include "core/control_search.hpp"
 #include "core/health.hpp"
 #include "core/lease.hpp"
 #include "core/leave_deadlines.hpp"
@@ -64,7 +66,7 @@
     // Renewed within the last half of the lease: it will hardly be lost in the next moment.
     [[nodiscard]] bool is_in_touch() const;
     // Peer listener of the control instance that leads, as far as is known here.
-    [[nodiscard]] const std::string& leader() const { return leader_; }
+    [[nodiscard]] const std::string& leader() const { return search_.leader; }
     // Its term, as far as it has answered a renewal.
     [[nodiscard]] std::uint64_t leader_term() const { return leader_term_of(last_reply_seq_); }
     // Another leader has answered a renewal; called before it is told so.
@@ -158,8 +160,9 @@
 
     void on_tick();
     void renew_soon();
-    void renew();
-    void on_renewed(const http_outcome& o, time_point sent);
+    void renew(const std::string& control);
+    void on_renewed(const http_outcome& o, const std::string& control, time_point sent);
+    void apply_renewal(const renewal_reply& reply, time_point sent);
     renewal make_renewal();
     void follow_starts();
     void forget_start(const server_id& id);
@@ -172,9 +175,7 @@
     void watch();
     void on_watched(const http_outcome& o, std::uint64_t generation);
     bool apply_reply(const wire::watch_reply& reply); // whether others may wait for it
-    void rotate_control();
-    void search_on(duration pause);
-    [[nodiscard]] duration spread(duration most); // up to so much, by chance
+    [[nodiscard]] duration spread(duration most);     // up to so much, by chance
     void apply_shares(const renewal_reply& reply);
     void follow_lease();
     [[nodiscard]] bool holds_reserve(const server_record& server) const;
@@ -209,15 +210,10 @@
     bool confirmed_once_ = false;
     bool stopping_ = false;
     // renewals
-    std::vector<std::string> control_; // peer listeners of the control instances, as last heard
-    std::size_t control_index_ = 0;
-    std::string leader_;
-    bool renewing_ = false;
+    control_search search_;
     bool renew_again_ = false;
     time_point next_renewal_{};
-    duration renewal_interval_{0};     // as the leader wishes
-    time_point no_renewal_before_{};   // while control is searched for, whatever the news
-    unsigned unanswered_renewals_ = 0; // in a row
+    duration renewal_interval_{0}; // as the leader asks
     std::mt19937_64 random_;
     bool asked_for_share_ = false;    // with the last renewal, before its time
     time_point next_share_request_{}; // no renewal before it for want of a connection
--- a/tests/slow_control_test.cpp
+++ b/tests/slow_control_test.cpp
@@ -6,6 +6,8 @@
 // Index
 //   [stand-in]  [instance]  [tests]
 #include "core/control.hpp"
+#include "core/control_search.hpp"
+#include "core/peer_liveness.hpp"
 #include "daemon/agent.hpp"
 #include "daemon/pools.hpp"
 #include "daemon/rate_limiter.hpp"
@@ -215,6 +217,96 @@
     EXPECT_FALSE(is_in_doubt(l)) << "the ping was answered";
 }
 
+// Renewals of one instance in virtual time, to three control instances that answer as `answer` says.
+struct searching_instance {
+    enum class outcome : std::uint8_t { silence = 1, not_leader, granted };
+
+    std::mt19937_64 random{1};
+    control_search search = make_control_search({"a", "b", "c"});
+    time_point now{std::chrono::seconds{10}};
+    std::function<outcome(const std::string&)> answer;
+    std::string hint; // of those that do not lead
+    unsigned sent = 0;
+    unsigned asked_again = 0; // while the address had an open renewal
+    std::optional<time_point> granted_at;
+
+    void run_for(duration time) {
+        constexpr duration timeout = milliseconds{600};
+        for (const time_point end = now + time; now < end && !granted_at; now += milliseconds{5}) {
+            const auto open = search.open;
+            for (const auto& [address, sent_at] : open) {
+                if (now - sent_at >= timeout) {
+                    record_unanswered(search, address, now, random);
+                }
+            }
+            if (const auto to = choose_control(search, true, now)) {
+                ask(*to);
+            }
+        }
+    }
+
+    void ask(const std::string& address) {
+        ++sent;
+        asked_again += search.open.contains(address) ? 1 : 0;
+        record_sent(search, address, now);
+        switch (answer(address)) {
+        case outcome::silence: break;
+        case outcome::not_leader:
+            record_not_leader(search, address, hint, milliseconds{30}, now, random);
+            break;
+        case outcome::granted:
+            record_granted(search, address);
+            granted_at = now;
+            break;
+        }
+    }
+};
+
+// Guards against renewals that multiply when control is late: an instance sends as many as its pauses allow.
+TEST(control_search, renewals_are_bounded_while_nobody_answers) {
+    searching_instance i;
+    i.answer = [](const std::string&) { return searching_instance::outcome::silence; };
+    constexpr duration time = std::chrono::seconds{60};
+    i.run_for(time);
+    EXPECT_EQ(i.asked_again, 0U);
+    EXPECT_LE(i.sent, time / max_search_pause);
+}
+
+// Guards against a slow leader that gets a second renewal for each one that it has not answered yet.
+TEST(control_search, late_leader_is_not_asked_again_when_others_name_it) {
+    searching_instance i;
+    unsigned to_leader = 0;
+    i.hint = "a";
+    i.answer = [&to_leader](const std::string& address) {
+        to_leader += address == "a" ? 1 : 0;
+        return address == "a" ? searching_instance::outcome::silence
+                              : searching_instance::outcome::not_leader;
+    };
+    i.run_for(milliseconds{595});
+    EXPECT_EQ(to_leader, 1U);
+    EXPECT_EQ(i.search.leader, "a");
+}
+
+// Guards against a lost leader that is waited for although its successor would grant the lease.
+TEST(control_search, successor_of_silent_leader_is_found_within_one_lease) {
+    for (unsigned seed = 0; seed < 50; ++seed) {
+        searching_instance i;
+        i.random.seed(seed);
+        i.hint = "a";
+        const time_point elected_at = i.now + milliseconds{400};
+        i.answer = [&i, elected_at](const std::string& address) {
+            if (address == "a") {
+                return searching_instance::outcome::silence;
+            }
+            return address == "c" && i.now >= elected_at ? searching_instance::outcome::granted
+                                                         : searching_instance::outcome::not_leader;
+        };
+        i.run_for(std::chrono::seconds{10});
+        ASSERT_TRUE(i.granted_at.has_value()) << seed;
+        EXPECT_LE(*i.granted_at - elected_at, milliseconds{600}) << seed;
+    }
+}
+
 // Guards against a control instance that gets a new connection for every answer that is late: its queue of
 // connections grows faster than it can take them, and nothing is answered any more.
 TEST(slow_control, late_rate_grants_open_no_new_connections) {
