--- a/src/io/listener.hpp
+++ b/src/io/listener.hpp
@@ -16,9 +16,10 @@
 public:
     using accepted_handler = std::function<void(boost::asio::ip::tcp::socket)>;
 
-    // The handler runs on the loop, never from inside this call. An attempt that fails, as all do while
-    // descriptors are short, is logged and made again after a pause.
-    // Throws boost::system::system_error where the address cannot be listened to.
+    // The handler runs on the event loop, never from inside this call. All connections that wait are accepted
+    // in one turn of the loop, up to a bound. A failed attempt, for example for want of descriptors, is
+    // logged and made again after a pause. Throws boost::system::system_error where the address cannot be
+    // listened to.
     listener(boost::asio::io_context& io, const boost::asio::ip::tcp::endpoint& at,
              accepted_handler on_accepted);
     ~listener();
--- a/tests/io_test.cpp
+++ b/tests/io_test.cpp
@@ -8,6 +8,7 @@
 #include "io/auth.hpp"
 #include "io/codec.hpp"
 #include "io/http2.hpp"
+#include "io/listener.hpp"
 #include "io/pg_driver.hpp"
 #include "io/pg_frame.hpp"
 #include "io/raft_store.hpp"
@@ -532,6 +533,25 @@
     EXPECT_EQ(called, 0);
 }
 
+// Guards against connections that wait for many turns of a busy loop before they are accepted, longer than
+// their peers wait for an answer.
+TEST(peers, all_waiting_connections_are_accepted_in_one_turn) {
+    using tcp = boost::asio::ip::tcp;
+    boost::asio::io_context io(1);
+    const tcp::endpoint at(boost::asio::ip::make_address("127.0.0.1"),
+                           static_cast<std::uint16_t>(testing::free_port()));
+    constexpr std::size_t callers = 40;
+    std::size_t accepted = 0;
+    const listener listening(io, at, [&accepted](const tcp::socket&) { ++accepted; });
+    boost::asio::io_context caller_io(1);
+    std::vector<tcp::socket> sockets;
+    for (std::size_t i = 0; i < callers; ++i) {
+        sockets.emplace_back(caller_io).connect(at);
+    }
+    io.run_one();
+    EXPECT_EQ(accepted, callers);
+}
+
 // An instance that was short of descriptors tried to accept again and again, and did nothing else, so that no
 // connection was closed either.
 TEST(peers, a_server_short_of_descriptors_goes_on_with_its_other_work_and_accepts_later) {
