--- a/src/io/http2_connection.cpp
+++ b/src/io/http2_connection.cpp
@@ -18,6 +18,11 @@
 constexpr std::uint32_t max_streams = 4096;
 constexpr std::int32_t window_bytes = 8 * 1024 * 1024;
 constexpr std::size_t write_chunk = 65536;
+// A peer that lost its power resets nothing. Without probes its connections would be held forever, and so
+// their descriptors.
+constexpr int keepalive_idle_s = 10;
+constexpr int keepalive_interval_s = 5;
+constexpr int keepalive_probes = 3;
 constexpr std::string_view header_nonce = "larchpin-nonce";
 constexpr std::string_view header_signature = "larchpin-signature";
 
@@ -29,6 +34,16 @@
             .flags = NGHTTP2_NV_FLAG_NONE};
 }
 
+void enable_keepalive(boost::asio::ip::tcp::socket& socket) {
+    const auto set = [&socket](int level, int option, int value) {
+        ::setsockopt(socket.native_handle(), level, option, &value, sizeof value);
+    };
+    set(SOL_SOCKET, SO_KEEPALIVE, 1);
+    set(IPPROTO_TCP, TCP_KEEPIDLE, keepalive_idle_s);
+    set(IPPROTO_TCP, TCP_KEEPINTVL, keepalive_interval_s);
+    set(IPPROTO_TCP, TCP_KEEPCNT, keepalive_probes);
+}
+
 http2_connection& self_of(void* user) {
     return *static_cast<http2_connection*>(user);
 }
@@ -60,6 +75,9 @@
 void http2_connection::start() {
     boost::system::error_code ignored;
     socket_.set_option(boost::asio::ip::tcp::no_delay(true), ignored);
+    if (is_server_) {
+        enable_keepalive(socket_);
+    }
     const std::array<nghttp2_settings_entry, 2> entries{{
         {.settings_id = NGHTTP2_SETTINGS_MAX_CONCURRENT_STREAMS, .value = max_streams},
         {.settings_id = NGHTTP2_SETTINGS_INITIAL_WINDOW_SIZE,
--- a/tests/io_test.cpp
+++ b/tests/io_test.cpp
@@ -552,6 +552,35 @@
     EXPECT_EQ(accepted, callers);
 }
 
+// Guards against descriptors that are held forever for peers that lost their power.
+TEST(peers, accepted_connections_are_probed_while_idle) {
+    using tcp = boost::asio::ip::tcp;
+    const shared_keys keys{.keys = {std::string(40, 'k')}};
+    boost::asio::io_context io(1);
+    const tcp::endpoint at(boost::asio::ip::make_address("127.0.0.1"),
+                           static_cast<std::uint16_t>(testing::free_port()));
+    const http2_server server(io, at, keys, [](const http_request&, const http_respond&) {});
+    tcp::socket caller(io);
+    caller.connect(at);
+    while (server.counts().open == 0) {
+        io.run_one();
+    }
+    int probed = 0;
+    constexpr int max_descriptor = 1024;
+    for (int fd = 0; fd < max_descriptor; ++fd) {
+        sockaddr_in peer{};
+        socklen_t length = sizeof peer;
+        const bool is_accepted = ::getpeername(fd, reinterpret_cast<sockaddr*>(&peer), &length) == 0 &&
+                                 ntohs(peer.sin_port) == caller.local_endpoint().port();
+        int value = 0;
+        length = sizeof value;
+        if (is_accepted && ::getsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &value, &length) == 0) {
+            probed += value;
+        }
+    }
+    EXPECT_EQ(probed, 1);
+}
+
 // An instance that was short of descriptors tried to accept again and again, and did nothing else, so that no
 // connection was closed either.
 TEST(peers, a_server_short_of_descriptors_goes_on_with_its_other_work_and_accepts_later) {
