--- a/src/io/http2.cpp
+++ b/src/io/http2.cpp
@@ -10,6 +10,7 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <algorithm>
 #include <deque>
 #include <map>
 #include <optional>
@@ -25,7 +26,6 @@
 constexpr int status_ok = 200;
 constexpr int status_unauthenticated = 401;
 constexpr int status_too_large = 413;
-constexpr std::size_t max_server_connections = 4096;
 constexpr duration timeout_check_interval = std::chrono::milliseconds{5};
 constexpr duration reconnect_pause = std::chrono::milliseconds{20};
 // A first packet that was lost is sent again only after a second.
@@ -38,11 +38,23 @@
 //-----------------------------------------------------------------------------
 
 struct http2_server::implementation : std::enable_shared_from_this<http2_server::implementation> {
-    implementation(const shared_keys& shared, http_handler h) : keys(shared), handler(std::move(h)) {}
+    implementation(const shared_keys& shared, http_handler h, std::size_t max)
+        : keys(shared), handler(std::move(h)), max_connections(max) {}
+
+    void close_longest_silent() {
+        const auto silent =
+            std::min_element(connections.begin(), connections.end(), [](const auto& a, const auto& b) {
+                return a.second->active_at() < b.second->active_at();
+            });
+        log_event(severity::warning, "peer_connections_full",
+                  {{"open", static_cast<std::uint64_t>(connections.size())}});
+        const std::shared_ptr<http2_connection> closing = silent->second;
+        closing->close();
+    }
 
     void add(tcp::socket socket) {
-        if (connections.size() >= max_server_connections) {
-            return;
+        if (connections.size() >= max_connections) {
+            close_longest_silent();
         }
         const std::uint64_t id = next_id++;
         ++accepted;
@@ -93,14 +105,15 @@
     std::optional<listener> accepting;
     shared_keys keys;
     http_handler handler;
+    std::size_t max_connections; // at least one
     std::map<std::uint64_t, std::shared_ptr<http2_connection>> connections;
     std::uint64_t next_id = 1;
     std::uint64_t accepted = 0;
 };
 
 http2_server::http2_server(asio::io_context& io, const tcp::endpoint& at, const shared_keys& keys,
-                           http_handler handler)
-    : self_(std::make_shared<implementation>(keys, std::move(handler))) {
+                           http_handler handler, std::size_t max_connections)
+    : self_(std::make_shared<implementation>(keys, std::move(handler), max_connections)) {
     self_->accepting.emplace(io, at, [weak = std::weak_ptr(self_)](tcp::socket socket) {
         if (auto self = weak.lock()) {
             self->add(std::move(socket));
--- a/src/io/http2.hpp
+++ b/src/io/http2.hpp
@@ -73,11 +73,16 @@
     auto operator<=>(const http2_server_counts&) const = default;
 };
 
+// Two for each of a thousand instances, and half of the usual limit of descriptors.
+constexpr std::size_t default_max_connections = 2048;
+
 class http2_server {
 public:
+    // A connection beyond `max_connections` takes the place of the one that was silent for longest.
     // Throws boost::system::system_error where the address cannot be listened to.
     http2_server(boost::asio::io_context& io, const boost::asio::ip::tcp::endpoint& at,
-                 const shared_keys& keys, http_handler handler);
+                 const shared_keys& keys, http_handler handler,
+                 std::size_t max_connections = default_max_connections);
     ~http2_server();
     http2_server(const http2_server&) = delete;
     http2_server& operator=(const http2_server&) = delete;
--- a/src/io/http2_connection.cpp
+++ b/src/io/http2_connection.cpp
@@ -73,6 +73,7 @@
 }
 
 void http2_connection::start() {
+    opened_at_ = now();
     boost::system::error_code ignored;
     socket_.set_option(boost::asio::ip::tcp::no_delay(true), ignored);
     if (is_server_) {
--- a/src/io/http2_internal.hpp
+++ b/src/io/http2_internal.hpp
@@ -5,6 +5,7 @@
 
 #include <nghttp2/nghttp2.h>
 
+#include <algorithm>
 #include <array>
 #include <map>
 
@@ -44,8 +45,10 @@
     void start();
     void close();
     [[nodiscard]] bool is_open() const { return open_; }
-    // When bytes came last.
+    // When bytes last arrived; 0 = never.
     [[nodiscard]] time_point heard_at() const { return heard_at_; }
+    // The same, or when the connection was opened.
+    [[nodiscard]] time_point active_at() const { return std::max(heard_at_, opened_at_); }
 
     // Client side: sends a request; returns its stream, or a negative number.
     std::int32_t submit_request(const std::string& path, const std::string& body,
@@ -78,6 +81,7 @@
     nghttp2_session* session_ = nullptr;
     bool is_server_;
     bool open_ = true;
+    time_point opened_at_{};
     time_point heard_at_{};
     bool writing_ = false;
     bool in_callback_ = false; // nghttp2 must not be asked for output from inside its own callbacks
--- a/tests/io_test.cpp
+++ b/tests/io_test.cpp
@@ -552,6 +552,36 @@
     EXPECT_EQ(accepted, callers);
 }
 
+// Guards against connections of forgotten peers that keep new ones out.
+TEST(peers, new_connection_replaces_longest_silent_one_at_the_bound) {
+    using tcp = boost::asio::ip::tcp;
+    const shared_keys keys{.keys = {std::string(40, 'k')}};
+    boost::asio::io_context io(1);
+    const tcp::endpoint at(boost::asio::ip::make_address("127.0.0.1"),
+                           static_cast<std::uint16_t>(testing::free_port()));
+    constexpr std::size_t bound = 3;
+    const http2_server server(
+        io, at, keys,
+        [](const http_request&, const http_respond& respond) { respond({.status = 200, .body = {}}); },
+        bound);
+    std::vector<tcp::socket> silent;
+    for (std::size_t i = 0; i < bound; ++i) {
+        silent.emplace_back(io).connect(at);
+        while (server.counts().accepted <= i) {
+            io.run_one();
+        }
+    }
+    http2_client client(io, at, keys);
+    bool answered = false;
+    client.post("/v1/x", "", std::chrono::minutes{1},
+                [&answered](const http_outcome& o) { answered = o.answered; });
+    while (!answered) {
+        io.run_one();
+    }
+    EXPECT_EQ(server.counts().open, bound);
+    EXPECT_EQ(server.counts().accepted, bound + 1);
+}
+
 // Guards against descriptors that are held forever for peers that lost their power.
 TEST(peers, accepted_connections_are_probed_while_idle) {
     using tcp = boost::asio::ip::tcp;
