--- a/src/daemon/agent.cpp
+++ b/src/daemon/agent.cpp
@@ -28,7 +28,6 @@
 // Below control's share_grace by more than the drift of two clocks.
 constexpr duration share_grace = std::chrono::milliseconds{1150};
 constexpr int renewals_per_lease = 5;
-constexpr duration stop_timeout = std::chrono::milliseconds{250}; // for the last renewal
 constexpr duration watch_timeout = std::chrono::seconds{7};
 constexpr duration watch_pause = std::chrono::milliseconds{30}; // after a failed one
 constexpr int renewal_spread = 8; // one part in so many: instances that started together come apart
@@ -289,7 +288,8 @@
     wire::renewal m;
     to_wire(make_renewal(), m);
     clients_.to(search_.leader)
-        .post("/v1/renew", m.SerializeAsString(), stop_timeout,
+        .post("/v1/renew", m.SerializeAsString(),
+              http_wait{.timeout = config_.lease, .late_after = late_renewal},
               [done = std::move(done)](const http_outcome&) { done(); });
 }
 
--- a/src/daemon/loans.cpp
+++ b/src/daemon/loans.cpp
@@ -27,7 +27,8 @@
 // A loan that nobody uses; longer than the idle limit of a usual table (3 s), which the borrower watches.
 constexpr duration idle_loan_time = std::chrono::seconds{10};
 constexpr duration tick_interval = std::chrono::seconds{1};
-constexpr duration drop_timeout = std::chrono::seconds{1};
+// A busy home ends the loan late; after idle_loan_time it ends by itself.
+constexpr http_wait drop_wait{.timeout = idle_loan_time, .late_after = std::chrono::seconds{1}};
 constexpr duration watch_interval = std::chrono::milliseconds{50};
 constexpr duration lost_pause = std::chrono::milliseconds{20};
 constexpr duration instead_time =
@@ -189,7 +190,7 @@
         wire::loan_request m;
         m.set_loan(number_);
         m.set_drop(true);
-        owner_.clients_.to(home_).post("/v1/loan", m.SerializeAsString(), drop_timeout,
+        owner_.clients_.to(home_).post("/v1/loan", m.SerializeAsString(), drop_wait,
                                        [](const http_outcome&) {});
         home_.clear();
     }
--- a/src/io/http2_connection.cpp
+++ b/src/io/http2_connection.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <utility>
 #include <vector>
 
 // nghttp2 is a C library: its bytes are unsigned, ours are not.
@@ -184,11 +185,26 @@
     http2_connection& self = self_of(user);
     const bool has_content = frame->hd.type == NGHTTP2_DATA || frame->hd.type == NGHTTP2_HEADERS;
     if (has_content && (frame->hd.flags & NGHTTP2_FLAG_END_STREAM) != 0) {
-        self.on_message_(self, frame->hd.stream_id);
+        if (self.is_server_) {
+            self.complete_requests_.push_back(frame->hd.stream_id);
+        } else {
+            self.on_message_(self, frame->hd.stream_id);
+        }
     }
     return 0;
 }
 
+// Passes on the requests that were completed by the bytes just read. One that its sender has abandoned
+// meanwhile was followed by its reset, and its stream is gone by now.
+void http2_connection::pass_on_requests() {
+    const auto complete = std::exchange(complete_requests_, {});
+    for (const std::int32_t id : complete) {
+        if (open_ && streams_.contains(id)) {
+            on_message_(*this, id);
+        }
+    }
+}
+
 int http2_connection::on_stream_close(nghttp2_session* /*session*/, std::int32_t id, std::uint32_t /*code*/,
                                       void* user) {
     http2_connection& self = self_of(user);
@@ -232,6 +248,7 @@
         self->heard_at_ = now();
         self->in_callback_ = true;
         const ssize_t used = nghttp2_session_mem_recv(self->session_, self->read_buffer_.data(), length);
+        self->pass_on_requests();
         self->in_callback_ = false;
         if (used < 0) {
             self->close();
--- a/src/io/http2_internal.hpp
+++ b/src/io/http2_internal.hpp
@@ -8,6 +8,7 @@
 #include <algorithm>
 #include <array>
 #include <map>
+#include <vector>
 
 namespace larchpin {
 
@@ -74,6 +75,7 @@
                              std::size_t length, std::uint32_t* flags, nghttp2_data_source* source,
                              void* user);
     void read_some();
+    void pass_on_requests();
     void write_some();
 
     static constexpr std::size_t read_buffer_size = 16384;
@@ -88,6 +90,7 @@
     std::array<std::uint8_t, read_buffer_size> read_buffer_{};
     std::string write_buffer_;
     std::map<std::int32_t, http2_stream> streams_;
+    std::vector<std::int32_t> complete_requests_; // by the bytes being read
     stream_handler on_message_;
     close_handler on_close_;
 };
--- a/tests/io_test.cpp
+++ b/tests/io_test.cpp
@@ -482,6 +482,45 @@
     EXPECT_EQ(accepted.size(), 2U);
 }
 
+// Guards against a busy server that works on requests whose senders have given up, and has no time left for
+// those that are waited for.
+TEST(peers, abandoned_requests_are_not_worked_on) {
+    using tcp = boost::asio::ip::tcp;
+    const shared_keys keys{.keys = {std::string(40, 'k')}};
+    const tcp::endpoint at(boost::asio::ip::make_address("127.0.0.1"),
+                           static_cast<std::uint16_t>(testing::free_port()));
+    boost::asio::io_context server_io(1);
+    unsigned handled = 0;
+    const http2_server server(server_io, at, keys,
+                              [&handled](const http_request&, const http_respond& respond) {
+                                  ++handled;
+                                  respond({.status = 200, .body = {}});
+                              });
+    boost::asio::io_context io(1);
+    http2_client client(io, at, keys);
+    int ended = 0;
+    const auto ask = [&](duration timeout) {
+        client.post("/v1/x", "", timeout, [&ended](const http_outcome&) { ++ended; });
+    };
+    const auto run_client_until = [&](int count) {
+        while (ended < count) {
+            io.run_one();
+        }
+    };
+    // The server's loop stands still: the client abandons these before they are read.
+    constexpr int abandoned = 5;
+    for (int i = 0; i < abandoned; ++i) {
+        ask(std::chrono::milliseconds{10});
+        run_client_until(i + 1);
+    }
+    ask(std::chrono::minutes{1});
+    while (ended <= abandoned) {
+        server_io.poll();
+        io.poll();
+    }
+    EXPECT_EQ(handled, 1U);
+}
+
 // Guards against a new connection for every late answer, which costs a busy peer more than the answer.
 TEST(peers, late_answers_keep_their_connection) {
     using tcp = boost::asio::ip::tcp;
