--- a/src/daemon/agent.cpp
+++ b/src/daemon/agent.cpp
@@ -29,7 +29,8 @@
 constexpr duration share_grace = std::chrono::milliseconds{1150};
 constexpr int renewals_per_lease = 5;
 constexpr duration watch_timeout = std::chrono::seconds{7};
-constexpr duration watch_pause = std::chrono::milliseconds{30}; // after a failed one
+constexpr duration min_watch_pause = std::chrono::milliseconds{30}; // after a failed one
+constexpr duration max_watch_pause = std::chrono::milliseconds{240};
 constexpr int renewal_spread = 8; // one part in so many: instances that started together come apart
 constexpr duration announcement_age = std::chrono::seconds{1};
 constexpr duration share_request_interval = std::chrono::milliseconds{50};
@@ -48,7 +49,9 @@
              const backend_driver& driver)
     : io_(io), config_(config), pools_(pools), driver_(driver), timer_(io), incarnation_(make_incarnation()),
       phases_(now()), search_(make_control_search(config.control_addresses)),
-      renewal_interval_(config.lease / renewals_per_lease), random_(std::random_device{}()),
+      renewal_interval_(config.lease / renewals_per_lease),
+      random_(std::random_device{}()), watch_backoff_{.min_pause = min_watch_pause,
+                                                      .max_pause = max_watch_pause},
       clients_(io, keys, control_silence(config.lease)) {}
 
 agent::~agent() = default;
@@ -316,9 +319,10 @@
     watching_ = false;
     wire::watch_reply m;
     if (!o.answered || o.status != 200 || !m.ParseFromString(o.body)) {
-        next_watch_ = now() + watch_pause;
+        next_watch_ = now() + record_failure(watch_backoff_, random_);
         return;
     }
+    record_success(watch_backoff_);
     const revision_number before = cluster_.revision;
     const bool is_awaited = apply_reply(m);
     if (cluster_.revision > before) {
--- a/src/daemon/agent.hpp
+++ b/src/daemon/agent.hpp
@@ -224,6 +224,7 @@
     std::uint64_t watch_generation_ = 0;
     std::string watch_address_;
     time_point next_watch_{};
+    retry_backoff watch_backoff_;
     // servers
     std::map<server_id, probed_server> probed_;
     std::map<server_id, heard_announcement> announced_;
--- a/tests/slow_control_test.cpp
+++ b/tests/slow_control_test.cpp
@@ -28,6 +28,7 @@
 using std::chrono::milliseconds;
 
 const workspace_id workspace{"acme"};
+constexpr int status_unavailable = 503;
 
 const shared_keys& test_keys() {
     static const shared_keys keys{.keys = {std::string(40, 'k')}};
@@ -57,9 +58,13 @@
     slow_control(slow_control&&) = delete;
     slow_control& operator=(slow_control&&) = delete;
 
+    // From now on every watch ends at once without news.
+    void refuse_watches() { refuses_watches_ = true; }
+
     [[nodiscard]] std::string address() const { return "127.0.0.1:" + std::to_string(port_); }
     [[nodiscard]] unsigned renewals() const { return renewals_; }
     [[nodiscard]] unsigned rate_requests() const { return rate_requests_; }
+    [[nodiscard]] unsigned watches() const { return watches_; }
     [[nodiscard]] std::uint64_t connections() const { return connections_; }
 
 private:
@@ -110,6 +115,11 @@
     }
 
     void watch(const std::string& body, const http_respond& respond) {
+        ++watches_;
+        if (refuses_watches_) {
+            respond({.status = status_unavailable, .body = {}});
+            return;
+        }
         wire::watch_request request;
         request.ParseFromString(body);
         if (request.applied() > 0) {
@@ -128,8 +138,10 @@
     bool leads_;
     unsigned port_;
     std::uint64_t seq_ = 0;
+    std::atomic<bool> refuses_watches_{false};
     std::atomic<unsigned> renewals_{0};
     std::atomic<unsigned> rate_requests_{0};
+    std::atomic<unsigned> watches_{0};
     std::atomic<std::uint64_t> connections_{0};
     boost::asio::io_context io_;
     http2_server server_;
@@ -333,6 +345,16 @@
     EXPECT_LE(control.rate_requests(), renewals * 2);
 }
 
+// Guards against watches that are repeated at once at an instance that cannot answer them.
+TEST(slow_control, failed_watches_are_paced) {
+    slow_control control(duration{0}, true);
+    control.refuse_watches();
+    busy_instance instance(control.address());
+    constexpr unsigned renewals = 20;
+    instance.run_until([&control] { return control.renewals() >= renewals; });
+    EXPECT_LE(control.watches(), renewals);
+}
+
 // Guards against instances that lose their leases although control answers well within a lease.
 TEST(slow_control, late_answer_to_renewal_grants_lease) {
     slow_control control(milliseconds{300}, true);
