--- a/tests/cluster_fuzz_test.cpp
+++ b/tests/cluster_fuzz_test.cpp
@@ -118,7 +118,22 @@
         cluster_model model(seed, rates, {});
         const std::string violation = model.run(steps);
         RC_ASSERT(violation == std::string{});
-        const std::string not_recovered = model.run_power_loss();
+        const std::string not_recovered = model.run_power_loss(false);
+        RC_ASSERT(not_recovered == std::string{});
+    }));
+}
+
+// The same while a failure domain is cut off or other losses last, with no more disks lost than is tolerated.
+TEST(cluster_fuzz, keeps_edits_after_power_loss_beside_cuts_and_losses) {
+    fault_rates rates{.controls = 6, .tolerated_losses = 2, .loss = 0, .max_delay_ms = 10};
+    rates.tolerated_loss = 0.005;
+    rates.domain_cut = 0.005;
+    EXPECT_TRUE(rc::check("cuts beside a power loss", [&] {
+        const auto seed = *rc::gen::arbitrary<std::uint32_t>();
+        cluster_model model(seed, rates, {});
+        const std::string violation = model.run(steps);
+        RC_ASSERT(violation == std::string{});
+        const std::string not_recovered = model.run_power_loss(true);
         RC_ASSERT(not_recovered == std::string{});
     }));
 }
--- a/tests/cluster_losses.cpp
+++ b/tests/cluster_losses.cpp
@@ -9,6 +9,7 @@
 
 constexpr duration catch_up_time = std::chrono::seconds{6}; // an instance counts as lost this much longer
 constexpr int max_loss_ms = 5000;
+constexpr std::size_t domains = 3; // instances belong to them in turn
 
 } // namespace
 
@@ -33,8 +34,20 @@
     });
 }
 
+void cluster_model::cut_off_domain(std::size_t first) {
+    ++outages;
+    const time_point until = now_ + duration{std::chrono::milliseconds{random_up_to(max_loss_ms)}};
+    for (std::size_t i = first; i < controls_.size(); i += domains) {
+        controls_[i].partitioned_until = until;
+        controls_[i].lost_until = until + catch_up_time;
+    }
+}
+
 void cluster_model::inject_tolerated_loss() {
     founded_ = founded_ || has_all_voters();
+    if (founded_ && chance(rates_.domain_cut) && count_lost() == 0) {
+        cut_off_domain(static_cast<std::size_t>(random_up_to(static_cast<int>(domains) - 1)));
+    }
     if (!founded_ || !chance(rates_.tolerated_loss) || count_lost() >= rates_.tolerated_losses) {
         return;
     }
@@ -61,6 +74,7 @@
         c.disk.clear();
         start_control(i, true);
         c.frozen_until = until; // until the machine has restarted
+        c.disk_lost_until = c.lost_until;
         break;
     }
 }
@@ -71,27 +85,39 @@
     });
 }
 
-std::string cluster_model::run_power_loss() {
-    rates_.tolerated_loss = 0;
-    while (violation_.empty() && count_lost() > 0) {
-        restart_stopped_controls();
-        step();
+std::string cluster_model::run_power_loss(bool beside_losses) {
+    if (!beside_losses) {
+        rates_.tolerated_loss = 0;
+        rates_.domain_cut = 0;
+        while (violation_.empty() && count_lost() > 0) {
+            restart_stopped_controls();
+            step();
+        }
     }
     const std::size_t decided = decided_.size();
     for (int i = 0; i < 10'000 && violation_.empty() && decided_.size() == decided; ++i) {
         step();
     }
     if (decided_.size() == decided) {
-        return "no edit is decided with every control instance back";
+        return "no edit is decided although no more are lost than is tolerated";
     }
+    const auto lost = static_cast<std::size_t>(std::count_if(
+        controls_.begin(), controls_.end(), [this](const auto& c) { return now_ < c.disk_lost_until; }));
+    return lose_power_and_disks(rates_.tolerated_losses - lost);
+}
+
+std::string cluster_model::lose_power_and_disks(std::size_t disks) {
     std::vector<std::size_t> order(controls_.size());
     std::iota(order.begin(), order.end(), 0);
     std::shuffle(order.begin(), order.end(), random_);
+    // An instance without a disk has none to lose.
+    std::stable_partition(order.begin(), order.end(),
+                          [this](std::size_t i) { return now_ >= controls_[i].disk_lost_until; });
     for (std::size_t i = 0; i < controls_.size(); ++i) {
         stop_control(i);
     }
     for (std::size_t n = 0; n < order.size(); ++n) {
-        const bool empty_disk = n < rates_.tolerated_losses;
+        const bool empty_disk = n < disks;
         disks_lost += empty_disk ? 1 : 0;
         start_control(order[n], empty_disk);
         controls_[order[n]].frozen_until = now_ + duration{std::chrono::milliseconds{random_up_to(300)}};
--- a/tests/cluster_model.cpp
+++ b/tests/cluster_model.cpp
@@ -571,7 +571,7 @@
             s.frozen_until = now_ + ms(random_up_to(2000));
         }
     }
-    if (rates_.tolerated_loss > 0) {
+    if (rates_.tolerated_loss > 0 || rates_.domain_cut > 0) {
         restart_stopped_controls();
         inject_tolerated_loss();
     }
--- a/tests/cluster_model.hpp
+++ b/tests/cluster_model.hpp
@@ -36,6 +36,7 @@
     // A control instance is stopped, frozen, partitioned or loses its disk, while fewer than tolerated_losses
     // are lost. It counts as lost until catch_up_time after its return.
     double tolerated_loss = 0.0;
+    double domain_cut = 0.0; // of all control instances of a failure domain, while none is lost
     double edit = 0.02;
     double switchover = 0.002;
     double leave = 0.0; // of a server, if none is leaving; it restarts under its id
@@ -68,6 +69,7 @@
     time_point next_join{};
     time_point restart_at{}; // while stopped by a tolerated loss
     time_point lost_until{};
+    time_point disk_lost_until{}; // counts as lost with its disk until then
 };
 
 struct model_daemon {
@@ -109,8 +111,9 @@
     // Ends all faults. Returns what does not recover, or an empty string.
     std::string run_until_healthy();
     // Right after an edit is decided, as many disks as are tolerated are lost and all other control instances
-    // lose power. Returns what does not recover, or an empty string.
-    std::string run_power_loss();
+    // lose power. Returns what does not recover, or an empty string. `beside_losses`: other losses may last
+    // until that moment; a disk that was lost shortly before counts among the tolerated ones.
+    std::string run_power_loss(bool beside_losses);
 
     std::uint64_t failovers = 0;
     std::uint64_t planned_switches = 0;
@@ -130,7 +133,9 @@
     void inject_faults();
     void inject_tolerated_loss();
     void restart_stopped_controls();
+    void cut_off_domain(std::size_t first);
     [[nodiscard]] std::size_t count_lost() const;
+    std::string lose_power_and_disks(std::size_t disks);
     [[nodiscard]] bool has_all_voters() const;
     [[nodiscard]] bool has_all_decided_edits(const control_core& core) const;
     void send(std::size_t control_a, std::size_t control_b, const delivery& what);
