--- a/src/core/control_core.cpp
+++ b/src/core/control_core.cpp
@@ -1,7 +1,7 @@
 // See control_core.hpp.
 //
 // Index
-//   [applying]  [leading]  [members]  [public functions]
+//   [applying]  [leading]  [members]  [handing over]  [public functions]
 #include "core/control_core.hpp"
 
 #include "core/control_pacing.hpp"
@@ -305,6 +305,41 @@
     }
 }
 
+//-----------------------------------------------------------------------------
+// [handing over]
+//-----------------------------------------------------------------------------
+
+// Requests of instances are late after this time, though leases can still be renewed in time.
+constexpr duration late_loop_delay = std::chrono::milliseconds{100};
+constexpr int loop_delay_samples = 4; // for the smoothed delay
+// Longer than single pauses, a slow sync or the start of everything.
+constexpr duration max_late_time = std::chrono::seconds{1};
+// Where all instances are slow, leadership does not go around more often.
+constexpr duration min_leading_time = std::chrono::seconds{10};
+
+bool is_late_leader(const control_core& c, time_point now) {
+    return c.consensus.current_role == raft::role::leader && c.loop_late_since != time_point{} &&
+           now - c.loop_late_since >= max_late_time && now - c.consensus.became_leader_at >= min_leading_time;
+}
+
+// Returns the voter that is to lead next, or nothing.
+const raft::member* find_successor(const control_core& c, time_point now) {
+    const raft::state& s = c.consensus;
+    const raft::member* best = nullptr;
+    duration best_delay{0};
+    for (const raft::member& m : s.members.members) {
+        const auto p = s.peers.find(m.id);
+        const bool can_lead = m.voter && m.id != s.self && p != s.peers.end() && p->second.acked &&
+                              p->second.match == raft::last_index(s) &&
+                              !is_silent_for(s, m.id, s.config.election_timeout, now);
+        if (can_lead && (best == nullptr || p->second.ack_delay < best_delay)) {
+            best = &m;
+            best_delay = p->second.ack_delay;
+        }
+    }
+    return best;
+}
+
 } // namespace
 
 //-----------------------------------------------------------------------------
@@ -327,6 +362,9 @@
 void tick(control_core& c, time_point now, std::mt19937_64& random) {
     raft::tick(c.consensus, now, random);
     process_committed(c, now);
+    if (is_late_leader(c, now)) {
+        hand_over_leadership(c, now, random);
+    }
     if (!is_active_leader(c, now)) {
         return;
     }
@@ -337,7 +375,27 @@
     process_committed(c, now);
 }
 
+void record_loop_delay(control_core& c, duration delay, time_point now) {
+    c.loop_delay += (delay - c.loop_delay) / loop_delay_samples;
+    const bool is_late = c.loop_delay >= late_loop_delay;
+    c.loop_late_since = !is_late ? time_point{} : c.loop_late_since == time_point{} ? now : c.loop_late_since;
+}
+
+bool hand_over_leadership(control_core& c, time_point now, std::mt19937_64& random) {
+    const raft::member* successor = find_successor(c, now);
+    if (successor == nullptr || !raft::transfer_leadership(c.consensus, successor->id, now, random)) {
+        return false;
+    }
+    note_event_now(c, "leadership_handed_over");
+    process_committed(c, now);
+    return true;
+}
+
 void step(control_core& c, const raft::message& m, time_point now, std::mt19937_64& random) {
+    const bool is_late = c.loop_late_since != time_point{};
+    if (m.kind == raft::message_kind::transfer_request && is_late) {
+        return; // a voter that is in time wins the next election
+    }
     raft::step(c.consensus, m, now, random);
     process_committed(c, now);
 }
--- a/src/core/control_core.hpp
+++ b/src/core/control_core.hpp
@@ -53,6 +53,8 @@
     // Other members stay learners and replace silent voters; 0 = all keep a vote.
     std::size_t target_voters = 0;
     raft::member self;
+    duration loop_delay{0};       // smoothed, see record_loop_delay()
+    time_point loop_late_since{}; // 0 = the event loop is on time
     control_output out;
 };
 
@@ -71,6 +73,14 @@
 void on_persisted(control_core& c, std::uint64_t index, std::uint64_t term, time_point now);
 control_output take_output(control_core& c);
 
+// Records how late the caller's event loop ran a tick; 0 if in time. A leader whose loop is late for longer
+// than its instances can wait hands over to another voter, see tick().
+void record_loop_delay(control_core& c, duration delay, time_point now);
+
+// Steps down in favor of the voter that has the whole log and acknowledges soonest. Returns false if there is
+// none, or this instance does not lead.
+bool hand_over_leadership(control_core& c, time_point now, std::mt19937_64& random);
+
 // Returns whether this instance leads control and holds the leader lease.
 bool is_active_leader(const control_core& c, time_point now);
 
--- a/src/core/raft.cpp
+++ b/src/core/raft.cpp
@@ -14,6 +14,7 @@
 //-----------------------------------------------------------------------------
 
 constexpr std::size_t max_unacked_rounds = 256;
+constexpr int ack_delay_samples = 4; // for the smoothed delay
 // Longer than a vote takes (two syncs of 2 to 5 ms and a round trip), so that one candidate's election ends
 // before the next voter starts its own.
 constexpr duration initial_election_stagger = std::chrono::milliseconds{60};
@@ -293,7 +294,7 @@
     }
 }
 
-void start_election(state& s, time_point now, std::mt19937_64& random) {
+void start_election(state& s, message_kind request, time_point now, std::mt19937_64& random) {
     s.current_role = role::candidate;
     reset_election_timer(s, now, random); // randomized so that two candidates do not keep splitting the votes
     s.hard = hard_state{.term = s.hard.term + 1, .voted_for = s.self};
@@ -303,7 +304,7 @@
         become_leader(s, now);
         return;
     }
-    request_votes(s, message_kind::vote_request, s.hard.term);
+    request_votes(s, request, s.hard.term);
 }
 
 void start_pre_vote(state& s, time_point now, std::mt19937_64& random) {
@@ -317,7 +318,7 @@
     s.leader = 0;
     s.votes = {{s.self, true}};
     if (has_vote_majority(s)) {
-        start_election(s, now, random);
+        start_election(s, message_kind::vote_request, now, random);
         return;
     }
     request_votes(s, message_kind::pre_vote_request, s.hard.term + 1);
@@ -374,7 +375,8 @@
 }
 
 void on_vote_request(state& s, const message& m, time_point now, std::mt19937_64& random) {
-    const bool leader_active = refuses_elections(s, now);
+    const bool transferred = m.kind == message_kind::transfer_vote_request;
+    const bool leader_active = !transferred && refuses_elections(s, now);
     if (leader_active || m.term < s.hard.term) {
         s.out.messages.push_back(make_message(s, message_kind::vote_reply, m.from));
         record_refusal(s, m, leader_active ? refusal_reason::leader_active : refusal_reason::older_term);
@@ -396,6 +398,14 @@
     s.out.messages.push_back(std::move(reply));
 }
 
+// A leader that has stepped down does not lead again in its term, so no lease of that term is in the way.
+void on_transfer_request(state& s, const message& m, time_point now, std::mt19937_64& random) {
+    const bool is_current = m.term == s.hard.term && s.current_role != role::leader;
+    if (is_current && is_voter(s.members, s.self)) {
+        start_election(s, message_kind::transfer_vote_request, now, random);
+    }
+}
+
 void on_vote_reply(state& s, const message& m, time_point now, std::mt19937_64& random) {
     if (!m.granted && m.term > s.hard.term) {
         become_follower(s, m.term, 0, now, random);
@@ -412,7 +422,7 @@
         return;
     }
     if (pre) {
-        start_election(s, now, random);
+        start_election(s, message_kind::vote_request, now, random);
     } else {
         become_leader(s, now);
     }
@@ -486,12 +496,13 @@
     s.out.messages.push_back(std::move(reply));
 }
 
-void record_ack_time(state& s, progress& p, const message& m) {
+void record_ack_time(const state& s, progress& p, const message& m, time_point now) {
     const auto sent = s.round_sent_at.find(m.round);
     if (sent == s.round_sent_at.end()) {
         return;
     }
     p.acked_round_sent_at = std::max(p.acked_round_sent_at, sent->second);
+    p.ack_delay += (now - sent->second - p.ack_delay) / ack_delay_samples;
     p.acked = true;
 }
 
@@ -517,7 +528,7 @@
         return;
     }
     progress& p = found->second;
-    record_ack_time(s, p, m);
+    record_ack_time(s, p, m, now);
     if (!m.granted) {
         on_append_refused(s, p, m, now);
         return;
@@ -683,7 +694,9 @@
     }
     switch (m.kind) {
     case message_kind::pre_vote_request: on_pre_vote_request(s, m, now); break;
-    case message_kind::vote_request: on_vote_request(s, m, now, random); break;
+    case message_kind::vote_request:
+    case message_kind::transfer_vote_request: on_vote_request(s, m, now, random); break;
+    case message_kind::transfer_request: on_transfer_request(s, m, now, random); break;
     case message_kind::pre_vote_reply:
     case message_kind::vote_reply: on_vote_reply(s, m, now, random); break;
     case message_kind::append_request: on_append_request(s, m, now, random); break;
@@ -719,6 +732,19 @@
     return e.index;
 }
 
+bool transfer_leadership(state& s, node_id to, time_point now, std::mt19937_64& random) {
+    const auto peer = s.peers.find(to);
+    const bool may_lead = s.current_role == role::leader && is_voter(s.members, to) &&
+                          peer != s.peers.end() && peer->second.acked && peer->second.match == last_index(s);
+    if (!may_lead) {
+        return false;
+    }
+    become_follower(s, s.hard.term, 0, now, random);
+    s.last_leader_contact = now;
+    s.out.messages.push_back(make_message(s, message_kind::transfer_request, to));
+    return true;
+}
+
 void on_persisted(state& s, std::uint64_t index, std::uint64_t term, time_point now) {
     if (index > last_index(s) || term_at(s, index) != term) {
         return; // replaced while it was being synced; the sync of the replacement calls this again
--- a/src/core/raft.hpp
+++ b/src/core/raft.hpp
@@ -16,6 +16,8 @@
 //                   grants nothing. The lease is shorter than election_timeout by twice the drift bound.
 //   single change   one member is added or removed at a time, after the previous change has committed
 //   learners        a new member receives the log, and gets a vote only after it has caught up
+//   transfer        a leader steps down in favor of a voter, which starts its election at once; voters grant
+//                   it although they have just heard the leader, whose lease has ended with its step down
 //
 // Index
 //   [data]  [functions]
@@ -85,6 +87,8 @@
     append_reply,
     snapshot_request,
     snapshot_reply,
+    transfer_request,      // the leader has stepped down in favor of the receiver
+    transfer_vote_request, // a vote request by the receiver of a transfer_request
 };
 
 struct message {
@@ -148,6 +152,7 @@
     std::uint64_t match = 0;
     std::uint64_t in_flight_base = 0; // index before the oldest entry in flight; peer assumed to hold it
     time_point acked_round_sent_at{}; // send time of the newest acknowledged round
+    duration ack_delay{0};            // from sending a round until its acknowledgement; smoothed
     bool acked = false;
     time_point last_send{};
     bool snapshot_in_flight = false;
@@ -211,6 +216,10 @@
 // leader or an earlier change is not yet committed.
 std::uint64_t propose_members(state& s, const configuration& next, time_point now);
 
+// Steps down and asks this voter to become the leader. Returns false, and changes nothing, unless this node
+// leads and the voter has acknowledged the whole log.
+bool transfer_leadership(state& s, node_id to, time_point now, std::mt19937_64& random);
+
 // Records that the entries up to `index` are synced. Has no effect if the entry at `index` has another term:
 // it was replaced meanwhile.
 void on_persisted(state& s, std::uint64_t index, std::uint64_t term, time_point now);
--- a/src/daemon/control_node.cpp
+++ b/src/daemon/control_node.cpp
@@ -136,18 +136,20 @@
 }
 
 // A loop that is late answers nobody in time: too much to do, or a process that stood still.
-void control_node::log_late_tick() {
+void control_node::record_tick_delay() {
     const time_point at = now();
-    if (next_tick_ != time_point{} && at - next_tick_ >= late_tick) {
-        const auto late = std::chrono::duration_cast<std::chrono::milliseconds>(at - next_tick_);
+    const duration delay = next_tick_ == time_point{} ? duration{0} : std::max(at - next_tick_, duration{0});
+    if (delay >= late_tick) {
+        const auto late = std::chrono::duration_cast<std::chrono::milliseconds>(delay);
         log_event(severity::warning, "control_loop_late",
                   {{"late_ms", late.count()}, {"watchers", static_cast<std::uint64_t>(watchers_.size())}});
     }
+    record_loop_delay(core_, delay, at);
     next_tick_ = at + tick_interval;
 }
 
 void control_node::on_tick() {
-    log_late_tick();
+    record_tick_delay();
     tick(core_, now(), random_);
     log_consensus(consensus_log_, core_.consensus, now());
     if (core_.consensus.leader != 0) {
--- a/src/daemon/control_node.hpp
+++ b/src/daemon/control_node.hpp
@@ -91,7 +91,7 @@
     };
 
     void on_tick();
-    void log_late_tick();
+    void record_tick_delay();
     void pump();
     void write_next();
     void write_batch(const std::shared_ptr<std::vector<raft::output>>& batch);
--- a/tests/cluster_fuzz_test.cpp
+++ b/tests/cluster_fuzz_test.cpp
@@ -146,6 +146,20 @@
     expect_no_violation(rates, "one standing by");
 }
 
+// Leaders hand over while messages are lost, delayed and repeated, and instances freeze and are cut off.
+TEST(cluster_fuzz, holds_when_leadership_is_handed_over) {
+    fault_rates rates{.controls = 5, .loss = 0.05, .repeat = 0.02, .max_delay_ms = 30};
+    rates.control_freeze = 0.0002;
+    rates.partition = 0.0002;
+    rates.peer_partition = 0.0002;
+    rates.hand_over = 0.02;
+    expect_no_violation(rates, "leaders hand over");
+    cluster_model model(1, rates, {});
+    model.run(steps);
+    std::cout << model.leaders_handed_over << " times handed over\n";
+    EXPECT_GT(model.leaders_handed_over, 0U);
+}
+
 // Servers leave, stop and restart under their id, while leaders change and announcements are delayed.
 TEST(cluster_fuzz, holds_when_servers_leave_and_restart) {
     fault_rates rates = all_faults();
--- a/tests/cluster_model.cpp
+++ b/tests/cluster_model.cpp
@@ -578,6 +578,13 @@
     if (chance(rates_.edit)) {
         propose_random_edit();
     }
+    for (std::size_t i = 0; i < controls_.size(); ++i) {
+        if (chance(rates_.hand_over) && is_running(controls_[i]) &&
+            hand_over_leadership(controls_[i].core, clock_of(controls_[i]), random_)) {
+            ++leaders_handed_over;
+            process_control_output(i);
+        }
+    }
     if (chance(rates_.switchover)) {
         const auto i = static_cast<std::size_t>(random_up_to(rates_.controls - 1));
         if (is_running(controls_[i])) {
--- a/tests/cluster_model.hpp
+++ b/tests/cluster_model.hpp
@@ -39,7 +39,8 @@
     double domain_cut = 0.0; // of all control instances of a failure domain, while none is lost
     double edit = 0.02;
     double switchover = 0.002;
-    double leave = 0.0; // of a server, if none is leaving; it restarts under its id
+    double hand_over = 0.0; // of the leadership of control
+    double leave = 0.0;     // of a server, if none is leaving; it restarts under its id
 };
 
 // Rules of the core that a test disables to verify that the model detects the violation.
@@ -117,6 +118,7 @@
 
     std::uint64_t failovers = 0;
     std::uint64_t planned_switches = 0;
+    std::uint64_t leaders_handed_over = 0;
     std::uint64_t acknowledged = 0;
     std::uint64_t edits_in_force = 0;
     std::uint64_t leaves_acked = 0;
