--- a/src/daemon/agent.cpp
+++ b/src/daemon/agent.cpp
@@ -241,11 +241,13 @@
         }
         return;
     }
-    if (reply.code != result_code::ok || reply.seq < last_reply_seq_) {
-        search_.open.erase(control); // of no use, or overtaken by the answer of a later leader
+    const bool is_overtaken = sent < answered_sent_at_ && reply.seq < last_reply_seq_; // by a later leader's
+    if (reply.code != result_code::ok || is_overtaken) {
+        search_.open.erase(control);
         return;
     }
     record_granted(search_, control);
+    answered_sent_at_ = std::max(answered_sent_at_, sent);
     if (!stopping_) {
         apply_renewal(reply, sent);
     }
--- a/src/daemon/agent.hpp
+++ b/src/daemon/agent.hpp
@@ -218,6 +218,7 @@
     bool asked_for_share_ = false;    // with the last renewal, before its time
     time_point next_share_request_{}; // no renewal before it for want of a connection
     std::uint64_t last_reply_seq_ = 0;
+    time_point answered_sent_at_{}; // of the newest renewal that was granted
     lost_instance_set lost_;
     // watching
     bool watching_ = false;
--- a/tests/io_test.cpp
+++ b/tests/io_test.cpp
@@ -637,10 +637,10 @@
     int probed = 0;
     constexpr int max_descriptor = 1024;
     for (int fd = 0; fd < max_descriptor; ++fd) {
-        sockaddr_in peer{};
-        socklen_t length = sizeof peer;
-        const bool is_accepted = ::getpeername(fd, reinterpret_cast<sockaddr*>(&peer), &length) == 0 &&
-                                 ntohs(peer.sin_port) == caller.local_endpoint().port();
+        tcp::endpoint peer;
+        auto length = static_cast<socklen_t>(peer.capacity());
+        const bool is_accepted =
+            ::getpeername(fd, peer.data(), &length) == 0 && peer.port() == caller.local_endpoint().port();
         int value = 0;
         length = sizeof value;
         if (is_accepted && ::getsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &value, &length) == 0) {
