--- a/src/core/control_search.cpp
+++ b/src/core/control_search.cpp
@@ -91,12 +91,17 @@
 
 void record_unanswered(control_search& s, const std::string& address, time_point now,
                        std::mt19937_64& random) {
+    const bool was_late = is_late(s, address, now);
     s.open.erase(address);
     if (address != s.leader) {
         return;
     }
     follow_next(s);
-    s.next_request = now + record_failure(s.backoff, random);
+    if (was_late) {
+        s.next_request = now + record_failure(s.backoff, random);
+    } else {
+        pause_requests(s, min_search_pause, now, random);
+    }
 }
 
 } // namespace larchpin
--- a/src/core/control_search.hpp
+++ b/src/core/control_search.hpp
@@ -52,7 +52,8 @@
 void record_not_leader(control_search& s, const std::string& address, const std::string& hint, duration pause,
                        time_point now, std::mt19937_64& random);
 
-// Records a renewal that ended without an answer.
+// Records a renewal that ended without an answer. One that was refused at once cost its receiver nothing, so
+// the next instance is asked after the shortest pause.
 void record_unanswered(control_search& s, const std::string& address, time_point now,
                        std::mt19937_64& random);
 
--- a/src/daemon/agent.cpp
+++ b/src/daemon/agent.cpp
@@ -259,7 +259,9 @@
     add_grant(lease_, sent, reply.lease, reply.revision, cluster_.revision);
     record_answered_renewal(leave_times_, reply.revision, sent);
     if (leader_term_of(reply.seq) != leader_term_of(last_reply_seq_)) {
-        renew_soon(); // a new leader shares connections out once it knows that all go by its word
+        renew_soon();     // a new leader shares connections out once it knows that all go by its word
+        next_watch_ = {}; // the pause was for an earlier one
+        record_success(watch_backoff_);
     }
     const std::uint64_t term_before = leader_term();
     last_reply_seq_ = std::max(last_reply_seq_, reply.seq);
--- a/tests/slow_control_test.cpp
+++ b/tests/slow_control_test.cpp
@@ -202,7 +202,7 @@
 
 // Renewals of one instance in virtual time, to three control instances that answer as `answer` says.
 struct searching_instance {
-    enum class outcome : std::uint8_t { silence = 1, not_leader, granted };
+    enum class outcome : std::uint8_t { silence = 1, refused, not_leader, granted };
 
     std::mt19937_64 random{1};
     control_search search = make_control_search({"a", "b", "c"});
@@ -234,6 +234,7 @@
         record_sent(search, address, now);
         switch (answer(address)) {
         case outcome::silence: break;
+        case outcome::refused: record_unanswered(search, address, now, random); break;
         case outcome::not_leader:
             record_not_leader(search, address, hint, milliseconds{30}, now, random);
             break;
@@ -290,6 +291,25 @@
     }
 }
 
+// Guards against a start of everything in which instances wait although control is back.
+TEST(control_search, leader_is_found_soon_after_all_refused) {
+    for (unsigned seed = 0; seed < 50; ++seed) {
+        searching_instance i;
+        i.random.seed(seed);
+        const time_point back_at = i.now + std::chrono::seconds{2};
+        i.answer = [&i, back_at](const std::string& address) {
+            if (i.now < back_at) {
+                return searching_instance::outcome::refused;
+            }
+            return address == "c" ? searching_instance::outcome::granted
+                                  : searching_instance::outcome::not_leader;
+        };
+        i.run_for(std::chrono::seconds{10});
+        ASSERT_TRUE(i.granted_at.has_value()) << seed;
+        EXPECT_LE(*i.granted_at - back_at, max_search_pause) << seed;
+    }
+}
+
 // Guards against a control instance that gets a new connection for every answer that is late: its queue of
 // connections grows faster than it can take them, and nothing is answered any more.
 TEST(slow_control, late_rate_grants_open_no_new_connections) {
