Logs: whom an instance asks to join, messages without a receiver, and the losses that the leader tolerates

No decision changes. control_join_answered: each request to join, its answer's code and the leader's address in it. control_message_misaddressed: a message for an identity that is gone; control_message_undeliverable: one that is dropped since its receiver is unknown; a line a second at most. control_tolerated_losses, a line at each change and a metric at the leader: how many more voters may be lost. With four living voters of five nothing told so. Edits go on in that state: refusing them would cost service, and no rule asks for it.

Test: members.tolerated_losses_count_silent_voters_as_lost.

--- a/src/core/control_core.hpp
+++ b/src/core/control_core.hpp
@@ -117,4 +117,8 @@
 // and while a lost voter is being replaced, no change is acknowledged.
 bool has_enough_voters(const control_core& c);
 
+// Returns how many more voters may be lost with a majority left, counting silent voters as lost. Meaningful
+// on the leader only.
+std::size_t count_tolerated_losses(const control_core& c, time_point now);
+
 } // namespace larchpin
--- a/src/daemon/consensus_log.cpp
+++ b/src/daemon/consensus_log.cpp
@@ -1,5 +1,6 @@
 #include "daemon/consensus_log.hpp"
 
+#include "core/control_core.hpp"
 #include "core/raft.hpp"
 #include "io/log.hpp"
 
@@ -10,6 +11,7 @@
 namespace {
 
 constexpr duration no_leader_interval = std::chrono::seconds{1};
+constexpr duration dropped_message_interval = std::chrono::seconds{1};
 
 std::string_view to_string(raft::refusal_reason reason) {
     switch (reason) {
@@ -88,6 +90,15 @@
                {"awaited", names_of_awaited(s)}});
 }
 
+// Returns whether a line is due, and if so records it.
+bool is_due(time_point& logged_at, time_point now) {
+    if (logged_at != time_point{} && now - logged_at < dropped_message_interval) {
+        return false;
+    }
+    logged_at = now;
+    return true;
+}
+
 } // namespace
 
 void log_consensus(consensus_log& logged, const raft::state& s, time_point now) {
@@ -108,4 +119,41 @@
                {"own_log_index", raft::last_index(s)}});
 }
 
+void log_tolerated_losses(consensus_log& logged, const control_core& c, time_point now) {
+    if (!is_active_leader(c, now)) {
+        logged.tolerated_losses.reset();
+        return;
+    }
+    const std::size_t tolerated = count_tolerated_losses(c, now);
+    if (logged.tolerated_losses == tolerated) {
+        return;
+    }
+    logged.tolerated_losses = tolerated;
+    const std::size_t wanted = c.target_voters / 2;
+    log_event(tolerated < wanted ? severity::warning : severity::info, "control_tolerated_losses",
+              {{"tolerated", static_cast<std::uint64_t>(tolerated)},
+               {"wanted", static_cast<std::uint64_t>(wanted)},
+               {"voters", names_of(c.consensus.members, true)}});
+}
+
+void log_undeliverable(consensus_log& logged, const raft::message& m, time_point now) {
+    if (is_due(logged.undeliverable_logged_at, now)) {
+        log_event(severity::warning, "control_message_undeliverable",
+                  {{"kind", static_cast<std::uint64_t>(m.kind)}, {"to", m.to}, {"granted", m.granted}});
+    }
+}
+
+void log_misaddressed(consensus_log& logged, const raft::message& m, const raft::state& s, time_point now) {
+    if (is_due(logged.misaddressed_logged_at, now)) {
+        log_event(
+            severity::info, "control_message_misaddressed",
+            {{"kind", static_cast<std::uint64_t>(m.kind)}, {"from", m.from}, {"to", m.to}, {"node", s.self}});
+    }
+}
+
+void log_join_answer(const std::string& address, std::uint32_t code, const std::string& leader) {
+    log_event(severity::info, "control_join_answered",
+              {{"address", address}, {"code", static_cast<std::uint64_t>(code)}, {"leader", leader}});
+}
+
 } // namespace larchpin
--- a/src/daemon/control_node.cpp
+++ b/src/daemon/control_node.cpp
@@ -152,6 +152,7 @@
     record_tick_delay();
     tick(core_, now(), random_);
     log_consensus(consensus_log_, core_.consensus, now());
+    log_tolerated_losses(consensus_log_, core_, now());
     if (core_.consensus.leader != 0) {
         phases_.reached("leader_known", now());
     }
@@ -256,6 +257,7 @@
     for (const raft::message& m : messages) {
         const raft::member* to = raft::find_member(core_.consensus.members, m.to);
         if (to == nullptr) {
+            log_undeliverable(consensus_log_, m, now());
             continue;
         }
         wire::raft_message wire_message;
@@ -266,11 +268,15 @@
 }
 
 void control_node::on_raft_message(const std::string& body) {
-    wire::raft_message m;
-    if (!m.ParseFromString(body) || store_failed_) {
+    wire::raft_message wire_message;
+    if (!wire_message.ParseFromString(body) || store_failed_) {
         return;
     }
-    step(core_, from_wire(m), now(), random_);
+    const raft::message m = from_wire(wire_message);
+    if (m.to != core_.self.id) {
+        log_misaddressed(consensus_log_, m, core_.consensus, now());
+    }
+    step(core_, m, now(), random_);
     pump();
 }
 
@@ -454,7 +460,13 @@
     wire::join_request request;
     to_wire(core_.self, *request.mutable_member());
     clients_.to(address).post("/v1/join", request.SerializeAsString(), message_timeout,
-                              [](const http_outcome&) {});
+                              [address](const http_outcome& o) {
+                                  wire::operator_reply reply;
+                                  if (!o.answered || !reply.ParseFromString(o.body)) {
+                                      reply.set_code(static_cast<std::uint32_t>(result_code::no_quorum));
+                                  }
+                                  log_join_answer(address, reply.code(), reply.detail());
+                              });
 }
 
 std::string control_node::answer_join(const std::string& body) {
--- a/src/daemon/control_node.hpp
+++ b/src/daemon/control_node.hpp
@@ -21,6 +21,7 @@
 
 #include <deque>
 #include <memory>
+#include <optional>
 #include <random>
 
 namespace larchpin {
@@ -64,6 +65,11 @@
         config_.control_addresses = addresses;
     }
 
+    // Returns how many more voters may be lost with a majority left, or nothing while another instance leads.
+    [[nodiscard]] std::optional<std::size_t> tolerated_losses() const {
+        return consensus_log_.tolerated_losses;
+    }
+
     // [consensus]
     void on_raft_message(const std::string& body);
     [[nodiscard]] std::string answer_join(const std::string& body);
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -289,6 +289,10 @@
     counts_.set_gauge("server_loads_oldest_ms",
                       std::chrono::duration<double, std::milli>(loads_.oldest()).count());
     counts_.set_gauge("queue_refusals", static_cast<double>(pools_.counters().refused));
+    counts_.drop_gauges("control_tolerated_losses");
+    if (const auto tolerated = control_ ? control_->tolerated_losses() : std::nullopt) {
+        counts_.set_gauge("control_tolerated_losses", static_cast<double>(*tolerated));
+    }
     refresh_order_gauges();
 }
 
--- a/tests/control_test.cpp
+++ b/tests/control_test.cpp
@@ -1004,6 +1004,20 @@
     EXPECT_TRUE(has_enough_voters(s.core));
 }
 
+// Four living voters of five were taken for a cluster that bears two losses: nothing told that one was out.
+TEST(members, tolerated_losses_count_silent_voters_as_lost) {
+    member_site s = make_members(voters_for_tolerated_losses(2));
+    for (raft::node_id id = 1; id <= 5; ++id) {
+        s.add(id, "d" + std::to_string(id), true);
+    }
+    EXPECT_EQ(count_tolerated_losses(s.core, s.now), 2U);
+    s.silence(5, std::chrono::seconds{10});
+    EXPECT_EQ(count_tolerated_losses(s.core, s.now), 1U);
+    s.silence(4, std::chrono::seconds{10});
+    s.silence(3, std::chrono::seconds{10});
+    EXPECT_EQ(count_tolerated_losses(s.core, s.now), 0U);
+}
+
 TEST(members, instance_without_leader_requests_to_join_again) {
     member_site s = make_members(voters_for_tolerated_losses(1));
     s.add(1, "a", true);
