--- a/tests/site.cpp
+++ b/tests/site.cpp
@@ -213,8 +213,13 @@
     const auto relay = [this](unsigned port) { return options_.relay ? options_.relay(port) : port; };
     for (int i = 0; i < options_.daemons; ++i) {
         const unsigned peer_port = free_port();
-        daemons_.push_back(
-            {.entry_port = free_port(), .peer_port = peer_port, .relay_port = relay(peer_port)});
+        daemons_.push_back({.entry_port = free_port(),
+                            .peer_port = peer_port,
+                            .relay_port = relay(peer_port),
+                            .control_addresses = {}});
+    }
+    for (daemon_process& d : daemons_) {
+        d.control_addresses = {peer_address(0), peer_address(1), peer_address(2)};
     }
     for (int g = 0; g < options_.groups; ++g) {
         for (int s = 0; s < options_.servers; ++s) {
@@ -273,9 +278,15 @@
         << "\"\naddress = \"" << peer_address(i) << "\"\nkey_file = \"" << folder_ << "/key\"\n"
         << "[backend]\ndetect_ms = " << options_.detect_ms << "\n"
         << "[control]\nlease_ms = " << options_.lease_ms
-        << "\nsnapshot_entries = " << options_.snapshot_entries << "\naddresses = [\"" << peer_address(0)
-        << "\", \"" << peer_address(1) << "\", \"" << peer_address(2) << "\"]\n";
-    if (i < 3) {
+        << "\nsnapshot_entries = " << options_.snapshot_entries
+        << "\ntolerated_losses = " << options_.tolerated_losses << "\naddresses = [";
+    const char* separator = "";
+    for (const std::string& address : daemons_.at(static_cast<std::size_t>(i)).control_addresses) {
+        out << separator << "\"" << address << "\"";
+        separator = ", ";
+    }
+    out << "]\n";
+    if (i < options_.controls) {
         out << "member = true\ndata_folder = \"" << folder_ << "/data-" << i << "\"\n";
     }
 }
@@ -316,7 +327,7 @@
     if (options_.keeps_data) {
         arguments.insert(arguments.end(), {"--data", folder_ + "/" + name + ".data"});
     }
-    for (int i = 0; i < options_.daemons && i < 3; ++i) {
+    for (int i = 0; i < options_.daemons && i < options_.controls; ++i) {
         arguments.insert(arguments.end(), {"--announce-to", peer_address(i)});
     }
     s.pid = spawn(arguments, folder_ + "/" + name + ".log");
@@ -380,10 +391,14 @@
 bool site::stands() const {
     const auto body = ask_one(operators(), peer_address(0), "/v1/status", "");
     wire::status_reply status;
-    return body && status.ParseFromString(body->body) && status.members_size() == 3 &&
-           std::all_of(status.members().begin(), status.members().end(),
-                       [](const auto& m) { return m.voter(); }) &&
-           status.servers_size() == options_.groups * options_.servers &&
+    const auto voters = [&status] {
+        return std::count_if(status.members().begin(), status.members().end(),
+                             [](const auto& m) { return m.voter(); });
+    };
+    const int wanted = options_.tolerated_losses == 0 ? options_.controls
+                                                      : 2 * static_cast<int>(options_.tolerated_losses) + 1;
+    return body && status.ParseFromString(body->body) && status.members_size() == options_.controls &&
+           voters() == wanted && status.servers_size() == options_.groups * options_.servers &&
            std::all_of(status.servers().begin(), status.servers().end(),
                        [](const auto& m) { return m.alive(); });
 }
@@ -426,6 +441,11 @@
     servers_.at(name).pid = -1; // has run before
 }
 
+void site::set_control_addresses(int i, const std::vector<std::string>& addresses) {
+    daemons_.at(static_cast<std::size_t>(i)).control_addresses = addresses;
+    write_settings(i);
+}
+
 void site::lose_data(int i) {
     std::filesystem::remove_all(folder_ + "/data-" + std::to_string(i));
 }
@@ -442,7 +462,7 @@
 
 operator_client site::operators() const {
     operator_client c;
-    for (int i = 0; i < options_.daemons && i < 3; ++i) {
+    for (int i = 0; i < options_.daemons && i < options_.controls; ++i) {
         c.addresses.push_back(peer_address(i));
     }
     std::string key;
--- a/tests/site.hpp
+++ b/tests/site.hpp
@@ -66,7 +66,9 @@
 };
 
 struct site_options {
-    int daemons = 3; // the first three are control members too
+    int daemons = 3;
+    int controls = 3;              // the first ones are control members too
+    unsigned tolerated_losses = 0; // of control members with their disks; 0: all vote
     int groups = 1;
     int servers = 3;         // of each group
     unsigned lag_ms = 20;    // of the replicas
@@ -104,6 +106,8 @@
     void stop_server(const std::string& name, int signal);
     int wait_daemon(int i); // for an end that was asked for otherwise
     void lose_data(int i);  // its data folder; the daemon must be stopped
+    // Writes the daemon's settings anew with these control addresses; a running daemon reads them soon.
+    void set_control_addresses(int i, const std::vector<std::string>& addresses);
 
     caller connect(int daemon, const std::string& service, const std::string& group,
                    const std::string& options = "") const;
@@ -132,6 +136,7 @@
         unsigned peer_port = 0;
         unsigned relay_port = 0;
         pid_t pid = 0;
+        std::vector<std::string> control_addresses; // of its settings
     };
 
     void write_settings(int i) const;
