Joining: an instance that lost its disk follows the answer's hint at the leader

An instance that lost its disk asked the three control instances of its settings to add it. Only the leader adds members; a follower answers with the leader's address, and that answer was dropped. Where none of the three led, the instance stayed out until the next election, and its lost identity kept its vote. The next losses, each tolerated, took the majority. Change: core/join_search decides whom to ask. It follows the hint at once, at most 20 times a second, forgets a leader that does not answer, and otherwise asks the known addresses in turn every 300 ms as before.

--- a/src/core/control_core.cpp
+++ b/src/core/control_core.cpp
@@ -511,6 +511,18 @@
     return !is_member || may_be_removed;
 }
 
+std::optional<std::string> choose_join_address(control_core& c, const std::vector<std::string>& configured,
+                                               time_point now) {
+    if (!should_join(c, now)) {
+        return std::nullopt;
+    }
+    std::vector<std::string> known = configured;
+    for (const raft::member& m : c.consensus.members.members) {
+        known.push_back(m.address);
+    }
+    return choose_join_address(c.joining, known, c.self.address, now);
+}
+
 std::size_t voters_for_tolerated_losses(unsigned losses) {
     return losses == 0 ? 0 : 2 * std::size_t{losses} + 1;
 }
--- a/src/core/control_core.hpp
+++ b/src/core/control_core.hpp
@@ -10,6 +10,7 @@
 #pragma once
 
 #include "core/control.hpp"
+#include "core/join_search.hpp"
 #include "core/raft.hpp"
 
 #include <deque>
@@ -53,6 +54,7 @@
     // Other members stay learners and replace silent voters; 0 = all keep a vote.
     std::size_t target_voters = 0;
     raft::member self;
+    join_search joining;
     duration loop_delay{0};       // smoothed, see record_loop_delay()
     time_point loop_late_since{}; // 0 = the event loop is on time
     control_output out;
@@ -109,6 +111,11 @@
 // removed node keeps its identity when it joins again.
 bool should_join(const control_core& c, time_point now);
 
+// Returns the control instance to ask now, if this node should join; see join_search.hpp. `configured`: the
+// control addresses of the settings.
+std::optional<std::string> choose_join_address(control_core& c, const std::vector<std::string>& configured,
+                                               time_point now);
+
 // Returns the number of voters needed to survive this many simultaneous disk losses; 0 = not specified, all
 // members vote.
 std::size_t voters_for_tolerated_losses(unsigned losses);
--- /dev/null
+++ b/src/core/join_search.cpp
@@ -0,0 +1,55 @@
+#include "core/join_search.hpp"
+
+namespace larchpin {
+namespace {
+
+void follow(join_search& s, const std::string& address) {
+    s.is_asked = s.is_asked && s.leader == address;
+    s.leader = address;
+}
+
+void forget_leader(join_search& s, const std::string& address) {
+    if (s.leader == address) {
+        s.leader.clear();
+        s.is_asked = false;
+    }
+}
+
+} // namespace
+
+std::optional<std::string> choose_join_address(join_search& s, const std::vector<std::string>& known,
+                                               const std::string& own, time_point now) {
+    const bool has_new_leader = !s.leader.empty() && !s.is_asked;
+    const duration interval = has_new_leader ? hinted_join_interval : join_interval;
+    if (s.last_request != time_point{} && now - s.last_request < interval) {
+        return std::nullopt;
+    }
+    std::string address = s.leader;
+    s.is_asked = !s.leader.empty();
+    for (std::size_t tried = 0; tried < known.size() && (address.empty() || address == own); ++tried) {
+        address = known[s.next++ % known.size()];
+    }
+    if (address.empty() || address == own) {
+        return std::nullopt;
+    }
+    s.last_request = now;
+    return address;
+}
+
+void record_join_answer(join_search& s, const std::string& address, result_code code,
+                        const std::string& hint) {
+    if (code == result_code::ok) {
+        follow(s, address);
+        s.is_asked = true;
+    } else if (!hint.empty() && hint != address) {
+        follow(s, hint);
+    } else {
+        forget_leader(s, address);
+    }
+}
+
+void record_join_unanswered(join_search& s, const std::string& address) {
+    forget_leader(s, address);
+}
+
+} // namespace larchpin
--- a/src/daemon/control_node.cpp
+++ b/src/daemon/control_node.cpp
@@ -30,7 +30,6 @@
 constexpr duration late_tick = std::chrono::milliseconds{100}; // worth a log line
 constexpr duration message_timeout = std::chrono::milliseconds{1000};
 constexpr duration watch_time = std::chrono::seconds{5};
-constexpr duration join_interval = std::chrono::milliseconds{300};
 constexpr duration write_again_after = std::chrono::milliseconds{100};
 constexpr duration probe_again_after = std::chrono::milliseconds{10};
 constexpr duration search_pause =
@@ -445,28 +444,27 @@
 // A node that is in no configuration asks the others to take it in. It never starts a cluster by itself:
 // that is an operator's word, since an empty folder cannot tell a first start from a lost disk.
 void control_node::ask_to_join() {
-    if (!should_join(core_, now()) || now() < next_join_at_) {
-        return;
-    }
-    next_join_at_ = now() + join_interval;
-    std::vector<std::string> addresses = config_.control_addresses;
-    for (const raft::member& m : core_.consensus.members.members) {
-        addresses.push_back(m.address);
-    }
-    const std::string& address = addresses[join_index_++ % addresses.size()];
-    if (address == config_.peer_address) {
+    const auto address = choose_join_address(core_, config_.control_addresses, now());
+    if (!address) {
         return;
     }
     wire::join_request request;
     to_wire(core_.self, *request.mutable_member());
-    clients_.to(address).post("/v1/join", request.SerializeAsString(), message_timeout,
-                              [address](const http_outcome& o) {
-                                  wire::operator_reply reply;
-                                  if (!o.answered || !reply.ParseFromString(o.body)) {
-                                      reply.set_code(static_cast<std::uint32_t>(result_code::no_quorum));
-                                  }
-                                  log_join_answer(address, reply.code(), reply.detail());
-                              });
+    clients_.to(*address).post(
+        "/v1/join", request.SerializeAsString(), message_timeout,
+        [this, address = *address](const http_outcome& o) { on_join_answer(address, o); });
+}
+
+void control_node::on_join_answer(const std::string& address, const http_outcome& o) {
+    wire::operator_reply reply;
+    if (!o.answered || o.status != 200 || !reply.ParseFromString(o.body)) {
+        record_join_unanswered(core_.joining, address);
+        reply.Clear();
+        reply.set_code(static_cast<std::uint32_t>(result_code::no_quorum));
+    } else {
+        record_join_answer(core_.joining, address, static_cast<result_code>(reply.code()), reply.detail());
+    }
+    log_join_answer(address, reply.code(), reply.detail());
 }
 
 std::string control_node::answer_join(const std::string& body) {
--- a/src/daemon/control_node.hpp
+++ b/src/daemon/control_node.hpp
@@ -115,6 +115,7 @@
     void answer_watchers();
     void answer_waiting_edits();
     void ask_to_join();
+    void on_join_answer(const std::string& address, const http_outcome& o);
     void found_cluster();
     [[nodiscard]] raft::node_id new_identity() const;
     [[nodiscard]] std::string leader_address() const;
@@ -135,11 +136,9 @@
     std::map<std::uint64_t, server_operation> operations_;
     http2_clients clients_;
     boost::asio::steady_timer timer_;
-    time_point next_join_at_{};
     time_point next_tick_{};
     start_phases phases_;
     consensus_log consensus_log_;
-    std::size_t join_index_ = 0;
 };
 
 } // namespace larchpin
