Joining: the leader's messages to a lost identity's address tell the instance there whom to ask

Cause: an instance without a disk learned of control from its settings only, although the leader went on writing to its address. These messages carry the lost identity and were dropped. Change: a message carries its sender's address. An instance that gets one for another identity asks that leader to add it; until it is added it names the leader to entries that ask.

--- a/src/core/control_core.cpp
+++ b/src/core/control_core.cpp
@@ -400,6 +400,19 @@
     process_committed(c, now);
 }
 
+void record_sender(control_core& c, const raft::message& m, const std::string& address) {
+    const bool from_leader =
+        m.kind == raft::message_kind::append_request || m.kind == raft::message_kind::snapshot_request;
+    if (m.to != c.self.id && from_leader && !address.empty() && address != c.self.address) {
+        record_leader_seen(c.joining, address, m.term);
+    }
+}
+
+std::string leader_address(const control_core& c) {
+    const raft::member* leader = raft::find_member(c.consensus.members, c.consensus.leader);
+    return leader == nullptr ? c.joining.leader : leader->address;
+}
+
 void on_persisted(control_core& c, std::uint64_t index, std::uint64_t term, time_point now) {
     raft::on_persisted(c.consensus, index, term, now);
     process_committed(c, now);
@@ -523,6 +536,21 @@
     return choose_join_address(c.joining, known, c.self.address, now);
 }
 
+std::vector<std::string> find_unknown_controls(const control_core& c,
+                                               const std::vector<std::string>& configured, time_point now) {
+    std::vector<std::string> unknown;
+    if (!is_active_leader(c, now)) {
+        return unknown;
+    }
+    const auto& members = c.consensus.members.members;
+    std::copy_if(configured.begin(), configured.end(), std::back_inserter(unknown),
+                 [&members](const std::string& address) {
+                     return std::none_of(members.begin(), members.end(),
+                                         [&address](const auto& m) { return m.address == address; });
+                 });
+    return unknown;
+}
+
 std::size_t voters_for_tolerated_losses(unsigned losses) {
     return losses == 0 ? 0 : 2 * std::size_t{losses} + 1;
 }
--- a/src/core/control_core.hpp
+++ b/src/core/control_core.hpp
@@ -72,6 +72,13 @@
 
 void tick(control_core& c, time_point now, std::mt19937_64& random);
 void step(control_core& c, const raft::message& m, time_point now, std::mt19937_64& random);
+
+// Records the address that a message came from. Call before step(). A leader that writes to an earlier
+// identity of this instance can then be asked to add it.
+void record_sender(control_core& c, const raft::message& m, const std::string& address);
+
+// Returns the peer address of control's leader as far as this instance knows, or an empty string.
+std::string leader_address(const control_core& c);
 void on_persisted(control_core& c, std::uint64_t index, std::uint64_t term, time_point now);
 control_output take_output(control_core& c);
 
@@ -116,6 +123,11 @@
 std::optional<std::string> choose_join_address(control_core& c, const std::vector<std::string>& configured,
                                                time_point now);
 
+// Returns the configured control instances that are no members, for the leader to write to: one that lost its
+// disk after its earlier identity was removed gets no messages otherwise. Empty unless this instance leads.
+std::vector<std::string> find_unknown_controls(const control_core& c,
+                                               const std::vector<std::string>& configured, time_point now);
+
 // Returns the number of voters needed to survive this many simultaneous disk losses; 0 = not specified, all
 // members vote.
 std::size_t voters_for_tolerated_losses(unsigned losses);
--- a/src/core/join_search.cpp
+++ b/src/core/join_search.cpp
@@ -3,9 +3,10 @@
 namespace larchpin {
 namespace {
 
-void follow(join_search& s, const std::string& address) {
+void follow(join_search& s, const std::string& address, std::uint64_t term) {
     s.is_asked = s.is_asked && s.leader == address;
     s.leader = address;
+    s.leader_term = term;
 }
 
 void forget_leader(join_search& s, const std::string& address) {
@@ -39,10 +40,10 @@
 void record_join_answer(join_search& s, const std::string& address, result_code code,
                         const std::string& hint) {
     if (code == result_code::ok) {
-        follow(s, address);
+        follow(s, address, s.leader_term);
         s.is_asked = true;
     } else if (!hint.empty() && hint != address) {
-        follow(s, hint);
+        follow(s, hint, 0);
     } else {
         forget_leader(s, address);
     }
@@ -52,4 +53,10 @@
     forget_leader(s, address);
 }
 
+void record_leader_seen(join_search& s, const std::string& address, std::uint64_t term) {
+    if (term >= s.leader_term) {
+        follow(s, address, term);
+    }
+}
+
 } // namespace larchpin
--- a/src/core/join_search.hpp
+++ b/src/core/join_search.hpp
@@ -1,8 +1,9 @@
 // Decides which control instance an instance that is not a member asks to add it.
 //
-// Only the leader adds members. The instance follows the leader as far as it learns of one from the answers
-// of control instances that do not lead. Otherwise it asks the addresses that it knows in turn: its settings
-// may name control instances that do not lead, do not answer, or have lost their disks themselves.
+// Only the leader adds members. The instance follows the leader as far as it learns of one: from the answers
+// of control instances that do not lead, and from a leader that writes to its address, though to an earlier
+// identity. Otherwise it asks the addresses that it knows in turn: its settings may name control instances
+// that do not lead, do not answer, or have lost their disks themselves.
 //
 // Usage
 //   if (const auto to = choose_join_address(s, known, own, now)) { ... }
@@ -22,9 +23,10 @@
 constexpr duration hinted_join_interval = std::chrono::milliseconds{50}; // for a leader not yet asked
 
 struct join_search {
-    std::string leader;    // peer address, as far as is known
-    bool is_asked = false; // the leader, since it is known
-    std::size_t next = 0;  // index among the known addresses
+    std::string leader;            // peer address, as far as is known
+    std::uint64_t leader_term = 0; // 0: from an answer, which states none
+    bool is_asked = false;         // the leader, since it is known
+    std::size_t next = 0;          // index among the known addresses
     time_point last_request{};
     auto operator<=>(const join_search&) const = default;
 };
@@ -40,4 +42,7 @@
 
 void record_join_unanswered(join_search& s, const std::string& address);
 
+// Records a message of a leader of this term. The leader of an older term is ignored.
+void record_leader_seen(join_search& s, const std::string& address, std::uint64_t term);
+
 } // namespace larchpin
--- a/src/daemon/control_node.cpp
+++ b/src/daemon/control_node.cpp
@@ -157,6 +157,7 @@
     }
     pump();
     ask_to_join();
+    greet_unknown_controls();
     answer_watchers();
     answer_waiting_edits();
     timer_.expires_after(tick_interval);
@@ -259,13 +260,18 @@
             log_undeliverable(consensus_log_, m, now());
             continue;
         }
-        wire::raft_message wire_message;
-        to_wire(m, wire_message);
-        clients_.to(to->address)
-            .post("/v1/raft", wire_message.SerializeAsString(), message_timeout, [](const http_outcome&) {});
+        send_message(m, to->address);
     }
 }
 
+void control_node::send_message(const raft::message& m, const std::string& address) {
+    wire::raft_message wire_message;
+    to_wire(m, wire_message);
+    wire_message.set_sender_address(config_.peer_address);
+    clients_.to(address).post("/v1/raft", wire_message.SerializeAsString(), message_timeout,
+                              [](const http_outcome&) {});
+}
+
 void control_node::on_raft_message(const std::string& body) {
     wire::raft_message wire_message;
     if (!wire_message.ParseFromString(body) || store_failed_) {
@@ -275,6 +281,7 @@
     if (m.to != core_.self.id) {
         log_misaddressed(consensus_log_, m, core_.consensus, now());
     }
+    record_sender(core_, m, wire_message.sender_address());
     step(core_, m, now(), random_);
     pump();
 }
@@ -467,6 +474,20 @@
     log_join_answer(address, reply.code(), reply.detail());
 }
 
+// A message to no identity: it only tells the sender's address.
+void control_node::greet_unknown_controls() {
+    if (now() < next_greeting_) {
+        return;
+    }
+    next_greeting_ = now() + join_interval;
+    raft::message greeting;
+    greeting.from = core_.self.id;
+    greeting.term = core_.consensus.hard.term;
+    for (const std::string& address : find_unknown_controls(core_, config_.control_addresses, now())) {
+        send_message(greeting, address);
+    }
+}
+
 std::string control_node::answer_join(const std::string& body) {
     wire::join_request request;
     if (!request.ParseFromString(body) || request.member().id() == 0) {
@@ -474,7 +495,7 @@
     }
     const result_code code = join(core_, from_wire(request.member()), now());
     pump();
-    return operator_reply(code, code == result_code::not_leader ? leader_address() : "");
+    return operator_reply(code, code == result_code::not_leader ? leader_address(core_) : "");
 }
 
 std::string control_node::answer_bootstrap() {
@@ -490,11 +511,6 @@
 // [answers to daemons]
 //-----------------------------------------------------------------------------
 
-std::string control_node::leader_address() const {
-    const raft::member* leader = raft::find_member(core_.consensus.members, core_.consensus.leader);
-    return leader == nullptr ? std::string{} : leader->address;
-}
-
 std::string control_node::answer_renewal(const std::string& body) {
     wire::renewal request;
     wire::renewal_reply reply;
@@ -509,7 +525,7 @@
     } else {
         const duration pause = leader_search_backoff(search_pause, core_.cluster.instances.size());
         reply.set_code(static_cast<std::uint32_t>(result_code::not_leader));
-        reply.set_leader_address(leader_address());
+        reply.set_leader_address(leader_address(core_));
         reply.set_renew_after_us(
             static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::microseconds>(pause).count()));
     }
@@ -528,7 +544,7 @@
         reply.set_leader_term(core_.control.leader_term);
     } else {
         reply.set_code(static_cast<std::uint32_t>(result_code::not_leader));
-        reply.set_leader_address(leader_address());
+        reply.set_leader_address(leader_address(core_));
     }
     return reply.SerializeAsString();
 }
@@ -583,7 +599,7 @@
         return;
     }
     if (!is_active_leader(core_, now())) {
-        reply(result_code::not_leader, leader_address());
+        reply(result_code::not_leader, leader_address(core_));
         return;
     }
     if (!has_enough_voters(core_)) {
@@ -646,14 +662,14 @@
     }
     const result_code code = switch_over(core_, {request.group()}, {request.target()}, now());
     pump();
-    return operator_reply(code, code == result_code::not_leader ? leader_address() : "");
+    return operator_reply(code, code == result_code::not_leader ? leader_address(core_) : "");
 }
 
 std::string control_node::answer_document() {
     wire::document_reply reply;
     if (!is_active_leader(core_, now())) {
         reply.set_code(static_cast<std::uint32_t>(result_code::not_leader));
-        reply.set_leader(leader_address());
+        reply.set_leader(leader_address(core_));
         return reply.SerializeAsString();
     }
     const bool has_one = core_.cluster.table_version != 0;
@@ -667,7 +683,7 @@
     wire::status_reply reply;
     if (!is_active_leader(core_, now())) {
         reply.set_code(static_cast<std::uint32_t>(result_code::not_leader));
-        reply.set_leader(leader_address());
+        reply.set_leader(leader_address(core_));
         return reply.SerializeAsString();
     }
     reply.set_leader(config_.id.value);
--- a/src/daemon/control_node.hpp
+++ b/src/daemon/control_node.hpp
@@ -114,11 +114,12 @@
     void finish_operation(const server_answer& answer);
     void answer_watchers();
     void answer_waiting_edits();
+    void send_message(const raft::message& m, const std::string& address);
     void ask_to_join();
     void on_join_answer(const std::string& address, const http_outcome& o);
+    void greet_unknown_controls();
     void found_cluster();
     [[nodiscard]] raft::node_id new_identity() const;
-    [[nodiscard]] std::string leader_address() const;
 
     boost::asio::io_context& io_;
     settings config_;
@@ -136,6 +137,7 @@
     std::map<std::uint64_t, server_operation> operations_;
     http2_clients clients_;
     boost::asio::steady_timer timer_;
+    time_point next_greeting_{};
     time_point next_tick_{};
     start_phases phases_;
     consensus_log consensus_log_;
--- a/tests/join_search_test.cpp
+++ b/tests/join_search_test.cpp
@@ -64,6 +64,14 @@
     }
 }
 
+// A leader that was replaced writes to the instance's address for a while.
+TEST(join_search, leader_of_an_older_term_is_ignored) {
+    joining_instance i;
+    record_leader_seen(i.search, "10.0.0.9:1", 7);
+    record_leader_seen(i.search, "10.0.0.8:1", 6);
+    EXPECT_EQ(i.ask(), "10.0.0.9:1");
+}
+
 // Two instances that name each other as the leader are not asked without a pause.
 TEST(join_search, requests_are_bounded_when_hints_go_in_a_circle) {
     joining_instance i;
--- a/tests/joining_test.cpp
+++ b/tests/joining_test.cpp
@@ -52,13 +52,16 @@
     return log.substr(first, log.find_first_not_of("0123456789", first) - first);
 }
 
-bool is_member(const site& s, int daemon) {
+bool has_member(const site& s, const std::string& identity) {
     const auto status = find_status(s);
-    const std::string identity = identity_of(s, daemon);
     return status && std::any_of(status->members().begin(), status->members().end(),
                                  [&](const auto& m) { return std::to_string(m.id()) == identity; });
 }
 
+bool is_member(const site& s, int daemon) {
+    return has_member(s, identity_of(s, daemon));
+}
+
 std::size_t count_answering_voters(const site& s) {
     const auto status = find_status(s);
     return !status ? 0
@@ -173,15 +176,18 @@
 TEST(joining, majority_survives_lost_disks_one_after_another) {
     site s({.daemons = 6, .controls = 6, .tolerated_losses = 2, .groups = 0});
     ASSERT_TRUE(s.start());
-    const auto all_back = [&](int lost) {
-        return wait_until([&] { return is_member(s, lost) && count_answering_voters(s) == 5; });
+    // The lost identity counts as an answering voter for a moment.
+    const auto all_back = [&](int daemon, const std::string& lost) {
+        return wait_until(
+            [&] { return is_member(s, daemon) && !has_member(s, lost) && count_answering_voters(s) == 5; });
     };
     for (int round = 0; round < 3; ++round) {
         const auto followers = find_followers(s, 5);
         const int lost = followers[static_cast<std::size_t>(round)];
+        const std::string lost_identity = identity_of(s, lost);
         lose_disk(s, lost, {s.peer_address(followers[3]), s.peer_address(followers[4])});
         ASSERT_TRUE(start_empty(s, lost));
-        ASSERT_TRUE(all_back(lost)) << "loss " << round;
+        ASSERT_TRUE(all_back(lost, lost_identity)) << "loss " << round;
     }
     const auto followers = find_followers(s, 2);
     const std::vector<std::string> seeds{s.peer_address(followers[0]), s.peer_address(followers[1])};
