Consensus: a reply goes to the address that its request came from

What callers would see: nothing served after a loss of power, for good. Cause: replies were addressed through the own list of members. A voter that was cut off while another instance joined and got its vote does not know that one's address: it granted its vote and threw the reply away. Where that candidate alone holds the whole log (two disks lost right after an acknowledgement), nobody can be elected. A follower's refusal of a new leader's entries was lost the same way, until the leader sent its log from the start. Change: the sender's address of a message is kept for nodes that are no members here, 16 at most, and replies use it. Test: members.candidate_that_joined_during_a_cut_gets_its_reply (there was no address to ask for before).

--- a/src/core/control_core.cpp
+++ b/src/core/control_core.cpp
@@ -177,6 +177,8 @@
 constexpr duration learner_timeout = std::chrono::seconds{12};
 // After this long without contact with a leader an instance may have been removed, and asks to join.
 constexpr int rejoin_election_timeouts = 10;
+// More would only be left over from earlier elections.
+constexpr std::size_t max_sender_addresses = 16;
 
 bool is_silent_for(const raft::state& s, raft::node_id id, duration time, time_point now) {
     const auto p = s.peers.find(id);
@@ -403,14 +405,32 @@
 void record_sender(control_core& c, const raft::message& m, const std::string& address) {
     const bool from_leader =
         m.kind == raft::message_kind::append_request || m.kind == raft::message_kind::snapshot_request;
-    if (m.to != c.self.id && from_leader && !address.empty() && address != c.self.address) {
-        record_leader_seen(c.joining, address, m.term);
+    if (address.empty() || address == c.self.address) {
+        return;
+    }
+    if (m.to != c.self.id) {
+        if (from_leader) {
+            record_leader_seen(c.joining, address, m.term);
+        }
+    } else if (raft::find_member(c.consensus.members, m.from) == nullptr) {
+        if (c.sender_addresses.size() >= max_sender_addresses) {
+            c.sender_addresses.clear();
+        }
+        c.sender_addresses[m.from] = address;
+    }
+}
+
+std::string find_address(const control_core& c, raft::node_id id) {
+    if (const raft::member* m = raft::find_member(c.consensus.members, id)) {
+        return m->address;
     }
+    const auto sender = c.sender_addresses.find(id);
+    return sender == c.sender_addresses.end() ? std::string{} : sender->second;
 }
 
 std::string leader_address(const control_core& c) {
-    const raft::member* leader = raft::find_member(c.consensus.members, c.consensus.leader);
-    return leader == nullptr ? c.joining.leader : leader->address;
+    const std::string address = find_address(c, c.consensus.leader);
+    return address.empty() ? c.joining.leader : address;
 }
 
 void on_persisted(control_core& c, std::uint64_t index, std::uint64_t term, time_point now) {
--- a/src/core/control_core.hpp
+++ b/src/core/control_core.hpp
@@ -14,6 +14,7 @@
 #include "core/raft.hpp"
 
 #include <deque>
+#include <map>
 #include <optional>
 #include <random>
 #include <string>
@@ -55,8 +56,9 @@
     std::size_t target_voters = 0;
     raft::member self;
     join_search joining;
-    duration loop_delay{0};       // smoothed, see record_loop_delay()
-    time_point loop_late_since{}; // 0 = the event loop is on time
+    std::map<raft::node_id, std::string> sender_addresses; // of nodes that are no members here
+    duration loop_delay{0};                                // smoothed, see record_loop_delay()
+    time_point loop_late_since{};                          // 0 = the event loop is on time
     control_output out;
 };
 
@@ -74,9 +76,13 @@
 void step(control_core& c, const raft::message& m, time_point now, std::mt19937_64& random);
 
 // Records the address that a message came from. Call before step(). A leader that writes to an earlier
-// identity of this instance can then be asked to add it.
+// identity of this instance can then be asked to add it, and a node that is no member here yet can be
+// answered.
 void record_sender(control_core& c, const raft::message& m, const std::string& address);
 
+// Returns the address to send messages for this node to, or an empty string.
+std::string find_address(const control_core& c, raft::node_id id);
+
 // Returns the peer address of control's leader as far as this instance knows, or an empty string.
 std::string leader_address(const control_core& c);
 void on_persisted(control_core& c, std::uint64_t index, std::uint64_t term, time_point now);
--- a/src/daemon/control_node.cpp
+++ b/src/daemon/control_node.cpp
@@ -255,12 +255,12 @@
 
 void control_node::send_messages(const std::vector<raft::message>& messages) {
     for (const raft::message& m : messages) {
-        const raft::member* to = raft::find_member(core_.consensus.members, m.to);
-        if (to == nullptr) {
+        const std::string address = find_address(core_, m.to);
+        if (address.empty()) {
             log_undeliverable(consensus_log_, m, now());
             continue;
         }
-        send_message(m, to->address);
+        send_message(m, address);
     }
 }
 
--- a/tests/control_test.cpp
+++ b/tests/control_test.cpp
@@ -1018,6 +1018,28 @@
     EXPECT_EQ(count_tolerated_losses(s.core, s.now), 0U);
 }
 
+// A voter that was cut off while another instance joined granted that one its vote, and threw the reply away
+// because it knew no address: nobody could be elected if the candidate alone had the whole log.
+TEST(members, candidate_that_joined_during_a_cut_gets_its_reply) {
+    member_site s = make_members(voters_for_tolerated_losses(1));
+    s.add(1, "a", true);
+    s.add(2, "b", true);
+    s.core.consensus.current_role = raft::role::follower;
+    raft::message request;
+    request.kind = raft::message_kind::vote_request;
+    request.from = 3;
+    request.to = 1;
+    request.term = s.core.consensus.hard.term + 1;
+    request.log_index = raft::last_index(s.core.consensus) + 1;
+    request.log_term = request.term;
+    record_sender(s.core, request, "127.0.0.1:3");
+    step(s.core, request, s.now + std::chrono::seconds{10}, s.random);
+    const auto replies = take_output(s.core).consensus.messages;
+    ASSERT_EQ(replies.size(), 1U);
+    EXPECT_TRUE(replies[0].granted);
+    EXPECT_EQ(find_address(s.core, replies[0].to), "127.0.0.1:3");
+}
+
 TEST(members, instance_without_leader_requests_to_join_again) {
     member_site s = make_members(voters_for_tolerated_losses(1));
     s.add(1, "a", true);
