Renewals: control addresses of changed settings are used without a lease

What callers saw: an instance that started while none of the control instances of its settings answered stayed without a lease, also after its settings had named others. Cause: the search for control took the settings' addresses at the start and with each answered renewal only. Change: also when settings change; and a control instance asks itself last, since its own part of control may know the leader.

--- a/src/daemon/agent.cpp
+++ b/src/daemon/agent.cpp
@@ -52,7 +52,9 @@
       renewal_interval_(config.lease / renewals_per_lease),
       random_(std::random_device{}()), watch_backoff_{.min_pause = min_watch_pause,
                                                       .max_pause = max_watch_pause},
-      clients_(io, keys, control_silence(config.lease)) {}
+      clients_(io, keys, control_silence(config.lease)) {
+    update_control_addresses();
+}
 
 agent::~agent() = default;
 
@@ -253,6 +255,17 @@
     }
 }
 
+// The settings' addresses stay the last resort, and for a control instance its own: it may know the leader
+// when none of them answers.
+void agent::update_control_addresses() {
+    search_.addresses = control_members_;
+    search_.addresses.insert(search_.addresses.end(), config_.control_addresses.begin(),
+                             config_.control_addresses.end());
+    if (config_.control_member) {
+        search_.addresses.push_back(config_.peer_address);
+    }
+}
+
 void agent::apply_renewal(const renewal_reply& reply, time_point sent) {
     const duration usual_interval = config_.lease / renewals_per_lease;
     renewal_interval_ = std::clamp(reply.renew_after, usual_interval, usual_interval * 2);
@@ -269,10 +282,8 @@
         on_leader();
     }
     if (!reply.control_addresses.empty()) {
-        search_.addresses = reply.control_addresses;
-        // The settings' addresses stay the last resort.
-        search_.addresses.insert(search_.addresses.end(), config_.control_addresses.begin(),
-                                 config_.control_addresses.end());
+        control_members_ = reply.control_addresses;
+        update_control_addresses();
     }
     if (reply.lost && apply_lost_instances_update(lost_, *reply.lost, cluster_)) {
         log_event(severity::info, "lost_instances",
--- a/src/daemon/agent.hpp
+++ b/src/daemon/agent.hpp
@@ -67,6 +67,8 @@
     [[nodiscard]] bool is_in_touch() const;
     // Peer listener of the control instance that leads, as far as is known here.
     [[nodiscard]] const std::string& leader() const { return search_.leader; }
+    // Call after the settings' control addresses have changed.
+    void update_control_addresses();
     // Its term, as far as it has answered a renewal.
     [[nodiscard]] std::uint64_t leader_term() const { return leader_term_of(last_reply_seq_); }
     // Another leader has answered a renewal; called before it is told so.
@@ -211,6 +213,7 @@
     bool stopping_ = false;
     // renewals
     control_search search_;
+    std::vector<std::string> control_members_; // addresses, from the newest answered renewal
     bool renew_again_ = false;
     time_point next_renewal_{};
     duration renewal_interval_{0}; // as the leader asks
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -151,6 +151,7 @@
             if (control_) {
                 control_->set_control_addresses(next.control_addresses);
             }
+            agent_.update_control_addresses();
             log_event(severity::info, "settings_reloaded",
                       {{"by_signal", by_signal},
                        {"control_addresses_changed", moved},
--- a/tests/joining_test.cpp
+++ b/tests/joining_test.cpp
@@ -171,6 +171,22 @@
     EXPECT_TRUE(wait_until([&] { return count_answering_voters(s) == 5; }));
 }
 
+// An entry that started with control addresses of which none answers did not use those of changed settings.
+TEST(joining, entry_without_a_lease_follows_changed_settings) {
+    site s(three_controls());
+    ASSERT_TRUE(s.start());
+    const int entry = 3;
+    s.stop_daemon(entry, SIGKILL);
+    s.set_control_addresses(entry, {unused_address});
+    ASSERT_TRUE(wait_until([&] { return !has_lease(s, entry); }));
+    s.start_daemon(entry);
+    ASSERT_TRUE(wait_until([&] {
+        return s.log_of_daemon(entry).rfind("daemon_started") > s.log_of_daemon(entry).rfind("lease_held");
+    }));
+    s.set_control_addresses(entry, {s.peer_address(0), s.peer_address(1), s.peer_address(2)});
+    EXPECT_TRUE(wait_until([&] { return has_lease(s, entry); }));
+}
+
 // Instances lost their disks one after another, each tolerated, and control had no majority after two more:
 // those before had never been added again.
 TEST(joining, majority_survives_lost_disks_one_after_another) {
