Model: control instances know addresses only, and settings name three of them

Why the incident was missed: in the model an empty instance asked any control instance, chosen at random among all, and a message reached whoever had the identity. So nobody could stay out, and no reply was ever without an address. Change: each start draws the three control instances that its settings name; joining goes by core/join_search with its hints and timeouts; messages go to addresses, as far as the sender knows one, and arrive at whatever instance is there.

--- a/tests/cluster_fuzz_test.cpp
+++ b/tests/cluster_fuzz_test.cpp
@@ -66,6 +66,16 @@
     ADD_FAILURE() << "the violation was not detected";
 }
 
+// All tolerated losses, one after another, then the tolerated disks and all power, each start with other
+// control instances in its settings. Returns what does not recover.
+std::string lose_one_after_another(std::uint64_t seed, const broken_rules& broken) {
+    fault_rates rates{.controls = 6, .tolerated_losses = 2, .loss = 0, .max_delay_ms = 10};
+    rates.tolerated_loss = 0.01;
+    cluster_model model(seed, rates, broken);
+    const std::string violation = model.run(steps);
+    return violation.empty() ? model.run_power_loss(false) : violation;
+}
+
 TEST(cluster_fuzz, holds_without_faults) {
     expect_no_violation({}, "no faults");
 }
@@ -111,14 +121,9 @@
 // All tolerated losses and no others: with all instances back the cluster decides edits, and keeps them if
 // two disks are lost and all other instances lose power right after.
 TEST(cluster_fuzz, keeps_edits_after_tolerated_losses_and_power_loss) {
-    fault_rates rates{.controls = 6, .tolerated_losses = 2, .loss = 0, .max_delay_ms = 10};
-    rates.tolerated_loss = 0.01;
     EXPECT_TRUE(rc::check("tolerated losses", [&] {
         const auto seed = *rc::gen::arbitrary<std::uint32_t>();
-        cluster_model model(seed, rates, {});
-        const std::string violation = model.run(steps);
-        RC_ASSERT(violation == std::string{});
-        const std::string not_recovered = model.run_power_loss(false);
+        const std::string not_recovered = lose_one_after_another(seed, {});
         RC_ASSERT(not_recovered == std::string{});
     }));
 }
@@ -250,6 +255,20 @@
     expect_violation(rates, {.lost_disk_keeps_identity = true});
 }
 
+// An instance that lost its disk asks only the instances of its settings, none of which may lead.
+TEST(cluster_fuzz, detects_instances_that_stay_out) {
+    constexpr std::uint64_t max_seeds = 400;
+    for (std::uint64_t seed = 1; seed <= max_seeds; ++seed) {
+        const std::string not_recovered =
+            lose_one_after_another(seed, {.drop_join_hints = true, .drop_senders = true});
+        if (!not_recovered.empty()) {
+            std::cout << "detected with seed " << seed << ": " << not_recovered << "\n";
+            return;
+        }
+    }
+    ADD_FAILURE() << "the violation was not detected";
+}
+
 TEST(cluster_fuzz, detects_share_in_effect_too_early) {
     expect_violation(all_faults(), {.share_before_confirmed = true});
 }
--- a/tests/cluster_model.cpp
+++ b/tests/cluster_model.cpp
@@ -15,6 +15,8 @@
 constexpr int server_count = 3;
 constexpr unsigned connection_limit = 6;
 constexpr std::uint64_t checked_entries = 20; // committed entries compared in each step
+constexpr std::size_t seed_count = 3;
+constexpr int join_timeout_ms = 1000;
 const group_id the_group{"g"};
 const service_id the_service{"shop"};
 const share_key the_key{.service = the_service, .server = {"s0"}};
@@ -79,8 +81,19 @@
 // [control instances]
 //-----------------------------------------------------------------------------
 
+// The settings of each start name some of the control instances, without regard to who leads.
+void cluster_model::draw_seeds(model_control& c) {
+    c.seeds.clear();
+    for (const model_control& other : controls_) {
+        c.seeds.push_back(other.name);
+    }
+    std::shuffle(c.seeds.begin(), c.seeds.end(), random_);
+    c.seeds.resize(std::min(c.seeds.size(), seed_count));
+}
+
 void cluster_model::start_control(std::size_t i, bool empty_disk) {
     model_control& c = controls_[i];
+    draw_seeds(c);
     raft::node_id id = c.core.self.id;
     if (empty_disk) {
         c.disk.clear();
@@ -152,18 +165,9 @@
         self.disk.insert(self.disk.end(), log.records.begin(), log.records.end());
         on_persisted(self.core, log.persist_index, log.persist_term, clock_of(self));
         for (const raft::message& m : log.messages) {
-            for (std::size_t to = 0; to < controls_.size(); ++to) {
-                if (controls_[to].core.self.id == m.to && now_ >= self.partitioned_until &&
-                    now_ >= self.peer_partitioned_until) {
-                    schedule_delivery([this, to, m] {
-                        model_control& target = controls_[to];
-                        if (is_running(target) && now_ >= target.partitioned_until &&
-                            now_ >= target.peer_partitioned_until) {
-                            larchpin::step(target.core, m, clock_of(target), random_);
-                            process_control_output(to);
-                        }
-                    });
-                }
+            const std::string address = find_address(self.core, m.to);
+            if (!address.empty()) {
+                send_message(i, m, address);
             }
         }
         process_control_output(i);
@@ -177,20 +181,90 @@
     }
     c.next_tick = now_ + ms(10);
     tick(c.core, clock_of(c), random_);
-    if (should_join(c.core, clock_of(c)) && now_ >= c.next_join && now_ >= c.partitioned_until) {
-        c.next_join = now_ + ms(200);
-        const raft::member self = c.core.self;
-        const auto to = static_cast<std::size_t>(random_up_to(rates_.controls - 1));
-        schedule_delivery([this, to, self] {
-            if (is_running(controls_[to]) && now_ >= controls_[to].partitioned_until) {
-                join(controls_[to].core, self, clock_of(controls_[to]));
-                process_control_output(to);
-            }
-        });
-    }
+    ask_to_join(i);
+    greet_unknown_controls(i);
     process_control_output(i);
 }
 
+std::size_t cluster_model::index_of(const std::string& address) const {
+    const auto found = std::find_if(controls_.begin(), controls_.end(),
+                                    [&address](const model_control& c) { return c.name == address; });
+    return static_cast<std::size_t>(found - controls_.begin());
+}
+
+// Returns whether other control instances reach this one.
+bool cluster_model::is_reachable(const model_control& c) const {
+    return now_ >= c.partitioned_until && now_ >= c.peer_partitioned_until;
+}
+
+// A message arrives at an address, whoever has its disk there now.
+void cluster_model::send_message(std::size_t from, const raft::message& m, const std::string& address) {
+    const std::size_t to = index_of(address);
+    if (!is_reachable(controls_[from])) {
+        return;
+    }
+    schedule_delivery([this, to, m, sender = controls_[from].name] {
+        model_control& target = controls_[to];
+        if (!is_running(target) || !is_reachable(target)) {
+            return;
+        }
+        if (!broken_.drop_senders) {
+            record_sender(target.core, m, sender);
+        }
+        larchpin::step(target.core, m, clock_of(target), random_);
+        process_control_output(to);
+    });
+}
+
+void cluster_model::ask_to_join(std::size_t i) {
+    model_control& c = controls_[i];
+    const auto address = choose_join_address(c.core, c.seeds, clock_of(c));
+    if (!address || !is_reachable(c)) {
+        return;
+    }
+    const std::size_t asked = index_of(*address);
+    const auto answered = std::make_shared<bool>(false);
+    schedule_delivery([this, i, asked, life = c.incarnation, answered] {
+        if (is_running(controls_[asked]) && is_reachable(controls_[asked])) {
+            *answered = true;
+            answer_join(i, life, asked);
+        }
+    });
+    queue_.emplace(now_ + ms(join_timeout_ms), [this, i, life = c.incarnation, answered, to = *address] {
+        if (!*answered && controls_[i].incarnation == life) {
+            record_join_unanswered(controls_[i].core.joining, to);
+        }
+    });
+}
+
+void cluster_model::answer_join(std::size_t i, std::uint64_t asking_incarnation, std::size_t asked) {
+    model_control& target = controls_[asked];
+    const result_code code = join(target.core, controls_[i].core.self, clock_of(target));
+    const bool has_hint = code == result_code::not_leader && !broken_.drop_join_hints;
+    const std::string hint = has_hint ? leader_address(target.core) : "";
+    process_control_output(asked);
+    schedule_delivery([this, i, asking_incarnation, address = target.name, code, hint] {
+        model_control& c = controls_[i];
+        if (c.incarnation == asking_incarnation && is_running(c) && is_reachable(c)) {
+            record_join_answer(c.core.joining, address, code, hint);
+        }
+    });
+}
+
+void cluster_model::greet_unknown_controls(std::size_t i) {
+    model_control& c = controls_[i];
+    if (now_ < c.next_greeting) {
+        return;
+    }
+    c.next_greeting = now_ + join_interval;
+    raft::message greeting;
+    greeting.from = c.core.self.id;
+    greeting.term = c.core.consensus.hard.term;
+    for (const std::string& address : find_unknown_controls(c.core, c.seeds, clock_of(c))) {
+        send_message(i, greeting, address);
+    }
+}
+
 void cluster_model::server_operation(std::size_t control, std::uint64_t operation, const server_id& id,
                                      std::uint64_t promote_from) {
     schedule_delivery([this, control, operation, id, promote_from] {
@@ -790,6 +864,8 @@
     controls_.resize(static_cast<std::size_t>(rates_.controls));
     for (std::size_t i = 0; i < controls_.size(); ++i) {
         controls_[i].name = "c" + std::to_string(i);
+    }
+    for (std::size_t i = 0; i < controls_.size(); ++i) {
         clock(controls_[i]);
         start_control(i, true);
     }
--- a/tests/cluster_model.hpp
+++ b/tests/cluster_model.hpp
@@ -52,6 +52,8 @@
     bool lost_disk_keeps_identity = false;  // and may vote twice in a term
     bool leaving_acked_from_memory = false; // before the leave has committed
     bool share_before_confirmed = false;    // a smaller share takes effect before the daemon confirms it
+    bool drop_join_hints = false;           // a joining instance asks only the instances of its settings
+    bool drop_senders = false;              // messages do not tell their sender's address
 };
 
 struct model_control {
@@ -67,8 +69,9 @@
     time_point peer_partitioned_until{};
     time_point sync_free_at{};
     time_point next_tick{};
-    time_point next_join{};
-    time_point restart_at{}; // while stopped by a tolerated loss
+    time_point next_greeting{};
+    std::vector<std::string> seeds; // control addresses of its settings, drawn anew at each start
+    time_point restart_at{};        // while stopped by a tolerated loss
     time_point lost_until{};
     time_point disk_lost_until{}; // counts as lost with its disk until then
 };
@@ -145,6 +148,13 @@
     void start_control(std::size_t i, bool empty_disk);
     void stop_control(std::size_t i);
     void run_control(std::size_t i);
+    void draw_seeds(model_control& c);
+    void send_message(std::size_t from, const raft::message& m, const std::string& address);
+    void ask_to_join(std::size_t i);
+    void answer_join(std::size_t i, std::uint64_t asking_incarnation, std::size_t asked);
+    void greet_unknown_controls(std::size_t i);
+    [[nodiscard]] std::size_t index_of(const std::string& address) const;
+    [[nodiscard]] bool is_reachable(const model_control& c) const;
     void process_control_output(std::size_t i);
     void server_operation(std::size_t control, std::uint64_t operation, const server_id& id,
                           std::uint64_t promote_from);
