--- a/src/core/control_core.cpp
+++ b/src/core/control_core.cpp
@@ -575,6 +575,7 @@
 std::optional<std::string> choose_join_address(control_core& c, const std::vector<std::string>& configured,
                                                time_point now) {
     if (!should_join(c, now)) {
+        c.joining = join_search{}; // outdated by the next time
         return std::nullopt;
     }
     std::vector<std::string> known = configured;
--- a/tests/control_test.cpp
+++ b/tests/control_test.cpp
@@ -1081,6 +1081,19 @@
     EXPECT_TRUE(should_join(s.core, s.now + std::chrono::seconds{10}));
 }
 
+// A member went on naming the leader that it had joined under, which others then asked in vain.
+TEST(members, leader_known_from_joining_is_forgotten_by_members) {
+    member_site s = make_members(voters_for_tolerated_losses(1));
+    s.core.consensus.current_role = raft::role::follower;
+    record_join_answer(s.core.joining, "127.0.0.1:2", result_code::not_leader, "127.0.0.1:3");
+    EXPECT_EQ(choose_join_address(s.core, {}, s.now), "127.0.0.1:3");
+    EXPECT_EQ(leader_address(s.core), "127.0.0.1:3");
+    s.add(1, "a", true);
+    s.core.consensus.last_leader_contact = s.now;
+    EXPECT_EQ(choose_join_address(s.core, {}, s.now), std::nullopt);
+    EXPECT_EQ(leader_address(s.core), "");
+}
+
 TEST(members, silent_learner_is_removed) {
     member_site s = make_members(voters_for_tolerated_losses(1));
     s.add(1, "a", true);
