Joining: the leader tells a removed voter that it is no member

What was seen: a voter that had been removed while cut off asked to be added 4.1 to 5 s after the cut (its own rule: no leader for ten election timeouts), of the 4 to 6 s after which it has to count again. Change: its requests for votes reach the leader, which now writes to such addresses as to configured ones that are no members; a node that a leader of its term or a later one writes to so asks to join after one election timeout. Test: members.removed_voter_is_told_by_the_leader, failing before (seen).

--- a/src/core/control_core.cpp
+++ b/src/core/control_core.cpp
@@ -569,7 +569,10 @@
     const bool may_be_removed =
         s.current_role != raft::role::leader &&
         now - s.last_leader_contact > s.config.election_timeout * rejoin_election_timeouts;
-    return !is_member || may_be_removed;
+    const bool is_told = s.current_role != raft::role::leader && c.joining.leader_term != 0 &&
+                         c.joining.leader_term >= s.hard.term &&
+                         now - s.last_leader_contact > s.config.election_timeout;
+    return !is_member || may_be_removed || is_told;
 }
 
 std::optional<std::string> choose_join_address(control_core& c, const std::vector<std::string>& configured,
@@ -587,17 +590,19 @@
 
 std::vector<std::string> find_unknown_controls(const control_core& c,
                                                const std::vector<std::string>& configured, time_point now) {
-    std::vector<std::string> unknown;
     if (!is_active_leader(c, now)) {
-        return unknown;
+        return {};
+    }
+    std::vector<std::string> controls = configured;
+    for (const auto& [id, address] : c.sender_addresses) {
+        controls.push_back(address);
     }
     const auto& members = c.consensus.members.members;
-    std::copy_if(configured.begin(), configured.end(), std::back_inserter(unknown),
-                 [&members](const std::string& address) {
-                     return std::none_of(members.begin(), members.end(),
-                                         [&address](const auto& m) { return m.address == address; });
-                 });
-    return unknown;
+    std::erase_if(controls, [&members](const std::string& address) {
+        return std::any_of(members.begin(), members.end(),
+                           [&address](const raft::member& m) { return m.address == address; });
+    });
+    return controls;
 }
 
 std::size_t voters_for_tolerated_losses(unsigned losses) {
--- a/src/core/control_core.hpp
+++ b/src/core/control_core.hpp
@@ -119,9 +119,10 @@
 bool bootstrap(control_core& c, time_point now, std::mt19937_64& random); // as the only voter
 bool bootstrap(control_core& c, const raft::configuration& founders, time_point now, std::mt19937_64& random);
 
-// Returns whether this node should ask to join: it is in no configuration that it knows, or has had no
-// contact with a leader for so long that it may have been removed, as a silent voter that was replaced. A
-// removed node keeps its identity when it joins again.
+// Returns whether this node should ask to join: it is in no configuration that it knows; a leader that does
+// not count it as a member has written to it; or it has had no contact with a leader for so long that it may
+// have been removed, as a silent voter that was replaced. A removed node keeps its identity when it joins
+// again.
 bool should_join(const control_core& c, time_point now);
 
 // Returns the control instance to ask now, if this node should join; see join_search.hpp. `configured`: the
@@ -129,8 +130,9 @@
 std::optional<std::string> choose_join_address(control_core& c, const std::vector<std::string>& configured,
                                                time_point now);
 
-// Returns the configured control instances that are no members, for the leader to write to: one that lost its
-// disk after its earlier identity was removed gets no messages otherwise. Empty unless this instance leads.
+// Returns the control instances that are no members, for the leader to write to: the configured ones, since
+// one that lost its disk after its earlier identity was removed gets no messages otherwise, and removed
+// voters that ask for votes. Empty unless this instance leads.
 std::vector<std::string> find_unknown_controls(const control_core& c,
                                                const std::vector<std::string>& configured, time_point now);
 
--- a/src/daemon/control_node.cpp
+++ b/src/daemon/control_node.cpp
@@ -278,7 +278,7 @@
         return;
     }
     const raft::message m = from_wire(wire_message);
-    if (m.to != core_.self.id) {
+    if (m.to != core_.self.id && m.to != 0) {
         log_misaddressed(consensus_log_, m, core_.consensus, now());
     }
     record_sender(core_, m, wire_message.sender_address());
--- a/tests/control_test.cpp
+++ b/tests/control_test.cpp
@@ -1094,6 +1094,35 @@
     EXPECT_EQ(leader_address(s.core), "");
 }
 
+// A voter that was removed while it was cut off asked to be added only seconds after its return, as it saw no
+// leader and did not know why.
+TEST(members, removed_voter_is_told_by_the_leader) {
+    member_site leader = make_members(voters_for_tolerated_losses(1));
+    leader.add(1, "a", true);
+    leader.add(2, "b", true);
+    leader.add(3, "c", true);
+    raft::message election;
+    election.kind = raft::message_kind::pre_vote_request;
+    election.from = 4;
+    election.to = 1;
+    record_sender(leader.core, election, "127.0.0.1:4");
+    EXPECT_EQ(find_unknown_controls(leader.core, {}, leader.now), std::vector<std::string>{"127.0.0.1:4"});
+
+    member_site removed = make_members(voters_for_tolerated_losses(1));
+    removed.add(1, "a", true); // in its own list
+    removed.core.consensus.current_role = raft::role::follower;
+    removed.core.consensus.hard.term = 5;
+    removed.core.consensus.last_leader_contact = removed.now;
+    raft::message greeting;
+    greeting.from = 7;
+    greeting.term = 5;
+    record_sender(removed.core, greeting, "127.0.0.1:7");
+    EXPECT_EQ(choose_join_address(removed.core, {}, removed.now), std::nullopt) << "it has a leader";
+    removed.now += std::chrono::seconds{1};
+    record_sender(removed.core, greeting, "127.0.0.1:7");
+    EXPECT_EQ(choose_join_address(removed.core, {}, removed.now), "127.0.0.1:7");
+}
+
 TEST(members, silent_learner_is_removed) {
     member_site s = make_members(voters_for_tolerated_losses(1));
     s.add(1, "a", true);
