Revert "Members: a lost voter and its replacement change at once"

It holds only if the lost identity never votes again, and docs/design/control.md had weighed that before: an old disk may turn up again, beside the platform, by an operator's hand. Then {old disk, two that lag} is a majority of the old voters and shares nobody with {leader, one, the replacement} of the new ones: an acknowledged edit could be lost. Removing first has no such case.

--- a/src/core/control_core.cpp
+++ b/src/core/control_core.cpp
@@ -277,35 +277,6 @@
     }
 }
 
-// Returns the caught-up learner that an instance joined as after it lost the disk of this voter, or nothing.
-// The address is compared, because a voter of the same name elsewhere may still be running.
-const raft::member* find_replacement(const raft::state& s, const raft::member& lost, time_point now) {
-    const auto& members = s.members.members;
-    const auto found = std::find_if(members.begin(), members.end(), [&](const raft::member& m) {
-        return m.address == lost.address && m.id != lost.id && !m.voter && has_caught_up(s, m.id) &&
-               is_responsive(s, m.id, now);
-    });
-    return found == members.end() ? nullptr : &*found;
-}
-
-// Removes an identity whose disk is lost. If voters would become too few, its replacement gets its vote in
-// the same change: otherwise a command could be committed by a majority of fewer voters, and be lost with as
-// many disks as are tolerated. Such a change is safe although it changes two members, since the lost one
-// never votes again: every majority of the others overlaps with every majority of the new voters.
-void replace_lost_member(control_core& c, const raft::member& lost, time_point now) {
-    const raft::state& s = c.consensus;
-    const raft::member* replacement = find_replacement(s, lost, now);
-    raft::configuration next = s.members;
-    std::erase_if(next.members, [&lost](const raft::member& m) { return m.id == lost.id; });
-    const bool needs_voter = lost.voter && (c.target_voters == 0 || count_voters(next) < c.target_voters);
-    for (raft::member& m : next.members) {
-        m.voter = m.voter || (needs_voter && replacement != nullptr && m.id == replacement->id);
-    }
-    if (raft::propose_members(c.consensus, next, now) != 0) {
-        note_event_now(c, "control_member_removed");
-    }
-}
-
 void promote_learner(control_core& c, raft::node_id id, time_point now) {
     raft::configuration next = c.consensus.members;
     for (raft::member& m : next.members) {
@@ -317,7 +288,8 @@
 }
 
 // Makes one membership change at a time. A lost identity is removed first: it counts against the majority and
-// can never vote again, while adding before removing would need one more living voter.
+// can never vote again, so its removal risks nothing, while adding before removing would need one more living
+// voter.
 void maintain_members(control_core& c, time_point now) {
     const raft::state& s = c.consensus;
     const auto& members = s.members.members;
@@ -325,7 +297,7 @@
         return m.id != s.self && is_silent(s, m.id, now) && is_replaced(s, m, now);
     });
     if (replaced != members.end()) {
-        replace_lost_member(c, *replaced, now);
+        remove_member(c, replaced->id, "control_member_removed", now);
     } else if (const raft::member* surplus = find_surplus_voter(c, now)) {
         remove_member(c, surplus->id, "control_silent_voter_removed", now);
     } else if (const raft::member* ready = find_next_voter(c, now)) {
