Edits: acknowledged only while enough voters are there and agreed

What callers would see: an acknowledged edit gone after the next tolerated losses. Cause: the number of voters was looked at when an edit was accepted, not when it was acknowledged. A lost identity is removed before its successor votes (daemon logs of joining.majority_survives…: five, four, three, four, five voters within 40 ms). An edit accepted by five could be acknowledged by three of four, two of which may lose their disks next. Change: an edit that has been decided is acknowledged once there are enough voters again and their list is committed: then a majority of that list holds the edit too, as the list comes after it in the log. It waits for the 20 to 50 ms that the change takes, or until its deadline (not_in_force_yet). Test: members.edit_is_acknowledged_once_there_are_enough_voters_again.

--- a/src/core/control_core.cpp
+++ b/src/core/control_core.cpp
@@ -585,6 +585,10 @@
     return count_voters(c.consensus.members) >= c.target_voters;
 }
 
+bool can_acknowledge_changes(const control_core& c) {
+    return has_enough_voters(c) && c.consensus.commit >= c.consensus.members_index;
+}
+
 std::size_t count_tolerated_losses(const control_core& c, time_point now) {
     const std::size_t responsive = count_responsive_voters(c.consensus, now);
     const std::size_t majority = count_voters(c.consensus.members) / 2 + 1;
--- a/src/core/control_core.hpp
+++ b/src/core/control_core.hpp
@@ -141,9 +141,13 @@
 std::size_t voters_for_tolerated_losses(unsigned losses);
 
 // Returns whether there are enough voters for committed entries to survive the tolerated losses. Before that,
-// and while a lost voter is being replaced, no change is acknowledged.
+// no change is accepted.
 bool has_enough_voters(const control_core& c);
 
+// Returns whether a change that is committed now survives the tolerated losses: a majority of enough voters
+// holds it. While a lost voter is being replaced, changes that are committed already wait for that.
+bool can_acknowledge_changes(const control_core& c);
+
 // Returns how many more voters may be lost with a majority left, counting silent voters as lost. Meaningful
 // on the leader only.
 std::size_t count_tolerated_losses(const control_core& c, time_point now);
--- a/src/daemon/control_node.cpp
+++ b/src/daemon/control_node.cpp
@@ -636,10 +636,11 @@
     open.swap(edits_);
     for (waiting_edit& w : open) {
         const bool refused = w.applied && w.outcome.code != result_code::ok;
-        const bool in_force = w.applied && is_active_leader(core_, at) &&
+        const bool accepted = w.applied && !refused && can_acknowledge_changes(core_);
+        const bool in_force = accepted && is_active_leader(core_, at) &&
                               is_in_force(core_.control, core_.cluster, w.outcome.revision, at);
         std::string reply;
-        if (refused || (w.applied && (!w.until_in_force || in_force))) {
+        if (refused || (accepted && (!w.until_in_force || in_force))) {
             reply = operator_reply(w.outcome.code, w.until_in_force && !refused ? "in force" : "",
                                    w.outcome.table_revision, w.outcome.revision);
         } else if (!core_.control.leading || at >= w.deadline) {
--- a/tests/control_test.cpp
+++ b/tests/control_test.cpp
@@ -993,6 +993,26 @@
     EXPECT_TRUE(s.votes(6));
 }
 
+// A lost identity is removed before its successor has the vote: an edit accepted by five voters was
+// acknowledged by three of four, and two more disks would have left no majority that holds it.
+TEST(members, edit_is_acknowledged_once_there_are_enough_voters_again) {
+    member_site s = make_members(voters_for_tolerated_losses(2));
+    for (raft::node_id id = 1; id <= 6; ++id) {
+        s.add(id, "d" + std::to_string(id), id <= 5);
+    }
+    s.core.consensus.members.members.back().address = "127.0.0.1:5"; // the replacement of voter 5
+    EXPECT_TRUE(can_acknowledge_changes(s.core));
+    s.silence(5, std::chrono::milliseconds{500});
+    s.run();
+    ASSERT_FALSE(s.knows(5));
+    EXPECT_FALSE(can_acknowledge_changes(s.core));
+    tick(s.core, s.now, s.random);
+    ASSERT_TRUE(s.votes(6));
+    EXPECT_FALSE(can_acknowledge_changes(s.core)) << "the change of the voters is not committed yet";
+    s.core.consensus.commit = raft::last_index(s.core.consensus);
+    EXPECT_TRUE(can_acknowledge_changes(s.core));
+}
+
 TEST(members, changes_require_enough_voters) {
     member_site s = make_members(voters_for_tolerated_losses(2));
     s.add(1, "a", true);
