--- a/tests/cluster_model.cpp
+++ b/tests/cluster_model.cpp
@@ -197,7 +197,7 @@
     return now_ >= c.partitioned_until && now_ >= c.peer_partitioned_until;
 }
 
-// A message arrives at an address, whoever has its disk there now.
+// A message arrives at an address, also if the instance there has another identity by now.
 void cluster_model::send_message(std::size_t from, const raft::message& m, const std::string& address) {
     const std::size_t to = index_of(address);
     if (!is_reachable(controls_[from])) {
--- a/tests/control_test.cpp
+++ b/tests/control_test.cpp
@@ -1024,7 +1024,7 @@
     EXPECT_TRUE(has_enough_voters(s.core));
 }
 
-// Four living voters of five were taken for a cluster that bears two losses: nothing told that one was out.
+// Nothing showed that a cluster with four living voters of five tolerates one loss only.
 TEST(members, tolerated_losses_count_silent_voters_as_lost) {
     member_site s = make_members(voters_for_tolerated_losses(2));
     for (raft::node_id id = 1; id <= 5; ++id) {
@@ -1038,8 +1038,8 @@
     EXPECT_EQ(count_tolerated_losses(s.core, s.now), 0U);
 }
 
-// A voter that was cut off while another instance joined granted that one its vote, and threw the reply away
-// because it knew no address: nobody could be elected if the candidate alone had the whole log.
+// A voter that was cut off while another instance joined granted that one its vote and dropped the reply, as
+// it knew no address: no leader could be elected if the candidate alone had the whole log.
 TEST(members, candidate_that_joined_during_a_cut_gets_its_reply) {
     member_site s = make_members(voters_for_tolerated_losses(1));
     s.add(1, "a", true);
