--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -244,7 +244,7 @@
         self.server.close()
         for writer in list(self.writers):
             sock = writer.get_extra_info("socket")
-            if sock is not None:
+            if sock is not None and sock.fileno() >= 0:
                 sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\x01\x00\x00\x00\x00\x00\x00\x00")
             writer.transport.abort()
         for task in self.tasks:
