--- a/review/1/case.py
+++ b/review/1/case.py
@@ -3,7 +3,7 @@
 import os
 import sys
 
-sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "common"))
+sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), ".."))
 import commits  # noqa: E402
 import deployment  # noqa: E402
 
@@ -37,4 +37,5 @@
     return account.verdict()
 
 
-deployment.run(play)
+# TROUBLE=0 plays the same without the disruption.
+deployment.run(play, trouble=os.environ.get("TROUBLE", "1") != "0")
--- a/review/common/deployment.py
+++ b/review/deployment.py
@@ -16,7 +16,7 @@
 import tempfile
 import time
 
-REPOSITORY = os.path.abspath(os.path.join(os.path.dirname(__file__), "..", ".."))
+REPOSITORY = os.path.abspath(os.path.join(os.path.dirname(os.path.abspath(__file__)), ".."))
 PROGRAM = "target/larchpin-platformd"
 TEMPLATE = "deploy/settings.toml.template"
 ZONES = ["z1", "z2", "z3"]
@@ -759,10 +759,8 @@
         self.record.file.flush()
 
 
-def run(play, seconds=110):
+def run(play, trouble, seconds=110):
     """Plays a case; exits with 1 where the rule was broken, 0 where it held, 2 where the case couldn't run."""
-    trouble = os.environ.get("TROUBLE", "1") != "0"
-
     async def whole():
         folder = os.path.dirname(os.path.abspath(sys.argv[0]))
         sites = []
