--- a/src/io/raft_store.cpp
+++ b/src/io/raft_store.cpp
@@ -126,13 +126,17 @@
     return error || !stream ? std::nullopt : std::optional{std::move(bytes)};
 }
 
-// The entries after a snapshot stay only where the log held the snapshot's last entry itself: what followed
-// another entry is not known to follow this one.
-void drop_replaced(std::vector<raft::entry>& log, const raft::snapshot& snap) {
-    const bool held = std::any_of(log.begin(), log.end(), [&snap](const raft::entry& e) {
+// Replaces the log up to the snapshot. The entries after it stay only where the log held the snapshot's last
+// entry itself, or begins behind the same snapshot already: what followed another entry is not known to
+// follow this one. A batch that failed behind its snapshot is appended again, and the snapshot with it.
+void apply_snapshot(raft::recovered_state& state, const raft::snapshot& snap) {
+    const bool is_repeated = state.snap.index == snap.index && state.snap.term == snap.term;
+    const bool is_held = std::any_of(state.log.begin(), state.log.end(), [&snap](const raft::entry& e) {
         return e.index == snap.index && e.term == snap.term;
     });
-    std::erase_if(log, [&](const raft::entry& e) { return !held || e.index <= snap.index; });
+    std::erase_if(state.log,
+                  [&](const raft::entry& e) { return !(is_held || is_repeated) || e.index <= snap.index; });
+    state.snap = snap;
 }
 
 raft::node_id make_node_id() {
@@ -188,8 +192,7 @@
             state.hard = *r.hard;
         }
         if (r.snap && r.snap->index >= state.snap.index) {
-            drop_replaced(state.log, *r.snap);
-            state.snap = *r.snap;
+            apply_snapshot(state, *r.snap);
         }
         if (r.log_entry && r.log_entry->index > state.snap.index) {
             std::erase_if(state.log, [&r](const raft::entry& e) { return e.index >= r.log_entry->index; });
--- a/tests/io_test.cpp
+++ b/tests/io_test.cpp
@@ -294,6 +294,26 @@
     EXPECT_EQ(opened.value().state.log.size(), 1U);
 }
 
+// Lets files grow up to this size, like a disk that is full.
+class full_disk {
+public:
+    explicit full_disk(std::uintmax_t bytes) {
+        ::getrlimit(RLIMIT_FSIZE, &before_);
+        std::signal(SIGXFSZ, SIG_IGN); // the write fails in place of the process
+        rlimit full = before_;
+        full.rlim_cur = bytes;
+        ::setrlimit(RLIMIT_FSIZE, &full);
+    }
+    ~full_disk() { ::setrlimit(RLIMIT_FSIZE, &before_); }
+    full_disk(const full_disk&) = delete;
+    full_disk& operator=(const full_disk&) = delete;
+    full_disk(full_disk&&) = delete;
+    full_disk& operator=(full_disk&&) = delete;
+
+private:
+    rlimit before_{};
+};
+
 // A disk that is full for a while: what it refused is not in the file, not even in part, and may be sent
 // again.
 TEST(log, goes_on_after_a_disk_was_full) {
@@ -306,15 +326,10 @@
         raft_store store;
         ASSERT_TRUE(store.open(folder.path).has_value());
         ASSERT_EQ(store.append({first}), result_code::ok);
-        rlimit before{};
-        ::getrlimit(RLIMIT_FSIZE, &before);
-        std::signal(SIGXFSZ, SIG_IGN); // the write fails in place of the process
-        rlimit full = before;
-        full.rlim_cur = std::filesystem::file_size(folder.file()) + 5;
-        ::setrlimit(RLIMIT_FSIZE, &full);
-        const result_code refused = store.append({second});
-        ::setrlimit(RLIMIT_FSIZE, &before);
-        EXPECT_EQ(refused, result_code::data_folder_unusable);
+        {
+            const full_disk full(std::filesystem::file_size(folder.file()) + 5);
+            EXPECT_EQ(store.append({second}), result_code::data_folder_unusable);
+        }
         EXPECT_EQ(store.append({second}), result_code::ok);
     }
     raft_store again;
@@ -323,6 +338,71 @@
     EXPECT_EQ(found.value().state.hard, (raft::hard_state{.term = 2, .voted_for = 1}));
 }
 
+enum class after_failure { again_at_once, restart, fails_twice };
+
+constexpr std::uint64_t last_of_batch = 60; // the batch is longer than what the snapshot replaces
+
+std::vector<raft::record> entries_between(std::uint64_t first, std::uint64_t last) {
+    std::vector<raft::record> records;
+    for (std::uint64_t index = first; index <= last; ++index) {
+        records.push_back(entry_record(index, 1, "entry " + std::to_string(index)));
+    }
+    return records;
+}
+
+// Syncs entries 1 to 14, fails to write a batch of more entries, a snapshot at 10 and the rest once a file
+// reaches `bytes`, and returns what is read back. Nothing if the batch was not refused.
+std::optional<raft::recovered_state> read_back_after_failure(std::uintmax_t bytes, after_failure then) {
+    const log_folder folder;
+    std::vector<raft::record> batch = entries_between(15, 16);
+    batch.push_back({.hard = {},
+                     .log_entry = {},
+                     .snap = raft::snapshot{.index = 10, .term = 1, .config = {}, .data = "state"}});
+    const auto rest = entries_between(17, last_of_batch);
+    batch.insert(batch.end(), rest.begin(), rest.end());
+    raft_store store;
+    EXPECT_TRUE(store.open(folder.path).has_value());
+    EXPECT_EQ(store.append(entries_between(1, 14)), result_code::ok);
+    for (int i = 0; i < (then == after_failure::fails_twice ? 2 : 1); ++i) {
+        const full_disk full(bytes);
+        if (store.append(batch) == result_code::ok) {
+            return std::nullopt;
+        }
+    }
+    if (then != after_failure::restart) {
+        EXPECT_EQ(store.append(batch), result_code::ok);
+    }
+    raft_store again;
+    const auto found = again.open(folder.path);
+    EXPECT_TRUE(found.has_value());
+    return found ? std::optional{found.value().state} : std::nullopt;
+}
+
+// A disk filled up between the rewrite of the log for a snapshot and the records behind it. The batch was
+// tried again, and synced entries behind the snapshot were gone.
+TEST(log, keeps_what_was_synced_wherever_a_batch_with_a_snapshot_fails) {
+    constexpr std::uintmax_t largest_log = 4096;
+    for (const after_failure then :
+         {after_failure::again_at_once, after_failure::restart, after_failure::fails_twice}) {
+        int failures = 0;
+        for (std::uintmax_t bytes = 1; bytes < largest_log; ++bytes) {
+            const auto state = read_back_after_failure(bytes, then);
+            if (!state) {
+                continue;
+            }
+            ++failures;
+            const std::uint64_t last = then == after_failure::restart ? 14 : last_of_batch;
+            for (std::uint64_t index = state->snap.index + 1; index <= last; ++index) {
+                const bool held = std::any_of(state->log.begin(), state->log.end(),
+                                              [index](const raft::entry& e) { return e.index == index; });
+                ASSERT_TRUE(held) << "entry " << index << " is gone, disk full at " << bytes << " bytes";
+            }
+            ASSERT_LE(state->snap.index, 10U);
+        }
+        EXPECT_GT(failures, 100);
+    }
+}
+
 TEST(log, any_bytes_are_decoded_without_harm) {
     EXPECT_TRUE(rc::check([](const std::string& bytes) { decode_log(bytes); }));
     const std::string good = encode_record(entry_record(1, 1, "x"), 5);
