Failover: a server that has been removed is no candidate

Cause: the answers of a round stay when the record of their server is removed, and the record was looked up with at(). The other at() on records in core, daemon and platform were read: each follows a find or a walk over the same map in the same step.

Change: a server without a record is not eligible, and a promotion that is ordered again looks it up first. A program that ends by an exception says so, with code 1010 and an error line in its log.

Test, failed before (std::out_of_range): promotion.removed_server_is_no_candidate.

--- a/src/core/failover.cpp
+++ b/src/core/failover.cpp
@@ -65,8 +65,11 @@
 
 bool is_eligible(const control_state& c, const cluster_state& s, const group_record& group, const failover& f,
                  const server_answer& answer) {
-    if (!answer.answered || f.accepts_loss) {
-        return answer.answered; // an operator takes any log
+    if (!answer.answered || !s.servers.contains(answer.server)) {
+        return false;
+    }
+    if (f.accepts_loss) {
+        return true; // an operator takes any log
     }
     if (answer.position < group.protected_position) {
         return false;
@@ -235,12 +238,18 @@
 // whose answer was lost cannot take effect after a later one.
 void request_promotion(control_state& c, const cluster_state& s, const group_record& group, failover& f,
                        std::uint64_t timeline, time_point now, control_actions& actions) {
+    const auto server = s.servers.find(*f.candidate);
+    if (server == s.servers.end()) {
+        f.failed_candidates.insert(*f.candidate); // removed since it answered
+        query_replicas(c, s, group, f, now, actions);
+        return;
+    }
     const std::uint64_t operation = c.next_operation++;
     f.pending_operations = {operation};
     f.promotion_timeline = timeline;
     add_event(actions, f, "promoting", group.id, *f.candidate, now);
     actions.emplace_back(promote_server{.operation = operation,
-                                        .server = s.servers.at(*f.candidate),
+                                        .server = server->second,
                                         .timeline = timeline,
                                         .token = make_monotonic_number(c, operation)});
 }
--- a/src/core/result_codes.cpp
+++ b/src/core/result_codes.cpp
@@ -25,6 +25,8 @@
     {result_code::log_damaged, "log_damaged", "58030",
      "The control log is damaged before its end; restore the instance with an empty data folder."},
     {result_code::bad_command_line, "bad_command_line", "F0000", "An unknown flag or a missing argument."},
+    {result_code::internal_fault, "internal_fault", "XX000",
+     "The process ended because of a fault of its own; the message names it."},
     {result_code::not_leader, "not_leader", "57P03",
      "This control instance does not lead; another one is asked."},
     {result_code::no_quorum, "no_quorum", "57P03",
--- a/src/core/result_codes.hpp
+++ b/src/core/result_codes.hpp
@@ -20,6 +20,7 @@
     data_folder_unusable = 1007,
     log_damaged = 1008,
     bad_command_line = 1009,
+    internal_fault = 1010,
     // 2000: control plane and the table
     not_leader = 2001,
     no_quorum = 2002,
--- a/src/daemon/program.cpp
+++ b/src/daemon/program.cpp
@@ -50,6 +50,19 @@
     return keys;
 }
 
+// Runs the daemon to its end. An exception is a fault of the program: it ends, and says which one it was.
+int run_until_stopped(boost::asio::io_context& io, const std::string& name) {
+    try {
+        io.run();
+    } catch (const std::exception& e) {
+        log_event(severity::error, "ended_by_exception", {{"what", e.what()}});
+        stop_log();
+        return fail(name, std::string("ended by an exception: ") + e.what(), result_code::internal_fault);
+    }
+    stop_log();
+    return 0;
+}
+
 leaf::result<int> run(const daemon_program& program, const std::string& file, bool check_only) {
     BOOST_LEAF_ASSIGN(const settings s, load_settings(file));
     BOOST_LEAF_CHECK(check_for_start(s, file));
@@ -67,9 +80,7 @@
     BOOST_LEAF_ASSIGN(const std::shared_ptr<daemon> running, program.make(io, s, keys, file));
     running->follow_settings(file);
     BOOST_LEAF_CHECK(running->start());
-    io.run();
-    stop_log();
-    return 0;
+    return run_until_stopped(io, program.name);
 }
 
 } // namespace
--- a/tests/control_test.cpp
+++ b/tests/control_test.cpp
@@ -752,6 +752,44 @@
     EXPECT_GT(second->token, first.token);
 }
 
+// A replica answered, left and was removed while the other one was still waited for. The leading control
+// process ended with std::out_of_range when it promoted the one that had left.
+TEST(promotion, removed_server_is_no_candidate) {
+    control_site s = make_site();
+    const std::vector<server_observation> primary_dead{{.server = {"s1"}, .alive = false},
+                                                       {.server = {"s2"}, .alive = true},
+                                                       {.server = {"s3"}, .alive = true}};
+    s.renew("x", {}, primary_dead);
+    s.tick();
+    s.renew("x", {}, primary_dead);
+    s.tick();
+    while (const auto probe = s.take_pending<probe_server>()) {
+        if (probe->server.id == server_id{"s2"}) {
+            s.answer({.operation = probe->operation,
+                      .server = {"s2"},
+                      .answered = true,
+                      .timeline = 1,
+                      .position = 10});
+        }
+    }
+    server_announcement stopped = announce("s2", false, 2);
+    stopped.stopped = true;
+    s.renew("x", {stopped}, primary_dead);
+    s.tick();
+    ASSERT_FALSE(s.cluster.servers.contains({"s2"}));
+    s.now += milliseconds{310};
+    s.renew("x", {}, primary_dead);
+    s.tick();
+    EXPECT_FALSE(s.take_pending<promote_server>().has_value());
+    s.now += milliseconds{250};
+    s.renew("x", {}, primary_dead);
+    s.tick();
+    s.answer_probes({"s1"}, 10);
+    const auto promotion = s.take_pending<promote_server>();
+    ASSERT_TRUE(promotion.has_value());
+    EXPECT_EQ(promotion->server.id, server_id{"s3"});
+}
+
 //-----------------------------------------------------------------------------
 // [new leader]
 //-----------------------------------------------------------------------------
