A primary that came back empty is not believed after a restart of everything

Cause: whether a connection leads to the process that was promoted was judged by the position that this instance had seen of it itself. After its own start it had seen none, so any process at the primary's address passed. A position that could not be read passed as well, where one was known. Ruled out: a promotion that rolled the writes back (it comes after the reads), reads from a replica (the record names the server).

Change: the least position of a primary follows from the agreed record too: the timeline and the beginning of its term, and seen_position, a position beyond that beginning which the leader records once a term. It is on disk with the control log and with it at every instance that holds a lease. A log that tells no position is an empty one.

Not covered: a term that has begun at position 0 and whose first commits no observer has reported yet.

--- a/src/core/cluster_state.cpp
+++ b/src/core/cluster_state.cpp
@@ -80,8 +80,10 @@
     next.sync_replicas = current.sync_replicas;
     next.protected_position = current.protected_position;
     if (next.term == current.term) {
+        next.seen_position = std::max(current.seen_position, next.seen_position);
         return;
     }
+    next.seen_position = 0;
     const unsigned required = required_sync_replicas(s.current_table, next.id);
     const log_position start = next.term_starts.empty() ? 0 : next.term_starts.back().position;
     const bool start_is_known = start != std::numeric_limits<log_position>::max();
@@ -336,6 +338,13 @@
     return found;
 }
 
+log_mark lowest_primary_mark(const group_record& group) {
+    const log_position start = group.term_starts.empty() ? 0 : group.term_starts.back().position;
+    const bool start_is_known = start != std::numeric_limits<log_position>::max();
+    return {.timeline = group.timeline,
+            .position = std::max(start_is_known ? start : 0, group.seen_position)};
+}
+
 std::optional<log_position> surviving_position(const group_record& group, term_number term) {
     if (term == group.term) {
         return std::numeric_limits<log_position>::max();
--- a/src/core/cluster_state.hpp
+++ b/src/core/cluster_state.hpp
@@ -159,8 +159,11 @@
     unsigned sync_replicas = 0;
     // Acknowledged commits of earlier terms lie at or below this position. No server below it is promoted.
     log_position protected_position = 0;
-    bool awaits_log =
-        false; // while fencing: no server that answers is known to hold all acknowledged commits
+    // The primary's log was seen at this position, beyond the beginning of its term; 0 = not yet. By it an
+    // instance that has just started knows an empty process at the primary's address.
+    log_position seen_position = 0;
+    // While fencing: no server that answers is known to hold all acknowledged commits.
+    bool awaits_log = false;
     auto operator<=>(const group_record&) const = default;
 };
 
@@ -272,6 +275,9 @@
 
 std::vector<server_record> servers_of(const cluster_state& s, const group_id& group);
 
+// Returns the lowest position that the recorded primary's log can have, by the record alone.
+log_mark lowest_primary_mark(const group_record& group);
+
 // Returns the largest position of `term` that later terms still hold, or nothing if the term is unknown. A
 // session beyond this position has read lost writes.
 std::optional<log_position> surviving_position(const group_record& group, term_number term);
--- a/src/core/commit_safety.cpp
+++ b/src/core/commit_safety.cpp
@@ -148,6 +148,25 @@
     }
 }
 
+void record_seen_position(control_state& c, const cluster_state& s, const group_record& group, time_point now,
+                          control_actions& actions) {
+    const auto proposed = c.seen_position_terms.find(group.id);
+    const bool is_proposed = proposed != c.seen_position_terms.end() && proposed->second == group.term;
+    if (group.seen_position > 0 || is_proposed || group.phase != group_phase::serving ||
+        has_primary_restarted(s, group)) {
+        return;
+    }
+    const auto mark = find_primary_mark(c, group, {}, now);
+    if (!mark || *mark <= lowest_primary_mark(group)) {
+        return;
+    }
+    c.seen_position_terms[group.id] = group.term;
+    group_record next = group;
+    next.seen_position = mark->position;
+    actions.emplace_back(propose_command{
+        set_group{.expected_term = group.term, .expected_phase = group_phase::serving, .next = next}});
+}
+
 bool has_enough_answers(const control_state& c, const cluster_state& s, const group_record& group,
                         const failover& f) {
     if (group.sync_replicas == 0 || has_primary_log(c, s, group, f)) {
--- a/src/core/control.hpp
+++ b/src/core/control.hpp
@@ -266,9 +266,10 @@
     // The next two are kept only for groups whose replicas confirm commits (commit_safety.hpp).
     std::map<server_id, log_mark> highest_marks; // highest position observed of the known start
     std::map<server_id, catch_up_goal> catch_up_goals;
-    std::uint64_t start_number_count = 0;             // start numbers assigned by this leader
-    std::map<std::string, server_id> address_holders; // latest server to announce itself, by "host:port"
-    std::set<server_id> replaced_servers;             // another server has announced their address
+    std::map<group_id, term_number> seen_position_terms; // term for which seen_position was proposed
+    std::uint64_t start_number_count = 0;                // start numbers assigned by this leader
+    std::map<std::string, server_id> address_holders;    // latest server to announce itself, by "host:port"
+    std::set<server_id> replaced_servers;                // another server has announced their address
     // Announcements of primaries that are being queried for their timeline, by operation.
     std::map<std::uint64_t, server_announcement> pending_group_creations;
     std::map<group_id, time_point> last_switchover_at; // last attempt to move off a leaving primary
--- a/src/daemon/agent_servers.cpp
+++ b/src/daemon/agent_servers.cpp
@@ -164,15 +164,12 @@
     probed_server& p = found->second;
     p.asking = false;
     const auto result = driver_.read_position(outcome);
-    const bool went_back = result && p.least_when_asked && *result < *p.least_when_asked;
-    if (went_back) {
+    const bool tells_position =
+        result || (driver_.servers_enforce_floor && outcome.answered && !outcome.failed);
+    if (tells_position && has_gone_back(result, p.least_when_asked)) {
         // Dead, as far as the primary goes: it neither holds what it held nor will it again.
         set_alive(p, false);
-        log_event(severity::warning, "server_log_went_back",
-                  {{"server", id.value},
-                   {"timeline", result->timeline},
-                   {"position", result->position},
-                   {"known_position", p.least_when_asked->position}});
+        log_gone_back(id, result, *p.least_when_asked);
     } else if (result) {
         const auto role = driver_.position_probe_tells_role ? driver_.read_role(outcome) : std::nullopt;
         const auto group = cluster_.groups.find(p.record.group);
@@ -203,20 +200,23 @@
 // [positions]
 //-----------------------------------------------------------------------------
 
-// The log of the true primary grows for as long as it is that. One that stands further back than it was seen,
-// on the timeline of its own reign, is another process that came up under its name and holds nothing of what
-// was acknowledged since: believed, it would read acknowledged writes back as absent. Replicas may be rolled
-// back.
+// The log of the true primary grows for as long as it is that. One that stands further back than the record
+// says, or than it was seen here in its term, is that of another process that came up under its name and
+// holds nothing of what was acknowledged since: believed, it would read acknowledged writes back as absent.
+// The record outlives this instance. Replicas may be rolled back.
 std::optional<log_mark> agent::least_mark(const server_id& id) const {
     const auto server = cluster_.servers.find(id);
     if (server == cluster_.servers.end()) {
         return std::nullopt;
     }
     const auto group = cluster_.groups.find(server->second.group);
+    if (group == cluster_.groups.end() || group->second.primary != id) {
+        return std::nullopt;
+    }
+    const log_mark recorded = lowest_primary_mark(group->second);
     const auto known = reigns_.find(server->second.group);
-    const bool reigns = group != cluster_.groups.end() && known != reigns_.end() &&
-                        group->second.primary == id && group->second.term == known->second.term;
-    return reigns ? std::optional{known->second.highest} : std::nullopt;
+    const bool was_seen = known != reigns_.end() && group->second.term == known->second.term;
+    return was_seen ? std::max(recorded, known->second.highest) : recorded;
 }
 
 void agent::note_reign(const group_record& group, const position_sample& sample) {
--- a/src/daemon/pools.cpp
+++ b/src/daemon/pools.cpp
@@ -36,6 +36,23 @@
 
 } // namespace
 
+bool has_gone_back(const std::optional<log_mark>& told, const std::optional<log_mark>& least) {
+    if (!least) {
+        return false;
+    }
+    return told ? *told < *least : least->position > 0;
+}
+
+void log_gone_back(const server_id& server, const std::optional<log_mark>& told, const log_mark& least) {
+    const log_mark mark = told.value_or(log_mark{});
+    log_event(severity::warning, "server_log_went_back",
+              {{"server", server.value},
+               {"timeline", mark.timeline},
+               {"position", mark.position},
+               {"known_timeline", least.timeline},
+               {"known_position", least.position}});
+}
+
 backend_pools::backend_pools(asio::io_context& io, const backend_driver& driver)
     : io_(io), driver_(driver), timer_(io) {
     on_tick();
@@ -326,14 +343,10 @@
     // Marks that come while it opens may be newer than the one that it opens with.
     const std::optional<log_mark> least = least_mark ? least_mark(key.server) : std::nullopt;
     connection->connect([this, key, number, least, opening = connection.get()](connect_result opened) {
-        const bool went_back = opened == connect_result::connected && least && opening->opened_at &&
-                               *opening->opened_at < *least;
+        const bool tells_position = driver_.servers_enforce_floor && opened == connect_result::connected;
+        const bool went_back = tells_position && has_gone_back(opening->opened_at, least);
         if (went_back) {
-            log_event(severity::warning, "server_log_went_back",
-                      {{"server", key.server.value},
-                       {"timeline", opening->opened_at->timeline},
-                       {"position", opening->opened_at->position},
-                       {"known_position", least->position}});
+            log_gone_back(key.server, opening->opened_at, *least);
             opening->close();
         }
         const connect_result result = went_back ? connect_result::failed : opened;
--- a/src/io/codec.cpp
+++ b/src/io/codec.cpp
@@ -180,6 +180,7 @@
     }
     v.sync_replicas = m.sync_replicas();
     v.protected_position = m.protected_position();
+    v.seen_position = m.seen_position();
     v.awaits_log = m.awaits_log();
     return v;
 }
@@ -198,6 +199,7 @@
     }
     m.set_sync_replicas(v.sync_replicas);
     m.set_protected_position(v.protected_position);
+    m.set_seen_position(v.seen_position);
     m.set_awaits_log(v.awaits_log);
 }
 
--- a/tests/io_test.cpp
+++ b/tests/io_test.cpp
@@ -684,6 +684,7 @@
     group.id = {"g"};
     group.sync_replicas = 1;
     group.protected_position = 77;
+    group.seen_position = 78;
     group.awaits_log = true;
     server_record& server = s.servers[{"s1"}];
     server.id = {"s1"};
--- a/tests/platform_site.cpp
+++ b/tests/platform_site.cpp
@@ -74,8 +74,10 @@
     }
 
     std::string ready() const {
-        return "READY " + std::string(in_transaction ? "T" : "I") + " " + std::to_string(where.group.term) +
-               "." + std::to_string(server.applied) + "\r\n";
+        const std::string position =
+            server.tells_position ? std::to_string(where.group.term) + "." + std::to_string(server.applied)
+                                  : "-";
+        return "READY " + std::string(in_transaction ? "T" : "I") + " " + position + "\r\n";
     }
 
     void take(const std::string& line) {
--- a/tests/platform_site.hpp
+++ b/tests/platform_site.hpp
@@ -62,6 +62,7 @@
     unsigned answers_to_lose = 0;  // runs so many statements more without answering them
     bool cuts_writes = false;      // closes the connection in place of a write's answer
     bool full = false;             // turns every new connection away
+    bool tells_position = true;    // else its answers name no position
     std::string cut_from;          // hears nothing of this daemon any more; empty: of nobody
     std::string refuse_with;       // error code for every read, write and commit; empty: none
     std::unique_ptr<boost::asio::ip::tcp::acceptor> acceptor;
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -612,16 +612,8 @@
     EXPECT_EQ(c.ask("r", "FETCH k").rows.size(), 1U);
 }
 
-// It tells no start and is back before anyone missed it, but its log has gone back: it is nobody's primary.
-TEST(failover, a_primary_whose_log_has_gone_back_reads_nothing_back_as_absent) {
-    platform_site s;
-    s.start();
-    line_caller c = s.connect("strict");
-    for (int i = 0; i < 5; ++i) {
-        EXPECT_FALSE(c.ask("w" + std::to_string(i), "STORE k v").done.empty());
-    }
-    s.server("s1").applied = 0; // comes back empty
-    s.drop_connections("s1");
+// Asks for an item over a session until another server than s1 leads, and expects that s1 runs none of it.
+void expect_nothing_read_from_s1(platform_site& s, line_caller& c) {
     const auto& groups = s.daemons.front().core->cluster().groups;
     int tries = 0;
     while (tries < 100 && groups.at({"svc"}).primary == server_id{"s1"}) {
@@ -635,6 +627,51 @@
     EXPECT_NE(groups.at({"svc"}).primary, server_id{"s1"});
 }
 
+// It tells no start and is back before anyone missed it, but its log has gone back: it is nobody's primary.
+TEST(failover, a_primary_whose_log_has_gone_back_reads_nothing_back_as_absent) {
+    platform_site s;
+    s.start();
+    line_caller c = s.connect("strict");
+    for (int i = 0; i < 5; ++i) {
+        EXPECT_FALSE(c.ask("w" + std::to_string(i), "STORE k v").done.empty());
+    }
+    s.server("s1").applied = 0; // comes back empty
+    s.drop_connections("s1");
+    expect_nothing_read_from_s1(s, c);
+}
+
+// All instances and the primary had started again, and an instance knew the primary's position by its own
+// memory only: acknowledged writes were read back as absent from a database that was empty.
+TEST(failover, an_instance_that_has_just_started_believes_no_empty_primary) {
+    platform_site s;
+    s.start();
+    line_caller c = s.connect("strict");
+    for (int i = 0; i < 5; ++i) {
+        EXPECT_FALSE(c.ask("w" + std::to_string(i), "STORE k v").done.empty());
+    }
+    ASSERT_TRUE(
+        s.run_until([&] { return s.daemons.front().core->cluster().groups.at({"svc"}).seen_position > 0; }));
+    s.server("s1").applied = 0; // comes back empty
+    s.drop_connections("s1");
+    site_daemon& entry = s.add_entry("z2");
+    line_caller fresh(s, entry.entry_port);
+    fresh.open("STARTUP strict u1");
+    expect_nothing_read_from_s1(s, fresh);
+}
+
+// A position that could not be read passed the check of the primary's log.
+TEST(failover, a_primary_that_tells_no_position_any_more_reads_nothing_back_as_absent) {
+    platform_site s;
+    s.start();
+    line_caller c = s.connect("strict");
+    for (int i = 0; i < 5; ++i) {
+        EXPECT_FALSE(c.ask("w" + std::to_string(i), "STORE k v").done.empty());
+    }
+    s.server("s1").tells_position = false; // comes back empty
+    s.drop_connections("s1");
+    expect_nothing_read_from_s1(s, c);
+}
+
 // After a loss of power a server counts the lost connections for seconds and has no room for new ones.
 TEST(failover, a_primary_that_turns_connections_away_is_not_dead) {
     platform_site s;
