Control: every query of a server ends in time

Cause: pending_group_creations had no time limit, and a query whose answer is lost while its connection stays open never ended in control_node, so that the group's later announcements made no other one. Ruled out: an announcement that is not taken (it is, and creates no query while one is pending).

Change: a query for a group's creation is abandoned after probe_timeout and retry_delay, and the next announcement makes another one; a late answer to the first changes nothing. Control ends every operation at its deadline, with a line in the log. The other waits of control were read: failovers have their step's time-outs, edits and watches their deadlines, messages and joins their time-outs; proposals end with the leader's term.

Test, failed before: group_creation.repeats_unanswered_probe.

--- a/src/core/announcements.cpp
+++ b/src/core/announcements.cpp
@@ -77,23 +77,28 @@
 // [group creation]
 //-----------------------------------------------------------------------------
 
-bool is_group_creation_pending(const control_state& c, const group_id& group) {
+// Returns true if the group's primary is being queried. A query whose answer is overdue is abandoned, and the
+// next announcement makes another one.
+bool is_group_creation_pending(control_state& c, const group_id& group, time_point now) {
+    std::erase_if(c.pending_group_creations, [&c, now](const auto& pending) {
+        return now - pending.second.queried_at >= c.config.probe_timeout + c.config.retry_delay;
+    });
     return std::any_of(c.pending_group_creations.begin(), c.pending_group_creations.end(),
-                       [&group](const auto& f) { return f.second.record.group == group; });
+                       [&group](const auto& f) { return f.second.announcement.record.group == group; });
 }
 
 // Creates a group when its first primary announces itself. Later announcements never change the group's
 // record. A primary without a known timeline is probed for it first.
-void create_group(control_state& c, const cluster_state& s, const server_announcement& a,
+void create_group(control_state& c, const cluster_state& s, const server_announcement& a, time_point now,
                   control_actions& actions) {
     const group_id& group = a.record.group;
     if (!a.is_primary || s.groups.contains(group) || c.proposed_groups.contains(group)) {
         return;
     }
     if (a.timeline == 0) {
-        if (!is_group_creation_pending(c, group)) {
+        if (!is_group_creation_pending(c, group, now)) {
             const std::uint64_t operation = c.next_operation++;
-            c.pending_group_creations[operation] = a;
+            c.pending_group_creations[operation] = {.announcement = a, .queried_at = now};
             actions.emplace_back(probe_server{.operation = operation, .server = a.record});
         }
         return;
@@ -280,19 +285,23 @@
     }
     register_if_new(c, s, make_server_record(c, s, a, is_new_start), actions);
     if (!a.stopped) {
-        create_group(c, s, a, actions);
+        create_group(c, s, a, now, actions);
     }
 }
 
 void finish_group_creation(control_state& c, const cluster_state& s, const server_answer& answer,
-                           control_actions& actions) {
-    server_announcement announcement = c.pending_group_creations.at(answer.operation);
-    c.pending_group_creations.erase(answer.operation);
+                           time_point now, control_actions& actions) {
+    const auto pending = c.pending_group_creations.find(answer.operation);
+    if (pending == c.pending_group_creations.end()) {
+        return;
+    }
+    server_announcement announcement = pending->second.announcement;
+    c.pending_group_creations.erase(pending);
     if (!answer.answered || !answer.is_primary) {
         return; // the next announcement retries
     }
     announcement.timeline = answer.timeline;
-    create_group(c, s, announcement, actions);
+    create_group(c, s, announcement, now, actions);
 }
 
 void remove_if_stopped(control_state& c, const cluster_state& s, const server_announcement& a, time_point now,
--- a/src/core/announcements.hpp
+++ b/src/core/announcements.hpp
@@ -19,7 +19,7 @@
 
 // Creates a group once its future primary has answered with its timeline.
 void finish_group_creation(control_state& c, const cluster_state& s, const server_answer& answer,
-                           control_actions& actions);
+                           time_point now, control_actions& actions);
 
 // Removes the record of a stopped server, unless the server is still the primary of its group or acknowledged
 // commits may rest on its log (commit_safety.hpp).
--- a/src/core/control.cpp
+++ b/src/core/control.cpp
@@ -454,7 +454,7 @@
 void on_server_answer(control_state& c, const cluster_state& s, const server_answer& a, time_point now,
                       control_actions& actions) {
     if (c.pending_group_creations.contains(a.operation)) {
-        finish_group_creation(c, s, a, actions);
+        finish_group_creation(c, s, a, now, actions);
         return;
     }
     for (auto& [id, f] : c.failovers) {
--- a/src/core/control.hpp
+++ b/src/core/control.hpp
@@ -245,6 +245,18 @@
 struct control_state {
     control_settings config;
     bool leading = false;
+// A primary that is queried for its timeline, to create its group.
+struct group_creation {
+    server_announcement announcement;
+    time_point queried_at{};
+};
+
+// Failovers of a group, one after the other, of which each began before the log of its term had grown.
+struct failover_pace {
+    unsigned fruitless = 0;
+    time_point not_before{}; // of the next one
+};
+
     time_point leading_since{};
     std::uint64_t leader_term = 0; // of the control log; orders the replies of different leaders
     std::map<instance_id, daemon_state> daemons;
@@ -270,8 +282,8 @@
     std::uint64_t start_number_count = 0;                // start numbers assigned by this leader
     std::map<std::string, server_id> address_holders;    // latest server to announce itself, by "host:port"
     std::set<server_id> replaced_servers;                // another server has announced their address
-    // Announcements of primaries that are being queried for their timeline, by operation.
-    std::map<std::uint64_t, server_announcement> pending_group_creations;
+    std::map<std::uint64_t, group_creation> pending_group_creations; // by operation
+    std::map<group_id, failover_pace> failover_paces;
     std::map<group_id, time_point> last_switchover_at; // last attempt to move off a leaving primary
     std::set<group_id> groups_without_successor;       // groups whose leaving primary has no successor
     std::vector<std::string> control_addresses;        // sent to daemons; set by the control core
--- a/src/daemon/control_node.cpp
+++ b/src/daemon/control_node.cpp
@@ -156,6 +156,7 @@
         phases_.reached("leader_known", now());
     }
     pump();
+    end_overdue_operations();
     ask_to_join();
     greet_unknown_controls();
     answer_watchers();
@@ -418,6 +419,21 @@
     finish_operation(answer);
 }
 
+// An answer may be lost while its connection stays open.
+void control_node::end_overdue_operations() {
+    std::vector<server_answer> overdue;
+    for (const auto& [number, operation] : operations_) {
+        if (now() >= operation.deadline) {
+            overdue.push_back({.operation = number, .server = operation.server.id});
+        }
+    }
+    for (const server_answer& unanswered : overdue) {
+        log_event(severity::warning, "server_operation_unanswered",
+                  {{"operation", unanswered.operation}, {"server", unanswered.server.value}});
+        finish_operation(unanswered);
+    }
+}
+
 void control_node::ask_role_again(std::uint64_t number) {
     auto timer = std::make_shared<asio::steady_timer>(io_, probe_again_after);
     timer->async_wait([this, number, timer](const boost::system::error_code&) {
--- a/src/daemon/control_node.hpp
+++ b/src/daemon/control_node.hpp
@@ -97,6 +97,7 @@
     };
 
     void on_tick();
+    void end_overdue_operations();
     void record_tick_delay();
     void pump();
     void write_next();
--- a/tests/control_test.cpp
+++ b/tests/control_test.cpp
@@ -44,6 +44,31 @@
     EXPECT_EQ(s.group().primary, server_id{"s1"});
 }
 
+// The answer to the first query of a primary was lost, and its group was never created.
+TEST(group_creation, repeats_unanswered_probe) {
+    control_site s;
+    s.renew("x", {announce("s1", true, 1)});
+    const auto lost = s.take_pending<probe_server>();
+    ASSERT_TRUE(lost.has_value());
+    s.now += milliseconds{600};
+    s.renew("x", {announce("s1", true, 2)});
+    const auto probe = s.take_pending<probe_server>();
+    ASSERT_TRUE(probe.has_value());
+    const server_answer answer{.operation = probe->operation,
+                               .server = {"s1"},
+                               .answered = true,
+                               .is_primary = true,
+                               .timeline = 4,
+                               .position = 9};
+    s.answer(answer);
+    EXPECT_EQ(s.group().timeline, 4U);
+    server_answer late = answer;
+    late.operation = lost->operation;
+    late.timeline = 3;
+    s.answer(late);
+    EXPECT_EQ(s.group().timeline, 4U);
+}
+
 TEST(group_creation, repeats_failed_probe) {
     control_site s;
     s.renew("x", {announce("s1", true, 1)});
