Servers with an empty log are alive, and fruitless failovers become rare

Seen by the review: a group whose servers say "-" for their position got a new primary three times a second until its first write.

Cause: an answer without a position counted as none, so the observers called each primary dead after the detection time, and nothing held back a failover that followed one without effect. Ruled out: STATUS, where "-" was taken for an empty log already.

Change: a server that answers without a position is alive, at no known position. From the third failover in a row that begins before the log of its term has grown, the next one waits 0.25 s, then twice as long each time, 4 s at most. A group that has taken a write since is not delayed.

--- a/src/core/control.cpp
+++ b/src/core/control.cpp
@@ -435,7 +435,9 @@
         } else if (group.phase == group_phase::fencing) {
             sync_failover_with_record(c, s, group, now);
         } else if (is_reported_dead(c, group.primary, now) || has_primary_restarted(s, group)) {
-            begin_failover(c, s, group, false, {}, now, actions);
+            if (try_begin_failover(c, group, now)) {
+                begin_failover(c, s, group, false, {}, now, actions);
+            }
         } else if (should_replace_leaving_primary(c, s, group, now, actions)) {
             c.last_switchover_at[id] = now;
             begin_failover(c, s, group, true, {}, now, actions);
--- a/src/core/control.hpp
+++ b/src/core/control.hpp
@@ -154,6 +154,9 @@
     duration switchover_timeout = std::chrono::milliseconds{3000};
     // Minimum interval between position queries of a planned switchover: a typical replication lag.
     duration catch_up_interval = std::chrono::milliseconds{50};
+    // Between two failovers of a group without progress, from the third in a row; doubled each time.
+    duration fruitless_failover_pause = std::chrono::milliseconds{250};
+    duration max_fruitless_failover_pause = std::chrono::seconds{4};
     duration max_observation_age = std::chrono::milliseconds{1000}; // older observations are ignored
     duration max_announcement_age = std::chrono::milliseconds{3000};
     // Minimum interval between two attempts to move a group off a leaving primary.
@@ -242,9 +245,6 @@
     std::optional<log_mark> mark; // of the primary, sampled later
 };
 
-struct control_state {
-    control_settings config;
-    bool leading = false;
 // A primary that is queried for its timeline, to create its group.
 struct group_creation {
     server_announcement announcement;
@@ -257,6 +257,9 @@
     time_point not_before{}; // of the next one
 };
 
+struct control_state {
+    control_settings config;
+    bool leading = false;
     time_point leading_since{};
     std::uint64_t leader_term = 0; // of the control log; orders the replies of different leaders
     std::map<instance_id, daemon_state> daemons;
--- a/src/core/failover.cpp
+++ b/src/core/failover.cpp
@@ -428,6 +428,24 @@
     return has_successor;
 }
 
+bool try_begin_failover(control_state& c, const group_record& group, time_point now) {
+    constexpr unsigned unpaced = 2;
+    failover_pace& pace = c.failover_paces[group.id];
+    if (now < pace.not_before && group.seen_position == 0) {
+        return false;
+    }
+    pace.fruitless = group.seen_position > 0 ? 0 : pace.fruitless + 1;
+    duration pause{0};
+    if (pace.fruitless >= unpaced) {
+        pause = c.config.fruitless_failover_pause;
+        for (unsigned i = unpaced; i < pace.fruitless && pause < c.config.max_fruitless_failover_pause; ++i) {
+            pause *= 2;
+        }
+    }
+    pace.not_before = now + std::min(pause, c.config.max_fruitless_failover_pause);
+    return true;
+}
+
 //-----------------------------------------------------------------------------
 // [public functions]
 //-----------------------------------------------------------------------------
--- a/src/core/failover.hpp
+++ b/src/core/failover.hpp
@@ -29,6 +29,10 @@
 bool should_replace_leaving_primary(control_state& c, const cluster_state& s, const group_record& group,
                                     time_point now, control_actions& actions);
 
+// Returns true if a failover may begin now, and counts it. A promotion that brought no progress is unlikely
+// to help the next time: from the third in a row on, each waits longer.
+bool try_begin_failover(control_state& c, const group_record& group, time_point now);
+
 //-----------------------------------------------------------------------------
 // [steps]
 //-----------------------------------------------------------------------------
--- a/src/daemon/agent_servers.cpp
+++ b/src/daemon/agent_servers.cpp
@@ -186,6 +186,9 @@
         p.has_sample = true;
         set_alive(p, true);
         take_sample(id, p.seen.is_primary, p.sample, now());
+    } else if (tells_position) {
+        p.answered_at = now(); // its log is empty, and it lives
+        set_alive(p, true);
     } else {
         p.next_at = now();
     }
--- a/tests/commit_safety_test.cpp
+++ b/tests/commit_safety_test.cpp
@@ -1,7 +1,8 @@
 // Promotions keep the commits that replicas have confirmed, whatever fails in which order.
 //
 // Index
-//   [fixture]  [answers]  [restarts and ends]  [two failovers]  [configuration]  [operators]
+//   [fixture]  [answers]  [restarts and ends]  [two failovers]  [configuration]  [repeated failovers]
+//   [operators]
 #include "control_site.hpp"
 #include "core/failover.hpp"
 #include "core/routing.hpp"
@@ -447,6 +448,48 @@
     EXPECT_EQ(g.promoted.size(), 1U);
 }
 
+//-----------------------------------------------------------------------------
+// [repeated failovers]
+//-----------------------------------------------------------------------------
+
+// A group whose primaries were called dead at once got a new one three times a second.
+TEST(failover_pace, promotions_without_progress_become_rare) {
+    commit_site g(0);
+    for (auto& [id, server] : g.servers) {
+        server.log.position = 0;
+    }
+    int seen_dead = 0;
+    for (int i = 0; i < 600; ++i) { // 30 s
+        const std::string primary = g.s.group().primary.value;
+        for (auto& [id, server] : g.servers) {
+            server.alive = id != primary;
+            server.log.timeline = g.s.group().timeline;
+        }
+        g.run(milliseconds{50});
+        seen_dead += g.s.control.failovers.empty() ? 1 : 0;
+    }
+    EXPECT_GT(seen_dead, 0);
+    EXPECT_LE(g.promoted.size(), 14U) << "at most one each 4 s, after a few quick ones";
+    EXPECT_GE(g.promoted.size(), 6U) << "it goes on trying";
+}
+
+// A group that serves between two failures of its primary is not slowed down.
+TEST(failover_pace, promotions_with_progress_are_not_delayed) {
+    commit_site g(0);
+    for (int i = 0; i < 6; ++i) {
+        const std::string primary = g.s.group().primary.value;
+        for (auto& [id, server] : g.servers) {
+            server.log = {.timeline = g.s.group().timeline,
+                          .position = 200U + 100U * static_cast<unsigned>(i)};
+        }
+        g.run(milliseconds{200});
+        g.servers.at(primary).alive = false;
+        g.run(milliseconds{700});
+        EXPECT_EQ(g.promoted.size(), static_cast<std::size_t>(i) + 1);
+        g.servers.at(primary).alive = true;
+    }
+}
+
 //-----------------------------------------------------------------------------
 // [operators]
 //-----------------------------------------------------------------------------
--- a/tests/platform_site.cpp
+++ b/tests/platform_site.cpp
@@ -443,6 +443,7 @@
         s.id = id;
         s.zone = "z1";
         s.is_primary = s.id == "s1";
+        s.tells_position = !hides_positions;
         start_server(s);
     }
     site_daemon& d = start_daemon(control_io, "z1");
--- a/tests/platform_site.hpp
+++ b/tests/platform_site.hpp
@@ -140,6 +140,7 @@
     platform_site& operator=(platform_site&&) = delete;
 
     // One daemon with control and entry, three servers, the table of table_body().
+    bool hides_positions = false; // of all servers; set before the start
     void start();
     // A daemon that takes callers but keeps no control log.
     site_daemon& add_entry(const std::string& domain = "z1");
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -659,6 +659,17 @@
     expect_nothing_read_from_s1(s, fresh);
 }
 
+// Servers with an empty log that told no position were called dead, and the group got a new primary three
+// times a second.
+TEST(failover, servers_that_tell_no_position_yet_are_alive) {
+    platform_site s;
+    s.hides_positions = true;
+    s.start();
+    s.run_for(milliseconds{3000});
+    EXPECT_TRUE(s.promotions.empty());
+    EXPECT_EQ(s.daemons.front().core->cluster().groups.at({"svc"}).term, 1U);
+}
+
 // A position that could not be read passed the check of the primary's log.
 TEST(failover, a_primary_that_tells_no_position_any_more_reads_nothing_back_as_absent) {
     platform_site s;
