A new primary is believed before its first commit

Cause: the position in READY names the term of the last commit, which is that of the earlier primary until the new one has taken a write. The least position of a primary and the marks of commit_safety compared it with the term that the record and STATUS tell. Ruled out: a log that had really gone back (the position is the same).

Change: positions go on over a promotion, so what the record says of the primary is a position alone. An answer is compared with what was observed part by part, and marks of observations with each other. The observers of a server are asked for its marks, not all daemons.

The stand-in of platform_test tells the term of its last commit now, as the platform's databases do.

--- a/src/core/cluster_state.cpp
+++ b/src/core/cluster_state.cpp
@@ -338,11 +338,10 @@
     return found;
 }
 
-log_mark lowest_primary_mark(const group_record& group) {
+log_position lowest_primary_position(const group_record& group) {
     const log_position start = group.term_starts.empty() ? 0 : group.term_starts.back().position;
     const bool start_is_known = start != std::numeric_limits<log_position>::max();
-    return {.timeline = group.timeline,
-            .position = std::max(start_is_known ? start : 0, group.seen_position)};
+    return std::max(start_is_known ? start : 0, group.seen_position);
 }
 
 std::optional<log_position> surviving_position(const group_record& group, term_number term) {
--- a/src/core/cluster_state.hpp
+++ b/src/core/cluster_state.hpp
@@ -275,8 +275,9 @@
 
 std::vector<server_record> servers_of(const cluster_state& s, const group_id& group);
 
-// Returns the lowest position that the recorded primary's log can have, by the record alone.
-log_mark lowest_primary_mark(const group_record& group);
+// Returns the lowest position that the recorded primary's log can have, by the record alone. Positions go on
+// over a promotion; a server may tell the timeline of its last commit, so the record's says nothing here.
+log_position lowest_primary_position(const group_record& group);
 
 // Returns the largest position of `term` that later terms still hold, or nothing if the term is unknown. A
 // session beyond this position has read lost writes.
--- a/src/core/commit_safety.cpp
+++ b/src/core/commit_safety.cpp
@@ -15,8 +15,9 @@
 // [evidence]
 //-----------------------------------------------------------------------------
 
-log_mark mark_of(const server_answer& a) {
-    return {.timeline = a.timeline, .position = a.position};
+// An answer tells the server's own timeline, an observation that of its last commit, which may be older.
+bool is_at_least(const server_answer& a, const log_mark& mark) {
+    return a.timeline >= mark.timeline && a.position >= mark.position;
 }
 
 // Returns true if the answer tells of the log that the server is known for. A log on an older timeline counts
@@ -26,7 +27,7 @@
     if (highest == c.highest_marks.end()) {
         return a.timeline >= group.timeline;
     }
-    return mark_of(a) >= highest->second;
+    return is_at_least(a, highest->second);
 }
 
 bool is_evidence(const control_state& c, const cluster_state& s, const group_record& group,
@@ -44,12 +45,16 @@
         return false;
     }
     const auto highest = c.highest_marks.find(ended.id);
+    if (highest == c.highest_marks.end()) {
+        return false;
+    }
     return std::any_of(f.answers.begin(), f.answers.end(), [&](const auto& answer) {
         const auto record = s.servers.find(answer.first);
-        return answer.first != ended.id && record != s.servers.end() && record->second.group == ended.group &&
-               record->second.host == ended.host && record->second.port == ended.port &&
-               is_evidence(c, s, group, answer.second) && highest != c.highest_marks.end() &&
-               mark_of(answer.second) >= highest->second;
+        const bool succeeds = answer.first != ended.id && record != s.servers.end() &&
+                              record->second.group == ended.group && record->second.host == ended.host &&
+                              record->second.port == ended.port;
+        return succeeds && is_evidence(c, s, group, answer.second) &&
+               is_at_least(answer.second, highest->second);
     });
 }
 
@@ -76,24 +81,41 @@
 // [catching up]
 //-----------------------------------------------------------------------------
 
+// Returns the positions at which the server's observers report it alive, in renewals since `earliest`.
+std::vector<log_mark> find_marks(const control_state& c, const server_id& server, time_point earliest,
+                                 time_point now) {
+    std::vector<log_mark> marks;
+    const auto observers = c.observers.find(server);
+    if (observers == c.observers.end()) {
+        return marks;
+    }
+    for (const instance_id& id : observers->second) {
+        const auto d = c.daemons.find(id);
+        if (d == c.daemons.end() || !has_recent_observations(c, d->second, now) ||
+            d->second.last_renewal_at < earliest) {
+            continue;
+        }
+        const auto seen = d->second.observations.find(server);
+        if (seen != d->second.observations.end() && seen->second.alive && seen->second.timeline > 0) {
+            marks.push_back({.timeline = seen->second.timeline, .position = seen->second.position});
+        }
+    }
+    return marks;
+}
+
 // Returns the newest position of the primary that was certainly sampled after `since`: an observer that
-// reports a server alive has had an answer within the detection time.
+// reports a server alive has had an answer within the detection time. A position below the recorded one is
+// that of another process.
 std::optional<log_mark> find_primary_mark(const control_state& c, const group_record& group, time_point since,
                                           time_point now) {
     if (group.phase != group_phase::serving) {
         return std::nullopt;
     }
     std::optional<log_mark> newest;
-    for (const auto& [id, d] : c.daemons) {
-        const auto seen = d.observations.find(group.primary);
-        const bool is_later =
-            has_recent_observations(c, d, now) && d.last_renewal_at >= since + c.config.max_observation_age;
-        if (!is_later || seen == d.observations.end() || !seen->second.alive ||
-            seen->second.timeline != group.timeline) {
-            continue;
+    for (const log_mark& mark : find_marks(c, group.primary, since + c.config.max_observation_age, now)) {
+        if (mark.position >= lowest_primary_position(group)) {
+            newest = newest ? std::max(*newest, mark) : mark;
         }
-        const log_mark mark{.timeline = seen->second.timeline, .position = seen->second.position};
-        newest = newest ? std::max(*newest, mark) : mark;
     }
     return newest;
 }
@@ -113,12 +135,8 @@
 }
 
 bool is_observed_at(const control_state& c, const server_id& server, const log_mark& mark, time_point now) {
-    return std::any_of(c.daemons.begin(), c.daemons.end(), [&](const auto& d) {
-        const auto seen = d.second.observations.find(server);
-        return seen != d.second.observations.end() && seen->second.alive &&
-               has_recent_observations(c, d.second, now) && seen->second.timeline == mark.timeline &&
-               seen->second.position >= mark.position;
-    });
+    const std::vector<log_mark> seen = find_marks(c, server, {}, now);
+    return std::any_of(seen.begin(), seen.end(), [&mark](const log_mark& m) { return m >= mark; });
 }
 
 const group_record* find_promising_group(const cluster_state& s, const group_id& id) {
@@ -157,7 +175,7 @@
         return;
     }
     const auto mark = find_primary_mark(c, group, {}, now);
-    if (!mark || *mark <= lowest_primary_mark(group)) {
+    if (!mark || mark->position <= lowest_primary_position(group)) {
         return;
     }
     c.seen_position_terms[group.id] = group.term;
--- a/src/daemon/agent_servers.cpp
+++ b/src/daemon/agent_servers.cpp
@@ -216,10 +216,11 @@
     if (group == cluster_.groups.end() || group->second.primary != id) {
         return std::nullopt;
     }
-    const log_mark recorded = lowest_primary_mark(group->second);
+    const log_position recorded = lowest_primary_position(group->second);
     const auto known = reigns_.find(server->second.group);
     const bool was_seen = known != reigns_.end() && group->second.term == known->second.term;
-    return was_seen ? std::max(recorded, known->second.highest) : recorded;
+    const log_mark seen = was_seen ? known->second.highest : log_mark{};
+    return log_mark{.timeline = seen.timeline, .position = std::max(seen.position, recorded)};
 }
 
 void agent::note_reign(const group_record& group, const position_sample& sample) {
--- a/src/daemon/pools.cpp
+++ b/src/daemon/pools.cpp
@@ -40,7 +40,8 @@
     if (!least) {
         return false;
     }
-    return told ? *told < *least : least->position > 0;
+    const log_mark mark = told.value_or(log_mark{});
+    return mark.position < least->position || (told && mark.timeline < least->timeline);
 }
 
 void log_gone_back(const server_id& server, const std::optional<log_mark>& told, const log_mark& least) {
--- a/src/daemon/pools.hpp
+++ b/src/daemon/pools.hpp
@@ -54,8 +54,8 @@
     auto operator<=>(const pool_counters&) const = default;
 };
 
-// Returns true if a server that tells `told` of its log cannot have the log that it had at `least`. A log
-// without a position is empty.
+// Returns true if a server that tells `told` of its log cannot have the log that it had at `least`: its
+// timeline or its position is lower. A log without a position is empty.
 bool has_gone_back(const std::optional<log_mark>& told, const std::optional<log_mark>& least);
 void log_gone_back(const server_id& server, const std::optional<log_mark>& told, const log_mark& least);
 
--- a/tests/platform_site.hpp
+++ b/tests/platform_site.hpp
@@ -54,6 +54,7 @@
     std::string zone;
     bool is_primary = false;
     std::uint64_t applied = 0;     // number of the last commit
+    std::uint64_t commit_term = 1; // its term, which its position names
     bool follows = true;           // gets the primary's commits at once
     bool leaves = false;           // reports that it will end
     std::uint64_t started = 0;     // Unix milliseconds that it reports; 0: it reports none
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -627,6 +627,28 @@
     EXPECT_NE(groups.at({"svc"}).primary, server_id{"s1"});
 }
 
+// A new primary tells the term of its last commit, which is that of the primary before it, until it has taken
+// a write. Taken for a log that has gone back, it was called dead.
+TEST(failover, a_new_primary_is_believed_before_its_first_commit) {
+    platform_site s;
+    s.start();
+    line_caller c = s.connect("strict");
+    for (int i = 0; i < 5; ++i) {
+        EXPECT_FALSE(c.ask("w" + std::to_string(i), "STORE k v").done.empty());
+    }
+    s.stop_server("s1");
+    const auto& groups = s.daemons.front().core->cluster().groups;
+    ASSERT_TRUE(s.run_until([&] { return groups.at({"svc"}).term == 2; }));
+    s.drop_connections(groups.at({"svc"}).primary.value);
+    int served = 0;
+    for (int i = 0; i < 20; ++i) {
+        served += c.ask("r" + std::to_string(i), "FETCH k").rows.empty() ? 0 : 1;
+        s.run_for(milliseconds{50});
+    }
+    EXPECT_GE(served, 15);
+    EXPECT_EQ(groups.at({"svc"}).term, 2U);
+}
+
 // It tells no start and is back before anyone missed it, but its log has gone back: it is nobody's primary.
 TEST(failover, a_primary_whose_log_has_gone_back_reads_nothing_back_as_absent) {
     platform_site s;
