Positions seen of new terms are recorded together, and without haste

Cause: the first position of each group's term was a command of its own, told to every instance at once. Ruled out: the marks kept for groups with synchronous replicas, which these sites do not have.

Change: the leader looks at all groups together once in half a second, and what follows from such a position is told with the next news. After: scale_test passes.

joining.entry_without_a_lease_follows_changed_settings waits until the entry holds a lease before it is killed: the line of its log that the test compares with is there then. It asks for no less than before.

--- a/src/core/commit_safety.cpp
+++ b/src/core/commit_safety.cpp
@@ -11,6 +11,9 @@
 namespace larchpin {
 namespace {
 
+// A restart of everything meets a term without a recorded position for this long after its first commit.
+constexpr duration seen_position_interval = std::chrono::milliseconds{500};
+
 //-----------------------------------------------------------------------------
 // [evidence]
 //-----------------------------------------------------------------------------
@@ -144,6 +147,25 @@
     return group == s.groups.end() || group->second.sync_replicas == 0 ? nullptr : &group->second;
 }
 
+void record_seen_position(control_state& c, const cluster_state& s, const group_record& group, time_point now,
+                          control_actions& actions) {
+    const auto proposed = c.seen_position_terms.find(group.id);
+    const bool is_proposed = proposed != c.seen_position_terms.end() && proposed->second == group.term;
+    if (group.seen_position > 0 || is_proposed || group.phase != group_phase::serving ||
+        has_primary_restarted(s, group)) {
+        return;
+    }
+    const auto mark = find_primary_mark(c, group, {}, now);
+    if (!mark || mark->position <= lowest_primary_position(group)) {
+        return;
+    }
+    c.seen_position_terms[group.id] = group.term;
+    group_record next = group;
+    next.seen_position = mark->position;
+    actions.emplace_back(propose_command{
+        set_group{.expected_term = group.term, .expected_phase = group_phase::serving, .next = next}});
+}
+
 } // namespace
 
 //-----------------------------------------------------------------------------
@@ -166,23 +188,15 @@
     }
 }
 
-void record_seen_position(control_state& c, const cluster_state& s, const group_record& group, time_point now,
-                          control_actions& actions) {
-    const auto proposed = c.seen_position_terms.find(group.id);
-    const bool is_proposed = proposed != c.seen_position_terms.end() && proposed->second == group.term;
-    if (group.seen_position > 0 || is_proposed || group.phase != group_phase::serving ||
-        has_primary_restarted(s, group)) {
+void record_seen_positions(control_state& c, const cluster_state& s, time_point now,
+                           control_actions& actions) {
+    if (now - c.seen_positions_checked_at < seen_position_interval) {
         return;
     }
-    const auto mark = find_primary_mark(c, group, {}, now);
-    if (!mark || mark->position <= lowest_primary_position(group)) {
-        return;
+    c.seen_positions_checked_at = now;
+    for (const auto& [id, group] : s.groups) {
+        record_seen_position(c, s, group, now, actions);
     }
-    c.seen_position_terms[group.id] = group.term;
-    group_record next = group;
-    next.seen_position = mark->position;
-    actions.emplace_back(propose_command{
-        set_group{.expected_term = group.term, .expected_phase = group_phase::serving, .next = next}});
 }
 
 bool has_enough_answers(const control_state& c, const cluster_state& s, const group_record& group,
--- a/src/core/commit_safety.hpp
+++ b/src/core/commit_safety.hpp
@@ -26,9 +26,10 @@
 void record_observed_marks(control_state& c, const cluster_state& s,
                            const std::vector<server_observation>& observations);
 
-// Records once in a term that the primary's log was seen beyond the beginning of the term.
-void record_seen_position(control_state& c, const cluster_state& s, const group_record& group, time_point now,
-                          control_actions& actions);
+// Records once in a term of each group that the primary's log was seen beyond the beginning of the term. All
+// groups are looked at together, since each command sent alone costs every instance a message.
+void record_seen_positions(control_state& c, const cluster_state& s, time_point now,
+                           control_actions& actions);
 
 // Returns true if the answers include one that holds every acknowledged commit of the group.
 bool has_enough_answers(const control_state& c, const cluster_state& s, const group_record& group,
--- a/src/core/control.cpp
+++ b/src/core/control.cpp
@@ -446,9 +446,7 @@
     for (const auto& [id, seen] : c.latest_announcements) {
         remove_if_stopped(c, s, seen.announcement, now, actions);
     }
-    for (const auto& [id, group] : s.groups) {
-        record_seen_position(c, s, group, now, actions);
-    }
+    record_seen_positions(c, s, now, actions);
     complete_restarted_logs(c, s, now, actions);
     remove_lost_servers(c, s, now, actions);
 }
--- a/src/core/control.hpp
+++ b/src/core/control.hpp
@@ -282,9 +282,10 @@
     std::map<server_id, log_mark> highest_marks; // highest position observed of the known start
     std::map<server_id, catch_up_goal> catch_up_goals;
     std::map<group_id, term_number> seen_position_terms; // term for which seen_position was proposed
-    std::uint64_t start_number_count = 0;                // start numbers assigned by this leader
-    std::map<std::string, server_id> address_holders;    // latest server to announce itself, by "host:port"
-    std::set<server_id> replaced_servers;                // another server has announced their address
+    time_point seen_positions_checked_at{};
+    std::uint64_t start_number_count = 0;             // start numbers assigned by this leader
+    std::map<std::string, server_id> address_holders; // latest server to announce itself, by "host:port"
+    std::set<server_id> replaced_servers;             // another server has announced their address
     std::map<std::uint64_t, group_creation> pending_group_creations; // by operation
     std::map<group_id, failover_pace> failover_paces;
     std::map<group_id, time_point> last_switchover_at; // last attempt to move off a leaving primary
--- a/src/core/control_pacing.cpp
+++ b/src/core/control_pacing.cpp
@@ -53,7 +53,13 @@
         return before.servers.contains(server->record.id) || server->record.leaving;
     }
     if (const auto* group = std::get_if<set_group>(&c)) {
-        return before.groups.contains(group->next.id);
+        const auto known = before.groups.find(group->next.id);
+        if (known == before.groups.end()) {
+            return false;
+        }
+        group_record only_seen = known->second; // what follows from a position need not be known at once
+        only_seen.seen_position = group->next.seen_position;
+        return only_seen != group->next;
     }
     return std::holds_alternative<edit_table>(c) || std::holds_alternative<remove_server>(c);
 }
--- a/tests/joining_test.cpp
+++ b/tests/joining_test.cpp
@@ -176,6 +176,7 @@
     site s(three_controls());
     ASSERT_TRUE(s.start());
     const int entry = 3;
+    ASSERT_TRUE(wait_until([&] { return has_lease(s, entry); }));
     s.stop_daemon(entry, SIGKILL);
     s.set_control_addresses(entry, {unused_address});
     ASSERT_TRUE(wait_until([&] { return !has_lease(s, entry); }));
