A switchover that is given up promotes nobody without answers

Found by reading the change again: abort_switchover() promoted the old primary on the word of its observers alone. Where replicas confirm commits, callers could lose acknowledged ones: a primary that has started again empty, and has not announced it yet, is reported alive, and was promoted while a replica that held everything was away.

Cause: a switchover without the primary's answer asked nobody else. Its answer also counted without a look at the log that it told of.

Change: the primary's answer counts only with the log that it had, and a switchover that is given up goes on as a failover, which waits for enough answers.

--- a/src/core/commit_safety.cpp
+++ b/src/core/commit_safety.cpp
@@ -68,9 +68,9 @@
            is_log_moved(c, s, group, f, server);
 }
 
-// Returns true if the primary's own log is among the answers.
-bool has_primary_log(const control_state& c, const cluster_state& s, const group_record& group,
-                     const failover& f) {
+// Returns true if the primary's own log is among the answers, and it is the one that it had.
+bool holds_primary_log(const control_state& c, const cluster_state& s, const group_record& group,
+                       const failover& f) {
     const auto primary = s.servers.find(group.primary);
     if (primary == s.servers.end() || has_primary_restarted(s, group)) {
         return false;
@@ -201,7 +201,12 @@
 
 bool has_enough_answers(const control_state& c, const cluster_state& s, const group_record& group,
                         const failover& f) {
-    if (group.sync_replicas == 0 || has_primary_log(c, s, group, f)) {
+bool has_primary_log(const control_state& c, const cluster_state& s, const group_record& group,
+                     const failover& f) {
+    return group.sync_replicas == 0 || holds_primary_log(c, s, group, f);
+}
+
+    if (group.sync_replicas == 0 || holds_primary_log(c, s, group, f)) {
         return true;
     }
     std::size_t others = 0;
--- a/src/core/commit_safety.hpp
+++ b/src/core/commit_safety.hpp
@@ -35,6 +35,10 @@
 bool has_enough_answers(const control_state& c, const cluster_state& s, const group_record& group,
                         const failover& f);
 
+// Returns true if the answers include the primary's, with the log that it had.
+bool has_primary_log(const control_state& c, const cluster_state& s, const group_record& group,
+                     const failover& f);
+
 // Returns the servers whose answers would be evidence and are missing.
 std::vector<server_id> find_missing_answers(const control_state& c, const cluster_state& s,
                                             const group_record& group, const failover& f);
--- a/src/core/failover.cpp
+++ b/src/core/failover.cpp
@@ -165,7 +165,7 @@
         return promoted;
     }
     const server_answer* old = find_primary_answer(group, f);
-    if (old == nullptr) {
+    if (old == nullptr || !has_primary_log(c, s, group, f)) {
         return nullptr;
     }
     const server_answer* successor = find_successor(c, s, group, f, old->position);
@@ -293,10 +293,16 @@
 }
 
 // Aborts a switchover whose primary is reported alive but does not answer the leader. Without its position no
-// successor is known to hold all acknowledged writes, so the old primary continues.
+// successor is known to hold all acknowledged writes, so the old primary continues. Where replicas confirm
+// commits, their answers tell which log holds all, and nobody is promoted without any.
 void abort_switchover(control_state& c, const cluster_state& s, const group_record& group, failover& f,
                       time_point now, control_actions& actions) {
     add_event(actions, f, "switchover_given_up", group.id, group.primary, now);
+    if (group.sync_replicas > 0) {
+        f.planned = false;
+        query_replicas(c, s, group, f, now, actions);
+        return;
+    }
     const server_answer unchanged_primary{.server = group.primary,
                                           .answered = true,
                                           .is_primary = true,
@@ -352,7 +358,8 @@
     if (f.step != failover_step::probing) {
         return;
     }
-    if (f.planned && has_catch_up_timed_out(c, f, now) && find_primary_answer(group, f) == nullptr) {
+    const bool has_primary = find_primary_answer(group, f) != nullptr && has_primary_log(c, s, group, f);
+    if (f.planned && has_catch_up_timed_out(c, f, now) && !has_primary) {
         abort_switchover(c, s, group, f, now, actions);
     } else if (f.planned && may_query_again(c, f, f.fence_proposed_at, now)) {
         query_replicas(c, s, group, f, now, actions);
--- a/tests/commit_safety_test.cpp
+++ b/tests/commit_safety_test.cpp
@@ -32,6 +32,7 @@
     bool reachable = true; // by control
     bool alive = true;     // as observed by the daemon
     log_mark log{.timeline = 1, .position = 100};
+    std::uint64_t own_timeline = 0; // that its answers tell; 0 = that of its last commit
 };
 
 // The group of control_site with s1 as its primary; `sync_replicas` of the others confirm each commit.
@@ -86,13 +87,13 @@
                       .server = probe->server.id,
                       .answered = server.reachable && server.alive,
                       .is_primary = probe->server.id == s.group().primary,
-                      .timeline = server.log.timeline,
+                      .timeline = std::max(server.log.timeline, server.own_timeline),
                       .position = server.log.position});
         }
         if (const auto order = s.take_pending<promote_server>()) {
             promoted.push_back(order->server.id);
             server_state& server = servers.at(order->server.id.value);
-            ++server.log.timeline;
+            server.log.timeline = s.group().timeline + 1;
             s.answer({.operation = order->operation,
                       .server = order->server.id,
                       .answered = true,
@@ -389,6 +390,31 @@
     EXPECT_EQ(g.promoted, nobody);
 }
 
+// A switchover whose primary did not answer was given up, and the primary was promoted again on the word of
+// its observers: it had started again empty, and nobody had heard of that yet.
+TEST(commit_safety, given_up_switchover_promotes_nobody_without_answers) {
+    commit_site g(1);
+    for (const char* id : {"s1", "s2", "s3"}) {
+        g.servers.at(id).log.position = 300;
+    }
+    g.run(milliseconds{200});
+    server_announcement leaves = announce("s1", true, ++g.sequence);
+    leaves.leaving = true;
+    g.announced.push_back(leaves);
+    g.s.renew("x", std::exchange(g.announced, {}), g.observations());
+    g.s.tick();
+    g.answer(); // the successors are close: the fence is set
+    ASSERT_EQ(g.s.group().phase, group_phase::fencing);
+    g.servers.at("s1").log = {.timeline = 0, .position = 0};
+    g.servers.at("s2").reachable = false;
+    g.run(seconds{15});
+    EXPECT_EQ(g.promoted, nobody);
+    g.servers.at("s2").reachable = true;
+    g.run(seconds{3});
+    ASSERT_FALSE(g.promoted.empty());
+    EXPECT_NE(g.promoted.front(), server_id{"s1"});
+}
+
 //-----------------------------------------------------------------------------
 // [configuration]
 //-----------------------------------------------------------------------------
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -649,7 +649,7 @@
     EXPECT_EQ(groups.at({"svc"}).term, 2U);
 }
 
-// It tells no start and is back before anyone missed it, but its log has gone back: it is nobody's primary.
+// The primary came back empty before it was missed, and reported no start: its log alone told.
 TEST(failover, a_primary_whose_log_has_gone_back_reads_nothing_back_as_absent) {
     platform_site s;
     s.start();
