A replica that a promotion has rolled back is evidence again

Found by reading the change again: after a failover in a quiet group the next one waited until an operator ended it. A replica that had held more than the new primary, none of it acknowledged, is rolled back; its position was then below the highest one observed of it, which passes for a lost log.

Cause: the mark of an observation was compared whatever its term. Until the first commit of a term observations tell the term before, so nothing replaced the mark. Ruled out: groups that take writes, where the next mark does.

Change: a server on the group's timeline whose mark is of an earlier one has to hold what earlier terms protect.

Test, failed before: commit_safety.rolled_back_replica_is_evidence_again.

--- a/src/core/commit_safety.cpp
+++ b/src/core/commit_safety.cpp
@@ -30,7 +30,9 @@
     if (highest == c.highest_marks.end()) {
         return a.timeline >= group.timeline;
     }
-    return is_at_least(a, highest->second);
+    // A promotion may have rolled back what the server held beyond the new primary's log.
+    const bool may_be_rolled_back = a.timeline >= group.timeline && highest->second.timeline < group.timeline;
+    return may_be_rolled_back ? a.position >= group.protected_position : is_at_least(a, highest->second);
 }
 
 bool is_evidence(const control_state& c, const cluster_state& s, const group_record& group,
@@ -199,13 +201,13 @@
     }
 }
 
-bool has_enough_answers(const control_state& c, const cluster_state& s, const group_record& group,
-                        const failover& f) {
 bool has_primary_log(const control_state& c, const cluster_state& s, const group_record& group,
                      const failover& f) {
     return group.sync_replicas == 0 || holds_primary_log(c, s, group, f);
 }
 
+bool has_enough_answers(const control_state& c, const cluster_state& s, const group_record& group,
+                        const failover& f) {
     if (group.sync_replicas == 0 || holds_primary_log(c, s, group, f)) {
         return true;
     }
--- a/tests/commit_safety_test.cpp
+++ b/tests/commit_safety_test.cpp
@@ -415,6 +415,25 @@
     EXPECT_NE(g.promoted.front(), server_id{"s1"});
 }
 
+// A promotion rolled back what a replica held beyond the new primary's log, which nobody had been told of.
+// The replica seemed to have lost its log, and the next failover waited for good.
+TEST(commit_safety, rolled_back_replica_is_evidence_again) {
+    commit_site g(1);
+    g.servers.at("s1").log.position = 300;
+    g.servers.at("s2").log.position = 300;
+    g.crash("s1");
+    g.run(seconds{1});
+    ASSERT_EQ(g.promoted, only("s2"));
+    g.servers.at("s1") = {.log = {.timeline = 1, .position = 350}}; // back, with a tail that nobody confirmed
+    g.run(milliseconds{200});
+    for (const char* id : {"s1", "s2", "s3"}) { // nothing has been committed in term 2
+        g.servers.at(id) = {.log = {.timeline = 1, .position = 300}, .own_timeline = 2};
+    }
+    g.crash("s2");
+    g.run(seconds{2});
+    EXPECT_EQ(g.promoted.size(), 2U);
+}
+
 //-----------------------------------------------------------------------------
 // [configuration]
 //-----------------------------------------------------------------------------
