Failover: no log shorter than what was acknowledged is promoted

What callers saw: with one synchronous replica, acknowledged commits were gone after a failover if the replica that confirmed them had never been heard of by control (cut off from its start, say).

Cause: the rule that a failover waits for counts answers, and the count is of servers that control knows. The position up to which commits had been acknowledged was nowhere but in the instances that passed them on.

Ruled out: a larger number of answers (nobody knows of how many servers); the positions that observers see of the primary, and the position that comes with an acknowledgement itself: both include commits that are still being confirmed. Promotions that wait for such a position would wait for good after an ordinary crash.

Change: each instance keeps two bounds for each group (core/acknowledgements). A commit is above every position seen of the primary when it was sent, so replicas have received the log up to the lower bound; the position that came with the answer is the upper one. Both go to the leader with renewals, changes only. No log below the lower bound is promoted. The fence's record and the marks of instances that are gone are in the control log. Marks that contradict themselves or lie beyond the primary's log are ignored and reported.

Evidence: acknowledged_commits.of_a_replica_that_control_has_not_heard_of_are_waited_for promoted s2 on, which lacked five acknowledged commits; it waits now, and s4 is promoted once it is heard of.

Left: a commit that was sent before the last known position and acknowledged at the very end has only the upper bound; if the known replicas stopped receiving within that last round trip, an unknown replica's commits of that moment are not waited for. Neither is what an instance acknowledged after its last renewal if it never confirms the fence. Until now nothing of an unknown replica was.

--- /dev/null
+++ b/src/core/acknowledgements.hpp
@@ -0,0 +1,56 @@
+// Positions up to which an instance has passed on acknowledgements of commits, in groups whose replicas
+// confirm each commit.
+//
+// The position of a commit itself is not known. It is above every position that the primary's log had when
+// the commit was sent, and at most the one that came with its acknowledgement; that one may include other
+// commits which are still being confirmed. Both bounds are kept: replicas certainly hold the log up to the
+// lower one, since commits are confirmed in the order of the log, and no acknowledged commit is beyond the
+// upper one.
+#pragma once
+
+#include "core/types.hpp"
+
+#include <map>
+#include <vector>
+
+namespace larchpin {
+
+// Bounds of the acknowledged commits of one term of a group.
+struct acknowledged_mark {
+    group_id group;
+    term_number term = 0;
+    log_position confirmed = 0; // some replica has received the log up to here
+    log_position highest = 0;   // no acknowledged commit is beyond
+    auto operator<=>(const acknowledged_mark&) const = default;
+};
+
+// Raises `known` to the bounds of `told`. A mark of a later term replaces that of an earlier one.
+void merge_mark(acknowledged_mark& known, const acknowledged_mark& told);
+
+// Marks of one instance. Leaders are told of changes only, so each mark is kept with what the present leader
+// has acknowledged.
+struct acknowledgement_ledger {
+    struct entry {
+        acknowledged_mark mark;
+        acknowledged_mark told;
+        std::uint64_t told_to = 0; // term of the leader that has acknowledged `told`
+        auto operator<=>(const entry&) const = default;
+    };
+    std::map<group_id, entry> groups;
+    bool operator==(const acknowledgement_ledger&) const = default;
+};
+
+// Records that a commit is acknowledged to a caller. `before`: highest position seen of the primary when the
+// commit was sent; `position`: came with the acknowledgement, the same if nothing was written. Returns false,
+// and records nothing, if the position is below `before`: the log has gone back.
+bool record_acknowledgement(acknowledgement_ledger& l, const group_id& group, term_number term,
+                            log_position before, log_position position);
+
+// Returns the marks that the leader of this term has not acknowledged.
+std::vector<acknowledged_mark> find_untold_marks(const acknowledgement_ledger& l, std::uint64_t leader_term);
+
+// Records that the leader of this term has acknowledged these marks.
+void record_told_marks(acknowledgement_ledger& l, std::uint64_t leader_term,
+                       const std::vector<acknowledged_mark>& told);
+
+} // namespace larchpin
--- a/src/core/cluster_state.cpp
+++ b/src/core/cluster_state.cpp
@@ -81,9 +81,11 @@
     next.protected_position = current.protected_position;
     if (next.term == current.term) {
         next.seen_position = std::max(current.seen_position, next.seen_position);
+        next.confirmed_position = std::max(current.confirmed_position, next.confirmed_position);
         return;
     }
     next.seen_position = 0;
+    next.confirmed_position = 0;
     const unsigned required = required_sync_replicas(s.current_table, next.id);
     const log_position start = next.term_starts.empty() ? 0 : next.term_starts.back().position;
     const bool start_is_known = start != std::numeric_limits<log_position>::max();
--- a/src/core/cluster_state.hpp
+++ b/src/core/cluster_state.hpp
@@ -162,6 +162,9 @@
     // The primary's log was seen at this position, beyond the beginning of its term; 0 = not yet. By it an
     // instance that has just started knows an empty process at the primary's address.
     log_position seen_position = 0;
+    // Replicas have received the log of this term up to here, and commits at or below it may have been
+    // acknowledged by instances that cannot tell so any more. No server below it is promoted.
+    log_position confirmed_position = 0;
     // While fencing: no server that answers is known to hold all acknowledged commits.
     bool awaits_log = false;
     auto operator<=>(const group_record&) const = default;
--- a/src/core/commit_safety.cpp
+++ b/src/core/commit_safety.cpp
@@ -1,10 +1,11 @@
 // See commit_safety.hpp.
 //
 // Index
-//   [evidence]  [catching up]  [public functions]
+//   [evidence]  [catching up]  [acknowledged commits]  [public functions]
 #include "core/commit_safety.hpp"
 
 #include "core/failover.hpp"
+#include "core/lease.hpp"
 
 #include <algorithm>
 
@@ -12,7 +13,7 @@
 namespace {
 
 // A restart of everything meets a term without a recorded position for this long after its first commit.
-constexpr duration seen_position_interval = std::chrono::milliseconds{500};
+constexpr duration position_record_interval = std::chrono::milliseconds{500};
 
 //-----------------------------------------------------------------------------
 // [evidence]
@@ -168,12 +169,129 @@
         set_group{.expected_term = group.term, .expected_phase = group_phase::serving, .next = next}});
 }
 
+//-----------------------------------------------------------------------------
+// [acknowledged commits]
+//-----------------------------------------------------------------------------
+
+// Ignores marks beyond a position that the primary had after they were told: one daemon's fault must not stop
+// failovers of the group for good.
+void ignore_marks_beyond_log(control_state& c, const cluster_state& s, const group_record& group,
+                             time_point now, control_actions& actions) {
+    if (group.seen_position == 0 || has_primary_restarted(s, group)) {
+        return; // an empty process may answer for the primary
+    }
+    for (auto& [id, d] : c.daemons) {
+        const auto told = d.acknowledged.find(group.id);
+        if (told == d.acknowledged.end() || !told->second.is_plausible) {
+            continue;
+        }
+        const auto primary = find_primary_mark(c, group, told->second.at, now);
+        if (primary && told->second.mark.highest > primary->position) {
+            told->second.is_plausible = false;
+            actions.emplace_back(report_event{.event = "acknowledged_mark_beyond_log",
+                                              .group = group.id,
+                                              .server = group.primary,
+                                              .instance = id,
+                                              .position = told->second.mark.highest});
+        }
+    }
+}
+
+bool is_gone(const control_state& c, const daemon_state& d, time_point now) {
+    return !has_live_lease(d, now) && now - d.last_renewal_at >= grantor_lease_duration(c.config.lease);
+}
+
+void record_marks_of_gone_daemons(control_state& c, const group_record& group, time_point now,
+                                  control_actions& actions) {
+    acknowledged_mark gone{.group = group.id, .term = group.term};
+    const auto past = c.past_marks.find(group.id);
+    if (past != c.past_marks.end() && past->second.term == group.term) {
+        merge_mark(gone, past->second);
+    }
+    for (const auto& [id, d] : c.daemons) {
+        const auto told = d.acknowledged.find(group.id);
+        const bool counts = told != d.acknowledged.end() && told->second.is_plausible &&
+                            told->second.mark.term == group.term && is_gone(c, d, now);
+        if (counts) {
+            merge_mark(gone, told->second.mark);
+        }
+    }
+    acknowledged_mark& proposed = c.proposed_marks[group.id];
+    if (gone.confirmed <= group.confirmed_position ||
+        (proposed.term == group.term && proposed.confirmed >= gone.confirmed)) {
+        return;
+    }
+    proposed = gone;
+    group_record next = group;
+    next.confirmed_position = gone.confirmed;
+    actions.emplace_back(
+        propose_command{set_group{.expected_term = group.term, .expected_phase = group.phase, .next = next}});
+}
+
 } // namespace
 
 //-----------------------------------------------------------------------------
 // [public functions]
 //-----------------------------------------------------------------------------
 
+void record_told_marks(const cluster_state& s, daemon_state& d, const std::vector<acknowledged_mark>& told,
+                       time_point now, control_actions& actions) {
+    for (const acknowledged_mark& mark : told) {
+        const auto group = s.groups.find(mark.group);
+        if (group == s.groups.end() || group->second.sync_replicas == 0 || group->second.term != mark.term) {
+            continue; // of an earlier term: the present primary holds it
+        }
+        if (mark.confirmed > mark.highest || mark.highest <= group->second.protected_position) {
+            actions.emplace_back(report_event{.event = "acknowledged_mark_ignored",
+                                              .group = mark.group,
+                                              .server = group->second.primary,
+                                              .position = mark.highest});
+            continue;
+        }
+        told_mark& known = d.acknowledged[mark.group];
+        if (known.mark.term != mark.term) {
+            known = {};
+        }
+        merge_mark(known.mark, mark);
+        known.at = now;
+    }
+}
+
+void keep_marks_of_ended(control_state& c, const daemon_state& d) {
+    for (const auto& [id, told] : d.acknowledged) {
+        if (told.is_plausible) {
+            merge_mark(c.past_marks[id], told.mark);
+        }
+    }
+}
+
+acknowledged_mark find_acknowledged(const control_state& c, const group_record& group) {
+    acknowledged_mark found{.group = group.id,
+                            .term = group.term,
+                            .confirmed = group.confirmed_position,
+                            .highest = group.confirmed_position};
+    const auto merge = [&](const acknowledged_mark& mark) {
+        if (mark.term == group.term) {
+            merge_mark(found, mark);
+        }
+    };
+    const auto past = c.past_marks.find(group.id);
+    if (past != c.past_marks.end()) {
+        merge(past->second);
+    }
+    for (const auto& [id, d] : c.daemons) {
+        const auto told = d.acknowledged.find(group.id);
+        if (told != d.acknowledged.end() && told->second.is_plausible) {
+            merge(told->second.mark);
+        }
+    }
+    return found;
+}
+
+log_position lowest_promotable_position(const control_state& c, const group_record& group) {
+    return std::max(group.protected_position, find_acknowledged(c, group).confirmed);
+}
+
 void record_observed_marks(control_state& c, const cluster_state& s,
                            const std::vector<server_observation>& observations) {
     const bool any_promise = std::any_of(s.groups.begin(), s.groups.end(),
@@ -190,14 +308,17 @@
     }
 }
 
-void record_seen_positions(control_state& c, const cluster_state& s, time_point now,
-                           control_actions& actions) {
-    if (now - c.seen_positions_checked_at < seen_position_interval) {
+void record_positions(control_state& c, const cluster_state& s, time_point now, control_actions& actions) {
+    if (now - c.positions_recorded_at < position_record_interval) {
         return;
     }
-    c.seen_positions_checked_at = now;
+    c.positions_recorded_at = now;
     for (const auto& [id, group] : s.groups) {
         record_seen_position(c, s, group, now, actions);
+        if (group.sync_replicas > 0) {
+            ignore_marks_beyond_log(c, s, group, now, actions);
+            record_marks_of_gone_daemons(c, group, now, actions);
+        }
     }
 }
 
--- a/src/core/commit_safety.hpp
+++ b/src/core/commit_safety.hpp
@@ -13,7 +13,10 @@
 //   - A server that has ended stays in its group until enough others have reached a position that the primary
 //     had after that end. If it left by announcement, its log goes to its successor at the same address.
 //
-// Not covered: a server that confirms commits before control has heard of it for the first time.
+// A number of answers says nothing of a server that control has not heard of. So instances also tell up to
+// where replicas have confirmed what they acknowledged to callers (acknowledgements.hpp), and no log that is
+// shorter is promoted. What an instance acknowledged after its last renewal is known only once it has
+// confirmed the fence.
 //
 // Where no replica has to confirm commits, none of this applies.
 #pragma once
@@ -26,10 +29,25 @@
 void record_observed_marks(control_state& c, const cluster_state& s,
                            const std::vector<server_observation>& observations);
 
-// Records once in a term of each group that the primary's log was seen beyond the beginning of the term. All
-// groups are looked at together, since each command sent alone costs every instance a message.
-void record_seen_positions(control_state& c, const cluster_state& s, time_point now,
-                           control_actions& actions);
+// Records the marks that a daemon tells with a renewal. Marks that contradict themselves are reported and
+// ignored.
+void record_told_marks(const cluster_state& s, daemon_state& d, const std::vector<acknowledged_mark>& told,
+                       time_point now, control_actions& actions);
+
+// Keeps the marks of a daemon whose process has ended.
+void keep_marks_of_ended(control_state& c, const daemon_state& d);
+
+// Returns the bounds of the commits that were acknowledged in the group's term, as far as daemons have told.
+acknowledged_mark find_acknowledged(const control_state& c, const group_record& group);
+
+// Returns the lowest position at which a log can hold every commit that is known to be acknowledged.
+log_position lowest_promotable_position(const control_state& c, const group_record& group);
+
+// Puts positions into the log that the next leader cannot learn from daemons: once in a term of each group
+// that the primary's log was seen beyond the beginning of the term, and the marks of daemons that are gone.
+// Ignores marks beyond the primary's log, and reports them. All groups are looked at together, since each
+// command sent alone costs every instance a message.
+void record_positions(control_state& c, const cluster_state& s, time_point now, control_actions& actions);
 
 // Returns true if the answers include one that holds every acknowledged commit of the group.
 bool has_enough_answers(const control_state& c, const cluster_state& s, const group_record& group,
--- a/src/core/control.cpp
+++ b/src/core/control.cpp
@@ -344,6 +344,7 @@
     daemon_state& d = c.daemons[r.instance.id];
     if (is_next_incarnation(c, d, r, now)) {
         const auto leases = d.leases; // the earlier process may be slow rather than dead
+        keep_marks_of_ended(c, d);
         d = daemon_state{};
         d.leases = leases;
         d.incarnation = r.incarnation;
@@ -363,6 +364,7 @@
         apply_claims_and_observations(c, d, r);
         record_observed_marks(c, s, r.observations);
     }
+    record_told_marks(s, d, r.acknowledged, now, actions);
     for (const server_announcement& a : r.announcements) {
         handle_announcement(c, s, a, now, actions);
     }
@@ -446,7 +448,7 @@
     for (const auto& [id, seen] : c.latest_announcements) {
         remove_if_stopped(c, s, seen.announcement, now, actions);
     }
-    record_seen_positions(c, s, now, actions);
+    record_positions(c, s, now, actions);
     complete_restarted_logs(c, s, now, actions);
     remove_lost_servers(c, s, now, actions);
 }
--- a/src/core/control.hpp
+++ b/src/core/control.hpp
@@ -27,6 +27,7 @@
 //   [messages]  [actions]  [state]  [functions]
 #pragma once
 
+#include "core/acknowledgements.hpp"
 #include "core/cluster_state.hpp"
 #include "core/lost_instances.hpp"
 #include "core/rate_limits.hpp"
@@ -78,7 +79,8 @@
     std::vector<server_observation> observations;
     std::vector<server_announcement> announcements;
     std::vector<share_claim> claims;
-    std::uint64_t lost_version = 0; // version of the daemon's set of lost instances
+    std::vector<acknowledged_mark> acknowledged; // that the leader has not acknowledged yet
+    std::uint64_t lost_version = 0;              // version of the daemon's set of lost instances
     bool operator==(const renewal&) const = default;
 };
 
@@ -124,6 +126,8 @@
     server_id server;
     duration since_suspected{0}; // since the failover began; 0 = no failover
     bool planned = false;        // part of a planned switchover
+    instance_id instance{};      // that the event is about; may be empty
+    log_position position = 0;   // that the event is about; 0 = none
 };
 
 using control_action = std::variant<propose_command, probe_server, promote_server, report_event>;
@@ -184,6 +188,13 @@
     std::map<share_key, unsigned> shares;
 };
 
+// A mark that a daemon has told, and when it arrived last.
+struct told_mark {
+    acknowledged_mark mark;
+    time_point at{};
+    bool is_plausible = true; // not beyond the primary's log
+};
+
 struct daemon_state {
     std::uint64_t incarnation = 0;
     holder_number holder = 0; // index in the share ledger
@@ -196,7 +207,8 @@
     std::uint64_t reply_count = 0;               // sent by this leader
     std::deque<sent_shares> unconfirmed_replies; // replies that the daemon may still act upon
     std::map<share_key, share_claim> claims;
-    std::set<share_key> share_keys; // shares of which the daemon holds or wants a part
+    std::map<group_id, told_mark> acknowledged; // of this incarnation
+    std::set<share_key> share_keys;             // shares of which the daemon holds or wants a part
 };
 
 enum class failover_step : std::uint8_t { catching_up, fencing, revoking, probing, promoting, publishing };
@@ -278,14 +290,16 @@
     time_point lost_servers_checked_at{};                    // last run of remove_lost_servers()
     std::map<server_id, std::uint64_t> stopped_starts;       // start time of the stopped process, by server
     std::map<server_id, unverified_start> unverified_starts; // by server
-    // The next two are kept only for groups whose replicas confirm commits (commit_safety.hpp).
-    std::map<server_id, log_mark> highest_marks; // highest position observed of the known start
+    // The next four are kept only for groups whose replicas confirm commits (commit_safety.hpp).
+    std::map<group_id, acknowledged_mark> past_marks;     // of incarnations of daemons that have ended
+    std::map<group_id, acknowledged_mark> proposed_marks; // proposed for the group's record
+    std::map<server_id, log_mark> highest_marks;          // highest position observed of the known start
     std::map<server_id, catch_up_goal> catch_up_goals;
     std::map<group_id, term_number> seen_position_terms; // term for which seen_position was proposed
-    time_point seen_positions_checked_at{};
-    std::uint64_t start_number_count = 0;             // start numbers assigned by this leader
-    std::map<std::string, server_id> address_holders; // latest server to announce itself, by "host:port"
-    std::set<server_id> replaced_servers;             // another server has announced their address
+    time_point positions_recorded_at{};                  // last run of record_positions()
+    std::uint64_t start_number_count = 0;                // start numbers assigned by this leader
+    std::map<std::string, server_id> address_holders;    // latest server to announce itself, by "host:port"
+    std::set<server_id> replaced_servers;                // another server has announced their address
     std::map<std::uint64_t, group_creation> pending_group_creations; // by operation
     std::map<group_id, failover_pace> failover_paces;
     std::map<group_id, time_point> last_switchover_at; // last attempt to move off a leaving primary
--- a/src/core/control_pacing.cpp
+++ b/src/core/control_pacing.cpp
@@ -57,9 +57,10 @@
         if (known == before.groups.end()) {
             return false;
         }
-        group_record only_seen = known->second; // what follows from a position need not be known at once
-        only_seen.seen_position = group->next.seen_position;
-        return only_seen != group->next;
+        group_record only_positions = known->second; // what follows from them need not be known at once
+        only_positions.seen_position = group->next.seen_position;
+        only_positions.confirmed_position = group->next.confirmed_position;
+        return only_positions != group->next;
     }
     return std::holds_alternative<edit_table>(c) || std::holds_alternative<remove_server>(c);
 }
--- a/src/core/failover.cpp
+++ b/src/core/failover.cpp
@@ -71,11 +71,11 @@
     if (f.accepts_loss) {
         return true; // an operator takes any log
     }
-    if (answer.position < group.protected_position) {
+    if (answer.position < lowest_promotable_position(c, group)) {
         return false;
     }
     if (answer.timeline < group.timeline) {
-        return is_timeline_lost(c, s, group, f);
+        return find_acknowledged(c, group).confirmed == 0 && is_timeline_lost(c, s, group, f);
     }
     // A restarted primary may have lost a part of its log. It is not eligible while another server may hold
     // that part; the record of a server that is permanently lost is removed from the group.
@@ -207,12 +207,14 @@
     return now - f.step_started_at >= std::max(answer_timeout, interval);
 }
 
-void propose_fence(const group_record& group, failover& f, time_point now, control_actions& actions) {
+void propose_fence(const control_state& c, const group_record& group, failover& f, time_point now,
+                   control_actions& actions) {
     enter_step(f, failover_step::fencing, now);
     f.fence_proposed_at = now;
     f.pending_operations.clear();
     group_record next = group;
     next.phase = group_phase::fencing;
+    next.confirmed_position = find_acknowledged(c, group).confirmed;
     actions.emplace_back(propose_command{
         set_group{.expected_term = group.term, .expected_phase = group_phase::serving, .next = next}});
 }
@@ -254,17 +256,27 @@
                                         .token = make_monotonic_number(c, operation)});
 }
 
-// Reports each server whose answer the failover lacks, once, and has writes refused until a log is complete.
+// Reports once each server whose answer the failover lacks, with the position that is awaited, and has writes
+// refused until a log is complete.
 void await_complete_log(const control_state& c, const cluster_state& s, const group_record& group,
                         failover& f, time_point now, control_actions& actions) {
-    for (const server_id& id : find_missing_answers(c, s, group, f)) {
+    std::vector<server_id> missing = find_missing_answers(c, s, group, f);
+    if (has_enough_answers(c, s, group, f)) {
+        missing = {server_id{}}; // a server that control has not heard of holds the position
+    }
+    for (const server_id& id : missing) {
         if (f.awaited.insert(id).second) {
-            add_event(actions, f, "failover_awaits_log", group.id, id, now);
+            actions.emplace_back(report_event{.event = "failover_awaits_log",
+                                              .group = group.id,
+                                              .server = id,
+                                              .since_suspected = now - f.started_at,
+                                              .position = lowest_promotable_position(c, group)});
         }
     }
     if (!group.awaits_log) {
         group_record next = group;
         next.awaits_log = true;
+        next.confirmed_position = find_acknowledged(c, group).confirmed;
         actions.emplace_back(propose_command{
             set_group{.expected_term = group.term, .expected_phase = group_phase::fencing, .next = next}});
     }
@@ -331,7 +343,7 @@
     if (!alive) {
         begin_failover(c, s, group, false, {}, now, actions);
     } else if (f.catch_up_position && find_successor(c, s, group, f, *f.catch_up_position) != nullptr) {
-        propose_fence(group, f, now, actions);
+        propose_fence(c, group, f, now, actions);
     } else if (now - f.started_at >= c.config.switchover_timeout && !is_leaving(s, group.primary)) {
         add_event(actions, f, "switchover_given_up", group.id, group.primary, now);
         c.failovers.erase(group.id);
@@ -471,7 +483,7 @@
     if (planned) {
         query_positions(c, s, group, started, failover_step::catching_up, now, actions);
     } else {
-        propose_fence(group, started, now, actions);
+        propose_fence(c, group, started, now, actions);
     }
 }
 
--- a/src/daemon/agent.cpp
+++ b/src/daemon/agent.cpp
@@ -202,6 +202,11 @@
         r.announcements.push_back(heard.last);
     }
     r.claims = pools_.claims();
+    std::erase_if(acknowledged_.groups, [this](const auto& known) {
+        const auto group = cluster_.groups.find(known.first);
+        return group == cluster_.groups.end() || group->second.term > known.second.mark.term;
+    });
+    r.acknowledged = find_untold_marks(acknowledged_, leader_term());
     return r;
 }
 
@@ -216,18 +221,22 @@
         renew_again_ = false;
         next_renewal_ = sent + renewal_interval_ - spread(renewal_interval_ / renewal_spread);
     }
+    const renewal r = make_renewal();
     wire::renewal m;
-    to_wire(make_renewal(), m);
+    to_wire(r, m);
     clients_.to(control).post("/v1/renew", m.SerializeAsString(),
                               http_wait{.timeout = config_.lease, .late_after = late_renewal},
-                              [this, control, sent](const http_outcome& o) { on_renewed(o, control, sent); });
+                              [this, control, sent, told = r.acknowledged](const http_outcome& o) {
+                                  on_renewed(o, control, sent, told);
+                              });
 }
 
 duration agent::spread(duration most) {
     return duration{std::uniform_int_distribution<duration::rep>(0, most.count())(random_)};
 }
 
-void agent::on_renewed(const http_outcome& o, const std::string& control, time_point sent) {
+void agent::on_renewed(const http_outcome& o, const std::string& control, time_point sent,
+                       const std::vector<acknowledged_mark>& told) {
     const std::string asked_leader = search_.leader;
     wire::renewal_reply m;
     const bool answered = o.answered && o.status == 200 && m.ParseFromString(o.body);
@@ -243,6 +252,9 @@
         }
         return;
     }
+    if (reply.code == result_code::ok) {
+        record_told_marks(acknowledged_, leader_term_of(reply.seq), told);
+    }
     const bool is_overtaken = sent < answered_sent_at_ && reply.seq < last_reply_seq_; // by a later leader's
     if (reply.code != result_code::ok || is_overtaken) {
         search_.open.erase(control);
--- a/src/daemon/agent.hpp
+++ b/src/daemon/agent.hpp
@@ -92,6 +92,13 @@
     // An answer of the server carried this position; it was asked at `asked_at`.
     void note_position(const server_id& server, time_point asked_at, const log_mark& mark);
 
+    // Returns a position that the log of the group's primary has reached in this term; 0 if none is known.
+    [[nodiscard]] log_position seen_primary_position(const group_id& group) const;
+    // Call before a caller is told that its commit succeeded in this term. `before`:
+    // seen_primary_position() when the commit was sent; `position` came with the server's answer.
+    void note_acknowledged(const group_id& group, term_number term, log_position before,
+                           log_position position);
+
     // Another instance tells where the server's log stood, as of its start number. `taken_by`: by then, at
     // the latest, by our clock.
     void note_told_position(const server_id& server, std::uint64_t start_number,
@@ -163,7 +170,8 @@
     void on_tick();
     void renew_soon();
     void renew(const std::string& control);
-    void on_renewed(const http_outcome& o, const std::string& control, time_point sent);
+    void on_renewed(const http_outcome& o, const std::string& control, time_point sent,
+                    const std::vector<acknowledged_mark>& told);
     void apply_renewal(const renewal_reply& reply, time_point sent);
     renewal make_renewal();
     void follow_starts();
@@ -239,6 +247,7 @@
     std::map<server_id, reachability> reach_;
     std::map<group_id, group_positions> positions_;
     std::map<group_id, reign> reigns_;
+    acknowledgement_ledger acknowledged_;
     std::map<group_id, time_point> used_at_;
     struct position_wish {
         time_point since{};
--- a/src/daemon/agent_servers.cpp
+++ b/src/daemon/agent_servers.cpp
@@ -216,11 +216,10 @@
     if (group == cluster_.groups.end() || group->second.primary != id) {
         return std::nullopt;
     }
-    const log_position recorded = lowest_primary_position(group->second);
     const auto known = reigns_.find(server->second.group);
     const bool was_seen = known != reigns_.end() && group->second.term == known->second.term;
-    const log_mark seen = was_seen ? known->second.highest : log_mark{};
-    return log_mark{.timeline = seen.timeline, .position = std::max(seen.position, recorded)};
+    return log_mark{.timeline = was_seen ? known->second.highest.timeline : 0,
+                    .position = seen_primary_position(server->second.group)};
 }
 
 void agent::note_reign(const group_record& group, const position_sample& sample) {
@@ -411,6 +410,28 @@
                 {.not_before = asked_at, .timeline = mark.timeline, .position = mark.position}, now());
 }
 
+log_position agent::seen_primary_position(const group_id& group) const {
+    const auto record = cluster_.groups.find(group);
+    if (record == cluster_.groups.end()) {
+        return 0;
+    }
+    const auto known = reigns_.find(group);
+    const bool was_seen = known != reigns_.end() && known->second.term == record->second.term;
+    return std::max(lowest_primary_position(record->second),
+                    was_seen ? known->second.highest.position : log_position{0});
+}
+
+void agent::note_acknowledged(const group_id& group, term_number term, log_position before,
+                              log_position position) {
+    const auto record = cluster_.groups.find(group);
+    const bool is_promised = record != cluster_.groups.end() && record->second.sync_replicas > 0;
+    if (is_promised && !record_acknowledgement(acknowledged_, group, term, before, position)) {
+        log_event(
+            severity::warning, "acknowledged_position_went_back",
+            {{"group", group.value}, {"group_term", term}, {"position", position}, {"seen_before", before}});
+    }
+}
+
 // Believed like what an observer says: a sample of the primary counts with a live lease only, and where the
 // agreed state names this server on the same timeline.
 void agent::note_told_position(const server_id& server, std::uint64_t start_number,
--- a/src/daemon/control_node.cpp
+++ b/src/daemon/control_node.cpp
@@ -315,6 +315,8 @@
             log_event(severity::warning, note->event,
                       {{"group", note->group.value},
                        {"server", note->server.value},
+                       {"instance", note->instance.value},
+                       {"position", note->position},
                        {"term", core_.consensus.hard.term},
                        {"planned", note->planned},
                        {"since_suspected_us", static_cast<std::int64_t>(since.count())}});
--- a/src/daemon/request_path.cpp
+++ b/src/daemon/request_path.cpp
@@ -491,6 +491,9 @@
     if (!r.was_write || r.what.kind == statement_kind::begin_read_only) {
         record_read(state, r.server, at);
     }
+    if (r.position > 0) {
+        owner_.cluster.note_acknowledged(state.group, r.term, r.seen_before, r.position);
+    }
     if (r.what.may_use_replica) {
         owner_.counts.note_read(metric(), r.on_primary ? request_target::primary : request_target::replica,
                                 at - r.started_at);
--- a/src/daemon/request_path.hpp
+++ b/src/daemon/request_path.hpp
@@ -155,6 +155,7 @@
         bool reprepared = false;
         std::string held; // the acknowledging rest of the answer
         log_position position = 0;
+        log_position seen_before = 0; // of the primary's log, when the write or the commit was sent
         result_code last_refusal = result_code::no_primary;
         std::uint64_t serial = 0;
     };
--- a/src/daemon/request_run.cpp
+++ b/src/daemon/request_run.cpp
@@ -182,6 +182,7 @@
     r.step = request_step::statement;
     r.may_have_run = true;
     r.was_write = r.on_primary && !r.what.surely_reads && !r.what.looks_like_read;
+    r.seen_before = owner_.cluster.seen_primary_position(state.group);
     backend_sink sink;
     sink.hold_errors = true;
     const std::uint64_t serial = r.serial;
@@ -326,6 +327,7 @@
         finish_with_error(result_code::term_changed, run_state::not_run, come_back_after);
         return;
     }
+    active_->seen_before = owner_.cluster.seen_primary_position(state.group);
     run_plain("commit", request_step::commit, [this](const backend_outcome& outcome) {
         if (outcome.failed) {
             drop_connection();
--- a/src/io/codec.cpp
+++ b/src/io/codec.cpp
@@ -182,6 +182,7 @@
     v.protected_position = m.protected_position();
     v.seen_position = m.seen_position();
     v.awaits_log = m.awaits_log();
+    v.confirmed_position = m.confirmed_position();
     return v;
 }
 
@@ -201,6 +202,7 @@
     m.set_protected_position(v.protected_position);
     m.set_seen_position(v.seen_position);
     m.set_awaits_log(v.awaits_log);
+    m.set_confirmed_position(v.confirmed_position);
 }
 
 instance_record from_wire(const wire::instance_record& m) {
@@ -366,6 +368,10 @@
     for (const auto& a : m.announcements()) {
         v.announcements.push_back(from_wire(a));
     }
+    for (const auto& a : m.acknowledged()) {
+        v.acknowledged.push_back(
+            {.group = {a.group()}, .term = a.term(), .confirmed = a.confirmed(), .highest = a.highest()});
+    }
     for (const auto& c : m.claims()) {
         v.claims.push_back({.key = {.service = {c.service()}, .server = {c.server()}},
                             .in_effect = c.in_effect(),
@@ -393,6 +399,13 @@
     for (const server_announcement& a : v.announcements) {
         to_wire(a, *m.add_announcements());
     }
+    for (const acknowledged_mark& a : v.acknowledged) {
+        auto* e = m.add_acknowledged();
+        e->set_group(a.group.value);
+        e->set_term(a.term);
+        e->set_confirmed(a.confirmed);
+        e->set_highest(a.highest);
+    }
     for (const share_claim& c : v.claims) {
         auto* e = m.add_claims();
         e->set_service(c.key.service.value);
--- /dev/null
+++ b/tests/acknowledged_site_test.cpp
@@ -0,0 +1,96 @@
+// Acknowledged commits over failovers, with real instances and servers of which one replica confirms each
+// commit.
+//
+// Index
+//   [fixture]  [unknown servers]
+#include "platform_site.hpp"
+
+#include <gtest/gtest.h>
+
+namespace larchpin::testing {
+namespace {
+
+using std::chrono::milliseconds;
+
+//-----------------------------------------------------------------------------
+// [fixture]
+//-----------------------------------------------------------------------------
+
+// Long enough for several failovers one after another.
+constexpr milliseconds several_failovers{2000};
+constexpr const char* control = "daemon-1";
+
+// Control and two instances that take callers, each in a failure domain of its own. s1 leads; the other
+// servers receive its commits unless told otherwise.
+struct acknowledged_site {
+    platform_site s;
+    unsigned writes = 0;
+
+    acknowledged_site() {
+        s.sync_replica_count = 1;
+        s.start();
+        for (fake_server& server : s.group.servers) {
+            server.started = 1'780'000'000'000;
+        }
+        s.add_entry("z2");
+        s.add_entry("z3");
+        s.beat();
+        write(5);
+        s.run_for(milliseconds{700}); // positions are recorded
+    }
+
+    // Expects that each write is acknowledged.
+    void write(unsigned count) {
+        line_caller c = s.connect("strict");
+        for (unsigned i = 0; i < count; ++i) {
+            const answer a = c.ask("w" + std::to_string(++writes), "STORE k v");
+            EXPECT_FALSE(a.done.empty()) << a.error;
+        }
+    }
+
+    bool is_led_by(const std::string& id) {
+        const group_record& group = s.daemons.front().core->cluster().groups.at({"svc"});
+        return group.primary == server_id{id} && group.phase == group_phase::serving && group.term > 1;
+    }
+
+    // Returns true once the server leads and a write lands there.
+    bool is_served_by(const std::string& id) {
+        return s.run_until([&] { return is_led_by(id); }) && s.run_until([&] {
+            line_caller c = s.connect("strict");
+            return !c.ask("w" + std::to_string(++writes), "STORE k v").done.empty();
+        });
+    }
+
+    // Servers go on reporting themselves.
+    void run_for(milliseconds time) {
+        for (milliseconds passed{0}; passed < time; passed += milliseconds{200}) {
+            s.beat();
+            s.run_for(milliseconds{200});
+        }
+    }
+};
+
+//-----------------------------------------------------------------------------
+// [unknown servers]
+//-----------------------------------------------------------------------------
+
+// A replica confirmed commits that control had never heard of, and one that lacked them was promoted.
+TEST(acknowledged_commits, of_a_replica_that_control_has_not_heard_of_are_waited_for) {
+    acknowledged_site g;
+    fake_server& unheard = g.s.add_server("s4");
+    unheard.started = g.s.server("s1").started;
+    unheard.heard_of = false;
+    g.s.server("s2").follows = false;
+    g.s.server("s3").follows = false;
+    g.write(5);
+    g.s.run_for(milliseconds{300});
+    g.s.stop_server("s1");
+    g.run_for(several_failovers);
+    EXPECT_TRUE(g.s.promotions.empty()) << g.s.promotions.front().server;
+    unheard.heard_of = true;
+    g.s.beat();
+    EXPECT_TRUE(g.is_served_by("s4"));
+}
+
+} // namespace
+} // namespace larchpin::testing
--- a/tests/commit_safety_test.cpp
+++ b/tests/commit_safety_test.cpp
@@ -1,8 +1,8 @@
 // Promotions keep the commits that replicas have confirmed, whatever fails in which order.
 //
 // Index
-//   [fixture]  [answers]  [restarts and ends]  [two failovers]  [configuration]  [repeated failovers]
-//   [operators]
+//   [fixture]  [answers]  [acknowledged commits]  [restarts and ends]  [two failovers]  [configuration]
+//   [repeated failovers] [operators]
 #include "control_site.hpp"
 #include "core/failover.hpp"
 #include "core/routing.hpp"
@@ -245,6 +245,122 @@
     EXPECT_EQ(route_write(later, true).kind, target_kind::server);
 }
 
+//-----------------------------------------------------------------------------
+// [acknowledged commits]
+//-----------------------------------------------------------------------------
+
+acknowledged_mark mark(log_position confirmed, log_position highest, term_number term = 1) {
+    return {.group = {"g"}, .term = term, .confirmed = confirmed, .highest = highest};
+}
+
+// Commits were confirmed by a server that control had not heard of, and a shorter log was promoted.
+TEST(commit_safety, log_shorter_than_what_was_acknowledged_is_not_promoted) {
+    commit_site g(1);
+    g.servers.at("s1").log.position = 150;
+    g.s.acknowledged = {mark(150, 150)};
+    g.run(milliseconds{200});
+    g.crash("s1");
+    g.run(seconds{30});
+    EXPECT_EQ(g.promoted, nobody);
+    EXPECT_EQ(g.s.group().confirmed_position, 150U);
+    EXPECT_TRUE(g.has_event("failover_awaits_log"));
+    g.servers["s4"] = {.log = {.timeline = 1, .position = 150}};
+    g.announced.push_back(announce("s4", false, 1));
+    g.run(seconds{2});
+    EXPECT_EQ(g.promoted, only("s4"));
+}
+
+// Commits that were being confirmed when another one was acknowledged may be on no replica.
+TEST(commit_safety, unconfirmed_end_of_the_log_is_not_waited_for) {
+    commit_site g(1);
+    g.servers.at("s1").log.position = 150;
+    g.servers.at("s2").log.position = 120;
+    g.s.acknowledged = {mark(115, 150)};
+    g.run(milliseconds{200});
+    g.crash("s1");
+    g.run(seconds{2});
+    EXPECT_EQ(g.promoted, only("s2"));
+}
+
+// The next leader could not be told, since the instance was gone.
+TEST(commit_safety, mark_of_an_instance_that_is_gone_is_in_the_log) {
+    commit_site g(1);
+    g.servers.at("s1").log.position = 150;
+    g.s.acknowledged = {mark(150, 150)};
+    g.s.renew("z");
+    g.run(seconds{1});
+    EXPECT_EQ(g.s.group().confirmed_position, 0U) << "it may renew yet";
+    g.run(seconds{3});
+    EXPECT_EQ(g.s.group().confirmed_position, 150U);
+    EXPECT_EQ(g.s.group().phase, group_phase::serving);
+}
+
+// The same for a process that has ended and another one that has taken its place.
+TEST(commit_safety, mark_of_an_instance_that_started_again_is_kept) {
+    commit_site g(1);
+    g.servers.at("s1").log.position = 150;
+    g.s.acknowledged = {mark(150, 150)};
+    g.s.renew("z");
+    g.s.incarnation = 2;
+    g.s.seqs.clear();
+    g.s.renew("z");
+    g.crash("s1");
+    g.run(seconds{30});
+    EXPECT_EQ(g.promoted, nobody);
+}
+
+// One instance that told a position which the log never reached stopped the group's failovers for good.
+TEST(commit_safety, mark_beyond_the_primarys_log_is_ignored) {
+    commit_site g(1);
+    for (const char* id : {"s1", "s2", "s3"}) {
+        g.servers.at(id).log.position = 300;
+    }
+    g.run(seconds{1});
+    g.s.acknowledged = {mark(1'000'000, 1'000'000)};
+    g.run(seconds{4});
+    EXPECT_TRUE(g.has_event("acknowledged_mark_beyond_log"));
+    g.crash("s1");
+    g.run(seconds{2});
+    EXPECT_EQ(g.promoted.size(), 1U);
+}
+
+TEST(commit_safety, mark_that_contradicts_itself_is_ignored) {
+    commit_site g(1);
+    g.s.acknowledged = {mark(200, 150), mark(500, 500, 7)};
+    g.run(milliseconds{200});
+    EXPECT_TRUE(g.has_event("acknowledged_mark_ignored"));
+    g.crash("s1");
+    g.run(seconds{2});
+    EXPECT_EQ(g.promoted.size(), 1U);
+}
+
+TEST(acknowledgements, bounds_come_from_what_was_seen_before_and_with_the_answer) {
+    acknowledgement_ledger l;
+    EXPECT_TRUE(record_acknowledgement(l, {"g"}, 1, 100, 103));
+    EXPECT_EQ(l.groups.at({"g"}).mark, mark(101, 103));
+    EXPECT_TRUE(record_acknowledgement(l, {"g"}, 1, 90, 102)) << "the answers came in another order";
+    EXPECT_TRUE(record_acknowledgement(l, {"g"}, 1, 103, 103)) << "nothing was written";
+    EXPECT_EQ(l.groups.at({"g"}).mark, mark(101, 103));
+    EXPECT_FALSE(record_acknowledgement(l, {"g"}, 1, 110, 105)) << "the log went back";
+    EXPECT_EQ(l.groups.at({"g"}).mark, mark(101, 103));
+    EXPECT_TRUE(record_acknowledgement(l, {"g"}, 2, 50, 51));
+    EXPECT_EQ(l.groups.at({"g"}).mark, mark(51, 51, 2));
+}
+
+TEST(acknowledgements, each_leader_is_told_once) {
+    acknowledgement_ledger l;
+    record_acknowledgement(l, {"g"}, 1, 100, 101);
+    const auto first = find_untold_marks(l, 5);
+    EXPECT_EQ(first.size(), 1U);
+    record_told_marks(l, 5, first);
+    EXPECT_TRUE(find_untold_marks(l, 5).empty());
+    EXPECT_EQ(find_untold_marks(l, 6).size(), 1U) << "of another leader";
+    record_acknowledgement(l, {"g"}, 1, 101, 102);
+    EXPECT_EQ(find_untold_marks(l, 5).size(), 1U);
+    record_told_marks(l, 5, first);
+    EXPECT_EQ(find_untold_marks(l, 5).size(), 1U) << "a late reply is of the earlier mark";
+}
+
 //-----------------------------------------------------------------------------
 // [restarts and ends]
 //-----------------------------------------------------------------------------
--- a/tests/control_site.hpp
+++ b/tests/control_site.hpp
@@ -7,6 +7,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace larchpin::testing {
@@ -43,6 +44,7 @@
 
     bool accepts_clients = true; // of the next daemon that renews
     std::uint64_t incarnation = 1;
+    std::vector<acknowledged_mark> acknowledged; // told with the next renewal
     renewal_reply renew(const std::string& daemon, const std::vector<server_announcement>& announced = {},
                         const std::vector<server_observation>& seen = {},
                         const std::vector<share_claim>& claims = {}) {
@@ -57,6 +59,7 @@
         r.announcements = announced;
         r.observations = seen;
         r.claims = claims;
+        r.acknowledged = std::exchange(acknowledged, {});
         control_actions actions;
         renewal_reply reply = on_renewal(control, cluster, r, now, actions);
         seqs[r.instance.id] = reply.seq;
--- a/tests/io_test.cpp
+++ b/tests/io_test.cpp
@@ -686,10 +686,16 @@
     group.protected_position = 77;
     group.seen_position = 78;
     group.awaits_log = true;
+    group.confirmed_position = 79;
     server_record& server = s.servers[{"s1"}];
     server.id = {"s1"};
     server.log_incomplete = true;
     EXPECT_EQ(decode_state(encode_state(s)), s);
+    renewal r;
+    r.acknowledged = {{.group = {"g"}, .term = 3, .confirmed = 79, .highest = 80}};
+    wire::renewal m;
+    to_wire(r, m);
+    EXPECT_EQ(from_wire(m), r);
 }
 
 //-----------------------------------------------------------------------------
--- a/tests/platform_site.cpp
+++ b/tests/platform_site.cpp
@@ -268,6 +268,22 @@
     return *found;
 }
 
+fake_server& platform_site::add_server(const std::string& id) {
+    fake_server& s = group.servers.emplace_back();
+    s.id = id;
+    s.zone = "z1";
+    s.tells_position = !hides_positions;
+    start_server(s);
+    return s;
+}
+
+void platform_site::start_server_again(const std::string& id, bool keeps_log) {
+    fake_server& s = server(id);
+    s.started += 5'000;
+    s.applied = keeps_log ? s.applied : 0;
+    start_server(s);
+}
+
 void platform_site::stop_server(const std::string& id) {
     boost::system::error_code ignored;
     server(id).acceptor->close(ignored);
@@ -442,17 +458,16 @@
 
 void platform_site::start() {
     for (const char* id : {"s1", "s2", "s3"}) {
-        fake_server& s = group.servers.emplace_back();
-        s.id = id;
-        s.zone = "z1";
-        s.is_primary = s.id == "s1";
-        s.tells_position = !hides_positions;
-        start_server(s);
+        add_server(id).is_primary = std::string(id) == "s1";
     }
+    std::string table = table_body(5);
+    const std::string none = R"("sync_replica_count":0)";
+    table.replace(table.find(none), none.size(),
+                  R"("sync_replica_count":)" + std::to_string(sync_replica_count));
     site_daemon& d = start_daemon(control_io, "z1");
     const auto ready = [&] {
         beat();
-        post(d.control_port, "/larchpin/config/replace", table_body(5));
+        post(d.control_port, "/larchpin/config/replace", table);
         return get(d.ready_port, "/larchpin/readiness").status == 200 &&
                d.core->cluster().groups.contains({"svc"}) && d.core->cluster().servers.size() == 3;
     };
@@ -531,7 +546,7 @@
 
 void platform_site::beat() {
     for (const fake_server& s : group.servers) {
-        if (s.acceptor->is_open()) {
+        if (s.heard_of && s.acceptor->is_open()) {
             beat_at(daemons.front(), s);
         }
     }
--- a/tests/platform_site.hpp
+++ b/tests/platform_site.hpp
@@ -65,6 +65,7 @@
     bool full = false;             // turns every new connection away
     bool tells_position = true;    // else its answers name no position
     std::string cut_from;          // hears nothing of this daemon any more; empty: of nobody
+    bool heard_of = true;          // beat() reports it
     std::string refuse_with;       // error code for every read, write and commit; empty: none
     std::unique_ptr<boost::asio::ip::tcp::acceptor> acceptor;
     std::vector<std::weak_ptr<boost::asio::ip::tcp::socket>> sockets;
@@ -141,7 +142,8 @@
     platform_site& operator=(platform_site&&) = delete;
 
     // One daemon with control and entry, three servers, the table of table_body().
-    bool hides_positions = false; // of all servers; set before the start
+    bool hides_positions = false;    // of all servers; set before the start
+    unsigned sync_replica_count = 0; // of the table; set before the start
     void start();
     // A daemon that takes callers but keeps no control log.
     site_daemon& add_entry(const std::string& domain = "z1");
@@ -158,8 +160,10 @@
     void run_for(std::chrono::milliseconds time);
     [[nodiscard]] bool run_until(const std::function<bool()>& holds);
     fake_server& server(const std::string& id);
-    void stop_server(const std::string& id);      // its process ends
-    void drop_connections(const std::string& id); // all that are open
+    fake_server& add_server(const std::string& id);                 // a replica
+    void stop_server(const std::string& id);                        // its process ends
+    void start_server_again(const std::string& id, bool keeps_log); // and reports a later start
+    void drop_connections(const std::string& id);                   // all that are open
     [[nodiscard]] std::vector<seen_statement> statements_with(const std::string& id) const;
     static std::string table_body(std::uint64_t version, const std::string& more_routes = "");
 
