Failover: a primary that is back with its log is believed

What callers saw: writes were refused (3017) until an operator accepted a loss, though the old primary had come back with every commit: its new start was announced, and nothing of a restarted primary counted.

Cause: has_primary_restarted() holds for good, and holds_primary_log() took any later start for an empty one. docs/design/control.md promised the opposite.

Change: what an empty process cannot have tells the two apart: a log on the primary's own timeline at the position at which that log was seen. Nobody else leads that timeline, so nobody could have sent it. The position must also reach what was observed before the restart and what instances have acknowledged.

Left: an empty PostgreSQL server begins at a position of its own (some 20 MB). One that comes back under the primary's id where the group's log was never seen beyond that is not told apart.

--- a/src/core/commit_safety.cpp
+++ b/src/core/commit_safety.cpp
@@ -71,15 +71,28 @@
            is_log_moved(c, s, group, f, server);
 }
 
+// Returns true if a later start of the primary's process brings the log of the process that was made primary.
+// One that started empty has nothing of the primary's timeline: nobody else had it to send.
+bool brings_primary_log(const control_state& c, const group_record& group, const failover& f,
+                        const server_answer& a) {
+    const log_position lowest = lowest_primary_position(group);
+    return a.answered && a.timeline == group.timeline && lowest > 0 &&
+           a.position >= std::max({lowest, lowest_promotable_position(c, group), f.position_before_restart});
+}
+
 // Returns true if the primary's own log is among the answers, and it is the one that it had.
 bool holds_primary_log(const control_state& c, const cluster_state& s, const group_record& group,
                        const failover& f) {
     const auto primary = s.servers.find(group.primary);
-    if (primary == s.servers.end() || has_primary_restarted(s, group)) {
+    if (primary == s.servers.end()) {
         return false;
     }
     const auto answer = f.answers.find(group.primary);
-    const bool on_older_timeline = answer != f.answers.end() && answer->second.timeline < group.timeline;
+    const bool has_answer = answer != f.answers.end();
+    if (has_primary_restarted(s, group)) {
+        return has_answer && brings_primary_log(c, group, f, answer->second);
+    }
+    const bool on_older_timeline = has_answer && answer->second.timeline < group.timeline;
     return !on_older_timeline && has_evidence(c, s, group, f, primary->second);
 }
 
--- a/src/core/commit_safety.hpp
+++ b/src/core/commit_safety.hpp
@@ -9,6 +9,8 @@
 // An answer is evidence only if it tells of the log with which the server confirmed commits:
 //   - A server that was started again is no evidence until it has been seen at a position that the primary
 //     had after that start (server_record::log_incomplete).
+//   - A primary that was started again is evidence if it brings its log: a position on its own timeline at
+//     which its log was seen cannot have come from elsewhere.
 //   - A log that is behind what was observed of it belongs to a start that has not been announced yet.
 //   - A server that has ended stays in its group until enough others have reached a position that the primary
 //     had after that end. If it left by announcement, its log goes to its successor at the same address.
--- a/tests/acknowledged_site_test.cpp
+++ b/tests/acknowledged_site_test.cpp
@@ -2,7 +2,7 @@
 // commit.
 //
 // Index
-//   [fixture]  [unknown servers]
+//   [fixture]  [unknown servers]  [the old primary]
 #include "platform_site.hpp"
 
 #include <gtest/gtest.h>
@@ -92,5 +92,23 @@
     EXPECT_TRUE(g.is_served_by("s4"));
 }
 
+//-----------------------------------------------------------------------------
+// [the old primary]
+//-----------------------------------------------------------------------------
+
+// The primary came back with its log and reported a later start; nobody led the group any more.
+TEST(acknowledged_commits, are_served_again_once_the_primary_is_back_with_its_log) {
+    acknowledged_site g;
+    g.s.server("s3").follows = false;
+    g.write(5);
+    g.s.stop_server("s2"); // the only replica that holds them
+    g.s.stop_server("s1");
+    g.run_for(several_failovers);
+    EXPECT_TRUE(g.s.promotions.empty());
+    g.s.start_server_again("s1", true);
+    g.s.beat();
+    EXPECT_TRUE(g.is_served_by("s1"));
+}
+
 } // namespace
 } // namespace larchpin::testing
--- a/tests/commit_safety_test.cpp
+++ b/tests/commit_safety_test.cpp
@@ -417,6 +417,36 @@
     EXPECT_EQ(g.promoted, only("s2"));
 }
 
+// The primary came back with its log and announced a later start; it was taken for an empty one for good.
+TEST(commit_safety, primary_that_is_back_with_its_log_ends_the_wait) {
+    commit_site g(1);
+    for (const char* id : {"s1", "s2"}) {
+        g.servers.at(id).log.position = 300;
+    }
+    g.run(seconds{1});
+    g.servers.at("s2").reachable = false;
+    g.servers.at("s1").alive = false;
+    g.servers.at("s1").log.position = 320; // acknowledged beyond the last observation
+    g.run(seconds{5});
+    ASSERT_EQ(g.promoted, nobody);
+    g.servers.at("s1").alive = true;
+    g.announced.push_back(announce("s1", true, ++g.sequence, 5'000));
+    g.run(seconds{2});
+    EXPECT_EQ(g.promoted, only("s1"));
+}
+
+// The primary's log had never been seen, so that an empty start of it cannot be told.
+TEST(commit_safety, restarted_primary_that_was_never_seen_is_no_evidence) {
+    commit_site g(1);
+    g.servers.at("s2").reachable = false;
+    g.crash("s1");
+    g.s.cluster.groups.at({"g"}).seen_position = 0;
+    g.servers.at("s1").alive = true;
+    g.announced.push_back(announce("s1", true, ++g.sequence, 5'000));
+    g.run(seconds{10});
+    EXPECT_EQ(g.promoted, nobody);
+}
+
 // The record of a replica that had confirmed commits was removed, and the rest no longer waited for it.
 TEST(commit_safety, ended_replica_counts_until_another_holds_its_commits) {
     commit_site g(1);
