Failover: a log that reaches everything acknowledged needs no further answer

What callers saw: after the primary's end writes were refused (3017) for as long as another replica stayed away, though one that answered held every acknowledged commit: the other one was lost with the primary, cut from control alone, or the holder had started again empty, unseen, and received everything anew (no evidence for good, as the primary was gone).

Cause: only the number of answers could end the wait. What had been acknowledged was unknown.

Change: where the marks of all instances that may have acknowledged anything in the term are known, a log that reaches the highest one suffices. They are known of an instance that has confirmed the fence (its renewal then carries all it has told nobody yet) and whose process has followed the group since before the term, or whose earlier process returned its lease; and of one that had no lease in the term. A dead or cut instance may have acknowledged more than it told, so then the number of answers decides as before. The group's record says since when replicas confirm commits in its term; a count that is raised within a term does not count for it.

--- a/src/core/cluster_state.cpp
+++ b/src/core/cluster_state.cpp
@@ -76,7 +76,9 @@
 
 // Sets what the next record of a group promises. A new primary holds all that was acknowledged before its
 // term, and the count of the table applies to what it acknowledges itself.
-void carry_promises(const cluster_state& s, const group_record& current, group_record& next) {
+void carry_promises(const cluster_state& s, revision_number index, const group_record& current,
+                    group_record& next) {
+    next.promised_since = current.promised_since;
     next.sync_replicas = current.sync_replicas;
     next.protected_position = current.protected_position;
     if (next.term == current.term) {
@@ -92,12 +94,13 @@
     const bool same_process =
         next.primary == current.primary && next.primary_start_number == current.primary_start_number;
     next.sync_replicas = same_process ? lower_count(current.sync_replicas, required) : required;
+    next.promised_since = next.sync_replicas > 0 ? index : 0;
     if (current.sync_replicas > 0 && start_is_known) {
         next.protected_position = std::max(current.protected_position, start);
     }
 }
 
-result_code apply_group(cluster_state& s, const set_group& change) {
+result_code apply_group(cluster_state& s, revision_number index, const set_group& change) {
     const auto found = s.groups.find(change.next.id);
     if (found == s.groups.end()) {
         if (change.expected_term != 0) {
@@ -105,6 +108,7 @@
         }
         group_record& created = s.groups.emplace(change.next.id, change.next).first->second;
         created.sync_replicas = required_sync_replicas(s.current_table, created.id);
+        created.promised_since = created.sync_replicas > 0 ? index : 0;
         return result_code::ok;
     }
     const group_record& current = found->second;
@@ -112,7 +116,7 @@
         return result_code::revision_conflict;
     }
     group_record next = change.next;
-    carry_promises(s, current, next);
+    carry_promises(s, index, current, next);
     found->second = std::move(next);
     auto& starts = found->second.term_starts;
     while (starts.size() > max_term_starts) {
@@ -206,7 +210,7 @@
         s.instances[instance->record.id] = instance->record;
         s.instances_revision = index;
     } else if (const auto* group = std::get_if<set_group>(&c)) {
-        outcome.code = apply_group(s, *group);
+        outcome.code = apply_group(s, index, *group);
     } else if (const auto* removal = std::get_if<remove_server>(&c)) {
         outcome.code = apply_removal(s, removal->id);
     }
--- a/src/core/commit_safety.cpp
+++ b/src/core/commit_safety.cpp
@@ -210,6 +210,49 @@
     }
 }
 
+// Returns true if the instance had no lease in the group's term. An earlier leader's leases are unknown.
+bool had_no_lease(const control_state& c, const group_record& group, const instance_id& id) {
+    const auto observed = c.observed_terms.find(group.id);
+    const bool knows_leases = observed != c.observed_terms.end() && observed->second.term == group.term &&
+                              observed->second.at - c.leading_since >= grantor_lease_duration(c.config.lease);
+    if (!knows_leases) {
+        return false;
+    }
+    const auto d = c.daemons.find(id);
+    return d == c.daemons.end() ||
+           std::none_of(d->second.leases.begin(), d->second.leases.end(),
+                        [&](const granted_lease& lease) { return lease.expires_at > observed->second.at; });
+}
+
+// Returns true if every mark of the instance in the group's term is known.
+bool has_told_all_marks(const control_state& c, const group_record& group, const failover& f,
+                        const instance_id& id) {
+    const auto d = c.daemons.find(id);
+    if (d == c.daemons.end() || d->second.marks_revision < f.fence_revision || d->second.known_since == 0 ||
+        d->second.known_since >= group.promised_since) {
+        return had_no_lease(c, group, id);
+    }
+    const auto told = d->second.acknowledged.find(group.id);
+    return told == d->second.acknowledged.end() || told->second.is_plausible;
+}
+
+// Returns true if a log reaches everything that was acknowledged in the group's term, and all that may have
+// been acknowledged is known.
+bool reaches_all_marks(const control_state& c, const cluster_state& s, const group_record& group,
+                       const failover& f) {
+    const log_position highest = std::max(group.protected_position, find_acknowledged(c, group).highest);
+    const bool is_reached =
+        highest > 0 && std::any_of(f.answers.begin(), f.answers.end(), [&](const auto& answer) {
+            const server_answer& a = answer.second;
+            return a.answered && a.timeline >= group.timeline && a.position >= highest &&
+                   s.servers.contains(a.server);
+        });
+    return is_reached && f.fence_revision != 0 && group.promised_since != 0 &&
+           std::all_of(s.instances.begin(), s.instances.end(), [&](const auto& instance) {
+               return !instance.second.accepts_clients || has_told_all_marks(c, group, f, instance.first);
+           });
+}
+
 bool is_gone(const control_state& c, const daemon_state& d, time_point now) {
     return !has_live_lease(d, now) && now - d.last_renewal_at >= grantor_lease_duration(c.config.lease);
 }
@@ -247,9 +290,28 @@
 // [public functions]
 //-----------------------------------------------------------------------------
 
-void record_told_marks(const cluster_state& s, daemon_state& d, const std::vector<acknowledged_mark>& told,
+void record_observed_term(control_state& c, const group_record& group, time_point now) {
+    observed_term& observed = c.observed_terms[group.id];
+    if (observed.term != group.term) {
+        observed = {.term = group.term, .at = now};
+    }
+}
+
+void record_told_marks(const control_state& c, const cluster_state& s, daemon_state& d, const renewal& r,
                        time_point now, control_actions& actions) {
-    for (const acknowledged_mark& mark : told) {
+    if (r.known_since != 0) {
+        d.known_since = r.known_since;
+    } else if (d.known_since == 0) {
+        // An instance without a record had no lease under any earlier incarnation.
+        d.known_since = s.instances.contains(r.instance.id) ? std::max(s.revision, revision_number{1}) : 1;
+    }
+    // A daemon leaves out what the leader of its last reply has acknowledged.
+    const bool is_whole = leader_term_of(r.last_reply_seq) == c.leader_term;
+    if (is_whole) {
+        d.marks_revision = std::max(d.marks_revision, r.applied_revision);
+    }
+    d.stopped = d.stopped || (r.stopping && is_whole);
+    for (const acknowledged_mark& mark : r.acknowledged) {
         const auto group = s.groups.find(mark.group);
         if (group == s.groups.end() || group->second.sync_replicas == 0 || group->second.term != mark.term) {
             continue; // of an earlier term: the present primary holds it
@@ -342,7 +404,7 @@
 
 bool has_enough_answers(const control_state& c, const cluster_state& s, const group_record& group,
                         const failover& f) {
-    if (group.sync_replicas == 0 || holds_primary_log(c, s, group, f)) {
+    if (group.sync_replicas == 0 || holds_primary_log(c, s, group, f) || reaches_all_marks(c, s, group, f)) {
         return true;
     }
     std::size_t others = 0;
--- a/src/core/commit_safety.hpp
+++ b/src/core/commit_safety.hpp
@@ -18,7 +18,8 @@
 // A number of answers says nothing of a server that control has not heard of. So instances also tell up to
 // where replicas have confirmed what they acknowledged to callers (acknowledgements.hpp), and no log that is
 // shorter is promoted. What an instance acknowledged after its last renewal is known only once it has
-// confirmed the fence.
+// confirmed the fence. Once all that may have acknowledged anything in the term have, a log that reaches the
+// highest mark holds everything, and no further answer is needed.
 //
 // Where no replica has to confirm commits, none of this applies.
 #pragma once
@@ -31,11 +32,14 @@
 void record_observed_marks(control_state& c, const cluster_state& s,
                            const std::vector<server_observation>& observations);
 
-// Records the marks that a daemon tells with a renewal. Marks that contradict themselves are reported and
-// ignored.
-void record_told_marks(const cluster_state& s, daemon_state& d, const std::vector<acknowledged_mark>& told,
+// Records the marks that a daemon tells with a renewal, and since when they are whole. Marks that contradict
+// themselves are reported and ignored.
+void record_told_marks(const control_state& c, const cluster_state& s, daemon_state& d, const renewal& r,
                        time_point now, control_actions& actions);
 
+// Records when the group's term was applied.
+void record_observed_term(control_state& c, const group_record& group, time_point now);
+
 // Keeps the marks of a daemon whose process has ended.
 void keep_marks_of_ended(control_state& c, const daemon_state& d);
 
--- a/src/core/control.cpp
+++ b/src/core/control.cpp
@@ -344,9 +344,11 @@
     daemon_state& d = c.daemons[r.instance.id];
     if (is_next_incarnation(c, d, r, now)) {
         const auto leases = d.leases; // the earlier process may be slow rather than dead
+        const revision_number known_since = d.stopped ? d.known_since : 0;
         keep_marks_of_ended(c, d);
         d = daemon_state{};
         d.leases = leases;
+        d.known_since = known_since;
         d.incarnation = r.incarnation;
         c.rates.last_requests.erase(r.instance.id);
         remove_holder(c.shares, assign_holder_number(c.shares, r.instance.id));
@@ -364,7 +366,8 @@
         apply_claims_and_observations(c, d, r);
         record_observed_marks(c, s, r.observations);
     }
-    record_told_marks(s, d, r.acknowledged, now, actions);
+    record_told_marks(c, s, d, r, now, actions);
+    reply.known_since = r.known_since == 0 ? d.known_since : 0;
     for (const server_announcement& a : r.announcements) {
         handle_announcement(c, s, a, now, actions);
     }
@@ -419,6 +422,7 @@
     std::erase_if(c.proposed_removals, [&s](const server_id& id) { return !s.servers.contains(id); });
     std::erase_if(c.proposed_groups, [&s](const group_id& id) { return s.groups.contains(id); });
     for (const auto& [id, group] : s.groups) {
+        record_observed_term(c, group, now);
         sync_failover_with_record(c, s, group, now);
     }
     on_tick(c, s, now, actions);
--- a/src/core/control.hpp
+++ b/src/core/control.hpp
@@ -80,6 +80,7 @@
     std::vector<server_announcement> announcements;
     std::vector<share_claim> claims;
     std::vector<acknowledged_mark> acknowledged; // that the leader has not acknowledged yet
+    revision_number known_since = 0;             // of the first reply that told it; 0 = not told yet
     std::uint64_t lost_version = 0;              // version of the daemon's set of lost instances
     bool operator==(const renewal&) const = default;
 };
@@ -93,7 +94,10 @@
     std::vector<server_id> servers_to_observe;  // probed by this daemon
     std::vector<std::string> control_addresses; // peer listeners of the control instances
     std::optional<lost_instances_update> lost;  // unset if the daemon's version is current
-    duration renew_after{0};                    // between sending two renewals; 0 = unspecified
+    // The instance's marks are known from this revision on: nothing that it acknowledged in a term that began
+    // later is missing. Told until the daemon repeats it; else 0.
+    revision_number known_since = 0;
+    duration renew_after{0}; // between sending two renewals; 0 = unspecified
     bool operator==(const renewal_reply&) const = default;
 };
 
@@ -195,6 +199,13 @@
     bool is_plausible = true; // not beyond the primary's log
 };
 
+// The term of a group, and when this leader applied it; at or soon after the leader's start for a term that
+// is older.
+struct observed_term {
+    term_number term = 0;
+    time_point at{};
+};
+
 struct daemon_state {
     std::uint64_t incarnation = 0;
     holder_number holder = 0; // index in the share ledger
@@ -208,6 +219,9 @@
     std::deque<sent_shares> unconfirmed_replies; // replies that the daemon may still act upon
     std::map<share_key, share_claim> claims;
     std::map<group_id, told_mark> acknowledged; // of this incarnation
+    revision_number marks_revision = 0;         // `acknowledged` is whole as of this applied revision
+    revision_number known_since = 0;            // see renewal_reply; 0 = unknown
+    bool stopped = false;                       // has returned its lease, and told all marks
     std::set<share_key> share_keys;             // shares of which the daemon holds or wants a part
 };
 
@@ -290,10 +304,11 @@
     time_point lost_servers_checked_at{};                    // last run of remove_lost_servers()
     std::map<server_id, std::uint64_t> stopped_starts;       // start time of the stopped process, by server
     std::map<server_id, unverified_start> unverified_starts; // by server
-    // The next four are kept only for groups whose replicas confirm commits (commit_safety.hpp).
+    // The next five are kept only for groups whose replicas confirm commits (commit_safety.hpp).
     std::map<group_id, acknowledged_mark> past_marks;     // of incarnations of daemons that have ended
     std::map<group_id, acknowledged_mark> proposed_marks; // proposed for the group's record
-    std::map<server_id, log_mark> highest_marks;          // highest position observed of the known start
+    std::map<group_id, observed_term> observed_terms;
+    std::map<server_id, log_mark> highest_marks; // highest position observed of the known start
     std::map<server_id, catch_up_goal> catch_up_goals;
     std::map<group_id, term_number> seen_position_terms; // term for which seen_position was proposed
     time_point positions_recorded_at{};                  // last run of record_positions()
--- a/src/daemon/agent.cpp
+++ b/src/daemon/agent.cpp
@@ -207,6 +207,7 @@
         return group == cluster_.groups.end() || group->second.term > known.second.mark.term;
     });
     r.acknowledged = find_untold_marks(acknowledged_, leader_term());
+    r.known_since = known_since_;
     return r;
 }
 
@@ -254,6 +255,7 @@
     }
     if (reply.code == result_code::ok) {
         record_told_marks(acknowledged_, leader_term_of(reply.seq), told);
+        known_since_ = known_since_ == 0 ? reply.known_since : known_since_;
     }
     const bool is_overtaken = sent < answered_sent_at_ && reply.seq < last_reply_seq_; // by a later leader's
     if (reply.code != result_code::ok || is_overtaken) {
--- a/src/daemon/agent.hpp
+++ b/src/daemon/agent.hpp
@@ -248,6 +248,7 @@
     std::map<group_id, group_positions> positions_;
     std::map<group_id, reign> reigns_;
     acknowledgement_ledger acknowledged_;
+    revision_number known_since_ = 0; // see renewal_reply
     std::map<group_id, time_point> used_at_;
     struct position_wish {
         time_point since{};
--- a/src/io/codec.cpp
+++ b/src/io/codec.cpp
@@ -183,6 +183,7 @@
     v.seen_position = m.seen_position();
     v.awaits_log = m.awaits_log();
     v.confirmed_position = m.confirmed_position();
+    v.promised_since = m.promised_since();
     return v;
 }
 
@@ -203,6 +204,7 @@
     m.set_seen_position(v.seen_position);
     m.set_awaits_log(v.awaits_log);
     m.set_confirmed_position(v.confirmed_position);
+    m.set_promised_since(v.promised_since);
 }
 
 instance_record from_wire(const wire::instance_record& m) {
@@ -357,6 +359,7 @@
     v.last_reply_seq = m.last_reply_seq();
     v.stopping = m.stopping();
     v.lost_version = m.lost_number();
+    v.known_since = m.known_since();
     for (const auto& o : m.observations()) {
         v.observations.push_back({.server = {o.server()},
                                   .alive = o.alive(),
@@ -387,6 +390,7 @@
     m.set_last_reply_seq(v.last_reply_seq);
     m.set_stopping(v.stopping);
     m.set_lost_number(v.lost_version);
+    m.set_known_since(v.known_since);
     for (const server_observation& o : v.observations) {
         auto* e = m.add_observations();
         e->set_server(o.server.value);
@@ -434,6 +438,7 @@
                                        .instances_revision = m.lost().instances_revision(),
                                        .bits = m.lost().bits()};
     }
+    v.known_since = m.known_since();
     v.renew_after = std::chrono::microseconds{static_cast<std::int64_t>(m.renew_after_us())};
     return v;
 }
@@ -460,6 +465,7 @@
         m.mutable_lost()->set_instances_revision(v.lost->instances_revision);
         m.mutable_lost()->set_bits(v.lost->bits);
     }
+    m.set_known_since(v.known_since);
     m.set_renew_after_us(static_cast<std::uint64_t>(
         std::chrono::duration_cast<std::chrono::microseconds>(v.renew_after).count()));
 }
--- a/tests/acknowledged_site_test.cpp
+++ b/tests/acknowledged_site_test.cpp
@@ -2,7 +2,7 @@
 // commit.
 //
 // Index
-//   [fixture]  [unknown servers]  [the old primary]
+//   [fixture]  [unknown servers]  [the old primary]  [unreachable servers]
 #include "platform_site.hpp"
 
 #include <gtest/gtest.h>
@@ -110,5 +110,59 @@
     EXPECT_TRUE(g.is_served_by("s1"));
 }
 
+// An empty process under the primary's id was taken for the primary with its log.
+TEST(acknowledged_commits, are_not_given_up_for_a_primary_that_is_back_empty) {
+    acknowledged_site g;
+    g.s.server("s3").follows = false;
+    g.write(5);
+    g.s.stop_server("s2");
+    g.s.stop_server("s1");
+    g.run_for(milliseconds{600});
+    g.s.start_server_again("s1", false);
+    g.run_for(several_failovers);
+    EXPECT_TRUE(g.s.promotions.empty());
+    g.s.start_server_again("s2", true);
+    g.s.beat();
+    EXPECT_TRUE(g.is_served_by("s2"));
+}
+
+//-----------------------------------------------------------------------------
+// [unreachable servers]
+//-----------------------------------------------------------------------------
+
+// A replica that had started again empty, unseen by control, and had received everything anew was no evidence
+// for good.
+TEST(acknowledged_commits, are_served_by_a_replica_that_received_them_anew) {
+    acknowledged_site g;
+    g.s.server("s2").heard_of = false;
+    g.s.server("s2").started += 5'000;
+    g.s.server("s2").applied = 0;
+    g.s.server("s3").follows = false;
+    g.write(5); // s2 has received them
+    g.s.run_for(milliseconds{300});
+    g.s.stop_server("s1");
+    g.s.server("s2").heard_of = true;
+    g.s.beat();
+    EXPECT_TRUE(g.is_served_by("s2"));
+}
+
+// One replica was lost with the primary, and the other one waited for its answer though it held everything.
+TEST(acknowledged_commits, are_served_by_a_log_that_reaches_them_without_further_answers) {
+    acknowledged_site g;
+    g.write(5);
+    g.s.stop_server("s3");
+    g.s.stop_server("s1");
+    EXPECT_TRUE(g.is_served_by("s2"));
+}
+
+// Writes waited for the end of a cut between control and a replica that held nothing more than the others.
+TEST(acknowledged_commits, do_not_wait_for_a_replica_that_only_control_cannot_reach) {
+    acknowledged_site g;
+    g.write(5);
+    g.s.server("s3").cut_from = control;
+    g.s.stop_server("s1");
+    EXPECT_TRUE(g.is_served_by("s2"));
+}
+
 } // namespace
 } // namespace larchpin::testing
--- a/tests/commit_safety_test.cpp
+++ b/tests/commit_safety_test.cpp
@@ -282,6 +282,58 @@
     EXPECT_EQ(g.promoted, only("s2"));
 }
 
+// One replica was lost together with the primary, and the other one, which held everything, waited for it.
+TEST(commit_safety, log_that_reaches_every_mark_needs_no_further_answer) {
+    commit_site g(1);
+    g.s.known_since = 1;
+    g.servers.at("s1").log.position = 150;
+    g.servers.at("s2").log.position = 150;
+    g.s.acknowledged = {mark(150, 150)};
+    g.run(milliseconds{200});
+    g.servers.at("s3").reachable = false;
+    g.crash("s1");
+    g.run(seconds{1});
+    EXPECT_EQ(g.promoted, only("s2"));
+}
+
+// What an instance acknowledged last is unknown if it does not confirm the fence, or has started within the
+// term.
+TEST(commit_safety, unknown_marks_leave_it_to_the_number_of_answers) {
+    for (const bool has_started_late : {false, true}) {
+        commit_site g(1);
+        g.s.known_since = has_started_late ? g.s.cluster.revision : 1;
+        g.servers.at("s1").log.position = 150;
+        g.servers.at("s2").log.position = 150;
+        g.s.acknowledged = {mark(150, 150)};
+        if (!has_started_late) {
+            g.s.renew("gone"); // registers it
+            g.s.renew("gone"); // it has a lease now
+        }
+        g.run(milliseconds{200});
+        g.servers.at("s3").reachable = false;
+        g.crash("s1");
+        g.run(seconds{30});
+        EXPECT_EQ(g.promoted, nobody) << has_started_late;
+    }
+}
+
+// A log below the highest mark may lack an acknowledged commit.
+TEST(commit_safety, log_below_the_highest_mark_needs_the_answers) {
+    commit_site g(1);
+    g.s.known_since = 1;
+    g.servers.at("s1").log.position = 150;
+    g.servers.at("s2").log.position = 140;
+    g.s.acknowledged = {mark(130, 150)};
+    g.run(milliseconds{200});
+    g.servers.at("s3").reachable = false;
+    g.crash("s1");
+    g.run(seconds{10});
+    EXPECT_EQ(g.promoted, nobody);
+    g.servers.at("s3").reachable = true;
+    g.run(seconds{2});
+    EXPECT_EQ(g.promoted, only("s2"));
+}
+
 // The next leader could not be told, since the instance was gone.
 TEST(commit_safety, mark_of_an_instance_that_is_gone_is_in_the_log) {
     commit_site g(1);
--- a/tests/control_site.hpp
+++ b/tests/control_site.hpp
@@ -45,6 +45,7 @@
     bool accepts_clients = true; // of the next daemon that renews
     std::uint64_t incarnation = 1;
     std::vector<acknowledged_mark> acknowledged; // told with the next renewal
+    revision_number known_since = 0;             // of the daemons that renew; 0 = of no use
     renewal_reply renew(const std::string& daemon, const std::vector<server_announcement>& announced = {},
                         const std::vector<server_observation>& seen = {},
                         const std::vector<share_claim>& claims = {}) {
@@ -60,6 +61,7 @@
         r.observations = seen;
         r.claims = claims;
         r.acknowledged = std::exchange(acknowledged, {});
+        r.known_since = known_since;
         control_actions actions;
         renewal_reply reply = on_renewal(control, cluster, r, now, actions);
         seqs[r.instance.id] = reply.seq;
--- a/tests/io_test.cpp
+++ b/tests/io_test.cpp
@@ -687,15 +687,22 @@
     group.seen_position = 78;
     group.awaits_log = true;
     group.confirmed_position = 79;
+    group.promised_since = 80;
     server_record& server = s.servers[{"s1"}];
     server.id = {"s1"};
     server.log_incomplete = true;
     EXPECT_EQ(decode_state(encode_state(s)), s);
     renewal r;
     r.acknowledged = {{.group = {"g"}, .term = 3, .confirmed = 79, .highest = 80}};
+    r.known_since = 81;
     wire::renewal m;
     to_wire(r, m);
     EXPECT_EQ(from_wire(m), r);
+    renewal_reply reply;
+    reply.known_since = 82;
+    wire::renewal_reply reply_message;
+    to_wire(reply, reply_message);
+    EXPECT_EQ(from_wire(reply_message), reply);
 }
 
 //-----------------------------------------------------------------------------
