Failover: a server that control cannot reach is asked through instances

Cause: control asked for positions itself only. The promotion goes over the platform, so the server could be promoted; nobody could tell that it should.

Change: a query carries up to three instances of different failure domains, those that observe the server alive first. Where it has not answered control within 100 ms, or cannot be reached, they ask it (/v1/role), and the first answer counts; the same for the role of a server that is being promoted. The query of one server moves from control_node into daemon/role_queries, which both sides use. Groups without confirming replicas carry no such instances, so nothing of theirs changes.

Weighed: positions that observers have seen already (they may be older than the fence, and tell nothing of a server's role); a log that reaches all marks (the commit before) is not enough here, as the only such log is the one that control cannot reach.

Left: a PostgreSQL server is promoted over a connection of control's, so one that control cannot reach is waited for as before.

--- a/src/core/announcements.cpp
+++ b/src/core/announcements.cpp
@@ -99,7 +99,7 @@
         if (!is_group_creation_pending(c, group, now)) {
             const std::uint64_t operation = c.next_operation++;
             c.pending_group_creations[operation] = {.announcement = a, .queried_at = now};
-            actions.emplace_back(probe_server{.operation = operation, .server = a.record});
+            actions.emplace_back(probe_server{.operation = operation, .server = a.record, .relays = {}});
         }
         return;
     }
--- a/src/core/control.hpp
+++ b/src/core/control.hpp
@@ -113,6 +113,7 @@
 struct probe_server {
     std::uint64_t operation = 0;
     server_record server;
+    std::vector<std::string> relays; // peer listeners of instances to ask if the server does not answer
 };
 
 // Promotes a replica if it is still on this timeline, then queries it like probe_server.
@@ -120,7 +121,8 @@
     std::uint64_t operation = 0;
     server_record server;
     std::uint64_t timeline = 0;
-    std::uint64_t token = 0; // fencing token, higher than that of every earlier attempt of any leader
+    std::uint64_t token = 0;         // fencing token, higher than that of every earlier attempt of any leader
+    std::vector<std::string> relays; // for the query
 };
 
 // An event for the operator's log.
--- a/src/core/failover.cpp
+++ b/src/core/failover.cpp
@@ -176,6 +176,35 @@
 // [steps]
 //-----------------------------------------------------------------------------
 
+// Returns the instances that are to ask a server which does not answer control: first those that observe it
+// alive, then one of each failure domain. Where no replica confirms commits, nobody waits for its answer.
+std::vector<std::string> choose_relays(const control_state& c, const cluster_state& s,
+                                       const group_record& group, const server_id& server, time_point now) {
+    constexpr std::size_t max_relays = 3;
+    std::vector<std::string> relays;
+    std::set<failure_domain> domains;
+    const auto add = [&](const instance_id& id, const daemon_state& d) {
+        const auto record = s.instances.find(id);
+        if (relays.size() < max_relays && record != s.instances.end() && has_recent_observations(c, d, now) &&
+            domains.insert(d.domain).second) {
+            relays.push_back(record->second.address);
+        }
+    };
+    if (group.sync_replicas == 0) {
+        return relays;
+    }
+    for (const auto& [id, d] : c.daemons) {
+        const auto seen = d.observations.find(server);
+        if (seen != d.observations.end() && seen->second.alive) {
+            add(id, d);
+        }
+    }
+    for (const auto& [id, d] : c.daemons) {
+        add(id, d);
+    }
+    return relays;
+}
+
 void query_positions(control_state& c, const cluster_state& s, const group_record& group, failover& f,
                      failover_step step, time_point now, control_actions& actions) {
     enter_step(f, step, now);
@@ -190,7 +219,8 @@
         }
         const std::uint64_t operation = c.next_operation++;
         f.pending_operations.insert(operation);
-        actions.emplace_back(probe_server{.operation = operation, .server = server});
+        actions.emplace_back(probe_server{
+            .operation = operation, .server = server, .relays = choose_relays(c, s, group, server.id, now)});
     }
 }
 
@@ -253,7 +283,8 @@
     actions.emplace_back(promote_server{.operation = operation,
                                         .server = server->second,
                                         .timeline = timeline,
-                                        .token = make_monotonic_number(c, operation)});
+                                        .token = make_monotonic_number(c, operation),
+                                        .relays = choose_relays(c, s, group, *f.candidate, now)});
 }
 
 // Reports once each server whose answer the failover lacks, with the position that is awaited, and has writes
--- a/src/daemon/control_node.cpp
+++ b/src/daemon/control_node.cpp
@@ -31,7 +31,8 @@
 constexpr duration message_timeout = std::chrono::milliseconds{1000};
 constexpr duration watch_time = std::chrono::seconds{5};
 constexpr duration write_again_after = std::chrono::milliseconds{100};
-constexpr duration probe_again_after = std::chrono::milliseconds{10};
+// Well above the time of an answer, and leaves most of a query's time to the instances asked then.
+constexpr duration relay_after = std::chrono::milliseconds{100};
 constexpr duration search_pause =
     std::chrono::milliseconds{30}; // of instances, between two control instances
 constexpr duration edit_patience = std::chrono::seconds{10};
@@ -69,8 +70,8 @@
 
 control_node::control_node(asio::io_context& io, const settings& config, const shared_keys& keys,
                            const backend_driver& driver)
-    : io_(io), config_(config), driver_(driver), random_(std::random_device{}()), clients_(io, keys),
-      timer_(io), phases_(now()) {}
+    : io_(io), config_(config), driver_(driver), random_(std::random_device{}()), queries_(io, driver),
+      clients_(io, keys), timer_(io), phases_(now()) {}
 
 control_node::~control_node() = default;
 
@@ -307,7 +308,7 @@
 void control_node::carry_out(const control_actions& actions) {
     for (const control_action& action : actions) {
         if (const auto* probe = std::get_if<probe_server>(&action)) {
-            start_probe(probe->operation, probe->server);
+            start_probe(*probe);
         } else if (const auto* promote = std::get_if<promote_server>(&action)) {
             start_promotion(*promote);
         } else if (const auto* note = std::get_if<report_event>(&action)) {
@@ -324,22 +325,24 @@
     }
 }
 
-void control_node::start_probe(std::uint64_t number, const server_record& server) {
-    operations_[number] = {.number = number,
-                           .server = server,
-                           .wait_for_lead = false,
-                           .deadline = now() + core_.control.config.probe_timeout,
-                           .connection = nullptr};
-    ask_role(number);
+void control_node::start_probe(const probe_server& order) {
+    server_operation& operation = operations_[order.operation];
+    operation.number = order.operation;
+    operation.query = {.server = order.server,
+                       .wait_for_lead = false,
+                       .deadline = now() + core_.control.config.probe_timeout};
+    operation.relays = order.relays;
+    ask_role(order.operation);
 }
 
 void control_node::start_promotion(const promote_server& order) {
     const std::uint64_t number = order.operation;
-    operations_[number] = {.number = number,
-                           .server = order.server,
-                           .wait_for_lead = true,
-                           .deadline = now() + core_.control.config.promotion_timeout,
-                           .connection = nullptr};
+    server_operation& operation = operations_[number];
+    operation.number = number;
+    operation.query = {.server = order.server,
+                       .wait_for_lead = true,
+                       .deadline = now() + core_.control.config.promotion_timeout};
+    operation.relays = order.relays;
     const promotion_order sent{.server = order.server, .timeline = order.timeline, .token = order.token};
     driver_.promote(sent, [this, number, token = order.token](promotion_answer answer) {
         log_event(severity::info, "promotion_answered",
@@ -355,68 +358,90 @@
         const bool undecided = answer == promotion_answer::unknown && driver_.promotes_by_token;
         if (undecided || answer == promotion_answer::refused) {
             finish_operation(
-                {.operation = number, .server = found->second.server.id, .outcome_unknown = undecided});
+                {.operation = number, .server = found->second.query.server.id, .outcome_unknown = undecided});
             return;
         }
         ask_role(number); // whatever was answered, its role tells
     });
 }
 
+// A server that does not answer soon may be cut off from this instance only.
 void control_node::ask_role(std::uint64_t number) {
     const auto found = operations_.find(number);
     if (found == operations_.end()) {
         return;
     }
-    const auto connection = driver_.make_probe_connection(found->second.server);
-    found->second.connection = connection;
-    connection->connect([this, number](connect_result result) {
+    if (!found->second.relays.empty()) {
+        const auto timer = std::make_shared<asio::steady_timer>(io_, relay_after);
+        timer->async_wait([this, number, timer](const boost::system::error_code&) { ask_relays(number); });
+    }
+    const role_query query = found->second.query;
+    const auto direct = queries_.ask(query, [this, number](const std::optional<probe_result>& result) {
         const auto open = operations_.find(number);
         if (open == operations_.end()) {
             return;
         }
-        if (result == connect_result::turned_away && now() < open->second.deadline) {
-            ask_role_again(number); // there may be room in a moment
-            return;
-        }
-        if (result != connect_result::connected) {
-            finish_operation({.operation = number, .server = open->second.server.id});
-            return;
+        open->second.direct = 0;
+        if (!result) {
+            ask_relays(number);
         }
-        run_role_probe(number);
+        take_role(number, result);
     });
+    const auto open = operations_.find(number);
+    if (open != operations_.end()) {
+        open->second.direct = direct;
+    }
 }
 
-void control_node::run_role_probe(std::uint64_t number) {
+void control_node::ask_relays(std::uint64_t number) {
     const auto found = operations_.find(number);
-    if (found == operations_.end()) {
+    if (found == operations_.end() || found->second.relays_asked) {
         return;
     }
-    backend_sink sink;
-    sink.keep_first_row = true;
-    sink.on_done = [this, number](const backend_outcome& outcome) { take_role(number, outcome); };
-    const auto connection = found->second.connection;
-    connection->run(driver_.role_probe, sink);
-}
-
-void control_node::take_role(std::uint64_t number, const backend_outcome& outcome) {
+    server_operation& operation = found->second;
+    const duration left = operation.query.deadline - now();
+    operation.relays_asked = true;
+    operation.open_relays = operation.relays.size();
+    wire::role_request request;
+    to_wire(operation.query.server, *request.mutable_server());
+    request.set_wait_for_lead(operation.query.wait_for_lead);
+    request.set_wait_us(static_cast<std::uint64_t>(
+        std::chrono::duration_cast<std::chrono::microseconds>(std::max(left, duration{0})).count()));
+    for (const std::string& relay : operation.relays) {
+        clients_.to(relay).post(
+            "/v1/role", request.SerializeAsString(), left, [this, number](const http_outcome& o) {
+                const auto open = operations_.find(number);
+                wire::role_reply reply;
+                if (open == operations_.end()) {
+                    return;
+                }
+                --open->second.open_relays;
+                const bool answered =
+                    o.answered && o.status == 200 && reply.ParseFromString(o.body) && reply.answered();
+                take_role(number, answered ? std::optional{probe_result{.is_primary = reply.is_primary(),
+                                                                        .timeline = reply.timeline(),
+                                                                        .position = reply.position()}}
+                                           : std::nullopt);
+            });
+    }
+}
+
+// Takes the first answer; none counts once nobody is asked any more.
+void control_node::take_role(std::uint64_t number, const std::optional<probe_result>& result) {
     const auto found = operations_.find(number);
     if (found == operations_.end()) {
         return;
     }
     const server_operation& operation = found->second;
-    const auto probed = driver_.read_role(outcome);
-    const bool busy = outcome.answered && outcome.refusal == server_refusal::busy;
-    const bool not_yet = operation.wait_for_lead && probed && !probed->is_primary;
-    if ((busy || not_yet) && now() < operation.deadline) {
-        ask_role_again(number);
+    if (!result && (operation.direct != 0 || operation.open_relays > 0)) {
         return;
     }
-    server_answer answer{.operation = number, .server = operation.server.id};
-    if (probed) {
+    server_answer answer{.operation = number, .server = operation.query.server.id};
+    if (result) {
         answer.answered = true;
-        answer.is_primary = probed->is_primary;
-        answer.timeline = probed->timeline;
-        answer.position = probed->position;
+        answer.is_primary = result->is_primary;
+        answer.timeline = result->timeline;
+        answer.position = result->position;
     }
     finish_operation(answer);
 }
@@ -425,8 +450,8 @@
 void control_node::end_overdue_operations() {
     std::vector<server_answer> overdue;
     for (const auto& [number, operation] : operations_) {
-        if (now() >= operation.deadline) {
-            overdue.push_back({.operation = number, .server = operation.server.id});
+        if (now() >= operation.query.deadline) {
+            overdue.push_back({.operation = number, .server = operation.query.server.id});
         }
     }
     for (const server_answer& unanswered : overdue) {
@@ -436,28 +461,13 @@
     }
 }
 
-void control_node::ask_role_again(std::uint64_t number) {
-    auto timer = std::make_shared<asio::steady_timer>(io_, probe_again_after);
-    timer->async_wait([this, number, timer](const boost::system::error_code&) {
-        const auto found = operations_.find(number);
-        if (found != operations_.end() && found->second.connection->is_open()) {
-            run_role_probe(number);
-        } else {
-            ask_role(number);
-        }
-    });
-}
-
 void control_node::finish_operation(const server_answer& answer) {
     const auto found = operations_.find(answer.operation);
     if (found == operations_.end()) {
         return;
     }
-    const auto connection = found->second.connection;
+    queries_.cancel(found->second.direct);
     operations_.erase(found);
-    if (connection) {
-        asio::post(io_, [connection] { connection->close(); });
-    }
     handle_server_answer(core_, answer, now());
     pump();
 }
--- a/src/daemon/control_node.hpp
+++ b/src/daemon/control_node.hpp
@@ -10,6 +10,7 @@
 
 #include "core/control_core.hpp"
 #include "daemon/consensus_log.hpp"
+#include "daemon/role_queries.hpp"
 #include "daemon/start_phases.hpp"
 #include "daemon/watch_replies.hpp"
 #include "io/http2_clients.hpp"
@@ -31,10 +32,6 @@
 class status_reply;
 } // namespace wire
 
-struct backend_connection;
-struct backend_outcome;
-struct backend_driver;
-
 class control_node {
 public:
     control_node(boost::asio::io_context& io, const settings& config, const shared_keys& keys,
@@ -90,10 +87,11 @@
     };
     struct server_operation {
         std::uint64_t number = 0;
-        server_record server;
-        bool wait_for_lead = false; // promoted: asked until it leads, or until the deadline
-        time_point deadline{};
-        std::shared_ptr<backend_connection> connection;
+        role_query query;
+        std::vector<std::string> relays;
+        role_queries::query_number direct = 0; // 0 = not asked yet, or ended
+        std::size_t open_relays = 0;
+        bool relays_asked = false;
     };
 
     void on_tick();
@@ -106,12 +104,11 @@
     void send_messages(const std::vector<raft::message>& messages);
     void carry_out(const control_actions& actions);
     void note_decided(const decided_edit& edit);
-    void start_probe(std::uint64_t number, const server_record& server);
+    void start_probe(const probe_server& order);
     void start_promotion(const promote_server& order);
     void ask_role(std::uint64_t number);
-    void ask_role_again(std::uint64_t number);
-    void run_role_probe(std::uint64_t number);
-    void take_role(std::uint64_t number, const backend_outcome& outcome);
+    void ask_relays(std::uint64_t number);
+    void take_role(std::uint64_t number, const std::optional<probe_result>& result);
     void finish_operation(const server_answer& answer);
     void answer_watchers();
     void answer_waiting_edits();
@@ -135,6 +132,7 @@
     time_point last_news_{}; // when those who wait were last told of everything
     whole_state_reply whole_state_;
     std::vector<waiting_edit> edits_;
+    role_queries queries_;
     std::map<std::uint64_t, server_operation> operations_;
     http2_clients clients_;
     boost::asio::steady_timer timer_;
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -55,7 +55,8 @@
       make_session_(std::move(make_session)), pools_(io, driver_),
       agent_(io, config_, keys_, pools_, driver_), loads_(io, config_, keys_, agent_, pools_, driver_),
       loans_(io, config_, keys_, agent_, pools_, driver_, loads_), limits_(io, config_, keys_, agent_),
-      clients_(io, keys), signals_(io, SIGTERM, SIGINT), reload_signal_(io, SIGHUP), settings_timer_(io) {}
+      queries_(io, driver_), clients_(io, keys), signals_(io, SIGTERM, SIGINT), reload_signal_(io, SIGHUP),
+      settings_timer_(io) {}
 
 leaf::result<void> daemon::start() {
     if (config_.control_member) {
@@ -312,6 +313,8 @@
         reply(agent_.answer_announcement(request.body));
     } else if (request.path == "/v1/positions") {
         agent_.answer_positions(request.body, respond);
+    } else if (request.path == "/v1/role") {
+        queries_.answer(request.body, respond);
     } else if (request.path == "/v1/loan") {
         loans_.answer(request.body, respond);
     } else if (request.path == "/v1/loads") {
--- a/src/daemon/daemon.hpp
+++ b/src/daemon/daemon.hpp
@@ -88,6 +88,7 @@
     server_loads loads_;
     connection_loans loans_;
     rate_limiter limits_;
+    role_queries queries_; // for control
     std::unique_ptr<control_node> control_;
     std::unique_ptr<entry> entry_;
     std::unique_ptr<http2_server> server_;
--- a/tests/acknowledged_site_test.cpp
+++ b/tests/acknowledged_site_test.cpp
@@ -164,5 +164,15 @@
     EXPECT_TRUE(g.is_served_by("s2"));
 }
 
+// The only replica that held the commits could not be reached by control, though the instances reached it.
+TEST(acknowledged_commits, are_served_by_a_replica_that_only_instances_reach) {
+    acknowledged_site g;
+    g.s.server("s3").follows = false;
+    g.s.server("s2").cut_from = control;
+    g.write(5);
+    g.s.stop_server("s1");
+    EXPECT_TRUE(g.is_served_by("s2"));
+}
+
 } // namespace
 } // namespace larchpin::testing
--- a/tests/commit_safety_test.cpp
+++ b/tests/commit_safety_test.cpp
@@ -182,6 +182,23 @@
     ASSERT_EQ(g.promoted.size(), 1U);
 }
 
+// Control alone asked for positions, and waited for the end of a cut that concerned nobody else.
+TEST(commit_safety, positions_are_also_asked_through_instances) {
+    for (const unsigned sync_replicas : {0U, 1U}) {
+        commit_site g(sync_replicas);
+        g.servers.at("s1").alive = false;
+        std::optional<probe_server> probe;
+        for (int i = 0; i < 20 && !probe; ++i) {
+            g.s.renew("x", {}, g.observations());
+            g.s.tick();
+            probe = g.s.take_pending<probe_server>();
+            g.s.now += milliseconds{50};
+        }
+        ASSERT_TRUE(probe.has_value());
+        EXPECT_EQ(probe->relays.size(), sync_replicas) << "nobody waits where no replica confirms";
+    }
+}
+
 // With two confirmations any two of three replicas include one that holds a commit.
 TEST(commit_safety, answers_that_meet_every_confirming_set_suffice) {
     commit_site g(2);
