Failover: who ends a wait is told

An operator saw awaits_log and a log line for each missing server, but not for which position a group waited, nor that all known servers had answered and none of them could end it.

Change: commit_safety's find_log_wait() gives the position, the servers that may have it, and whether only a server that control has not heard of can.

--- a/src/core/commit_safety.cpp
+++ b/src/core/commit_safety.cpp
@@ -419,15 +419,29 @@
     return known >= needed;
 }
 
-std::vector<server_id> find_missing_answers(const control_state& c, const cluster_state& s,
-                                            const group_record& group, const failover& f) {
-    std::vector<server_id> missing;
+log_wait find_log_wait(const control_state& c, const cluster_state& s, const group_record& group,
+                       const failover& f) {
+    log_wait wait{.group = group.id,
+                  .position = lowest_promotable_position(c, group),
+                  .servers = {},
+                  .may_be_unknown = has_enough_answers(c, s, group, f)};
     for (const server_record& server : servers_of(s, group.id)) {
         if (!has_evidence(c, s, group, f, server)) {
-            missing.push_back(server.id);
+            wait.servers.push_back(server.id);
+        }
+    }
+    return wait;
+}
+
+std::vector<log_wait> find_log_waits(const control_state& c, const cluster_state& s) {
+    std::vector<log_wait> waits;
+    for (const auto& [id, f] : c.failovers) {
+        const auto group = s.groups.find(id);
+        if (group != s.groups.end() && group->second.awaits_log) {
+            waits.push_back(find_log_wait(c, s, group->second, f));
         }
     }
-    return missing;
+    return waits;
 }
 
 bool may_remove_server(control_state& c, const cluster_state& s, const server_record& server,
--- a/src/core/commit_safety.hpp
+++ b/src/core/commit_safety.hpp
@@ -63,9 +63,20 @@
 bool has_primary_log(const control_state& c, const cluster_state& s, const group_record& group,
                      const failover& f);
 
-// Returns the servers whose answers would be evidence and are missing.
-std::vector<server_id> find_missing_answers(const control_state& c, const cluster_state& s,
-                                            const group_record& group, const failover& f);
+// What a failover waits for.
+struct log_wait {
+    group_id group;
+    log_position position = 0;      // that a log must have reached
+    std::vector<server_id> servers; // whose answers would be evidence and are missing; one of them ends the wait
+    bool may_be_unknown = false;    // only a server that control has not heard of can hold the position
+    auto operator<=>(const log_wait&) const = default;
+};
+
+log_wait find_log_wait(const control_state& c, const cluster_state& s, const group_record& group,
+                       const failover& f);
+
+// Returns the waits of all groups whose writes are refused for want of a log.
+std::vector<log_wait> find_log_waits(const control_state& c, const cluster_state& s);
 
 // Returns true if the server's record may be removed: it has ended, and other servers of its group hold every
 // commit that it may have confirmed. Call repeatedly while the server has ended.
--- a/src/core/failover.cpp
+++ b/src/core/failover.cpp
@@ -291,17 +291,17 @@
 // refused until a log is complete.
 void await_complete_log(const control_state& c, const cluster_state& s, const group_record& group,
                         failover& f, time_point now, control_actions& actions) {
-    std::vector<server_id> missing = find_missing_answers(c, s, group, f);
-    if (has_enough_answers(c, s, group, f)) {
-        missing = {server_id{}}; // a server that control has not heard of holds the position
+    log_wait wait = find_log_wait(c, s, group, f);
+    if (wait.may_be_unknown) {
+        wait.servers.push_back({});
     }
-    for (const server_id& id : missing) {
+    for (const server_id& id : wait.servers) {
         if (f.awaited.insert(id).second) {
             actions.emplace_back(report_event{.event = "failover_awaits_log",
                                               .group = group.id,
                                               .server = id,
                                               .since_suspected = now - f.started_at,
-                                              .position = lowest_promotable_position(c, group)});
+                                              .position = wait.position});
         }
     }
     if (!group.awaits_log) {
--- a/src/ctl/main.cpp
+++ b/src/ctl/main.cpp
@@ -135,7 +135,19 @@
                                        {"voter", m.voter()},
                                        {"silent", m.silent()}});
     }
+    json::array waits;
+    for (const auto& w : s.waits()) {
+        json::array awaited;
+        for (const auto& id : w.servers()) {
+            awaited.emplace_back(id);
+        }
+        waits.push_back(json::object{{"group", w.group()},
+                                     {"position", w.position()},
+                                     {"servers", awaited},
+                                     {"may_be_unknown", w.may_be_unknown()}});
+    }
     out["groups"] = groups;
+    out["waits"] = waits;
     out["servers"] = servers;
     out["daemons"] = daemons;
     out["shares"] = shares;
@@ -143,9 +155,22 @@
     return out;
 }
 
+void print_wait(const larchpin::wire::log_wait& w) {
+    std::cout << "  AWAITS the log up to " << w.position() << " from one of:";
+    for (const auto& id : w.servers()) {
+        std::cout << " " << id;
+    }
+    std::cout << (w.may_be_unknown() ? " or a server that has not announced itself\n" : "\n");
+}
+
 void print_group(const status_reply& s, const larchpin::wire::group_record& g) {
     std::cout << "group " << g.id() << "  term " << g.term() << "  "
               << (g.phase() == 0 ? "serving" : "FENCING") << "\n";
+    for (const auto& w : s.waits()) {
+        if (w.group() == g.id()) {
+            print_wait(w);
+        }
+    }
     std::uint64_t head = 0;
     for (const auto& m : s.servers()) {
         head = m.record().group() == g.id() ? std::max(head, m.position()) : head;
--- a/src/daemon/control_node.cpp
+++ b/src/daemon/control_node.cpp
@@ -4,6 +4,7 @@
 //   [loop]  [log and messages]  [actions]  [joining]  [answers to daemons]  [answers to operators]
 #include "daemon/control_node.hpp"
 
+#include "core/commit_safety.hpp"
 #include "core/control_pacing.hpp"
 #include "core/rendezvous.hpp"
 #include "generated/larchpin.pb.h"
@@ -754,6 +755,15 @@
             s->set_limit(entry == nullptr ? 0 : entry->max_connections);
         }
     }
+    for (const log_wait& wait : find_log_waits(core_.control, core_.cluster)) {
+        auto* m = reply.add_waits();
+        m->set_group(wait.group.value);
+        m->set_position(wait.position);
+        m->set_may_be_unknown(wait.may_be_unknown);
+        for (const server_id& server : wait.servers) {
+            m->add_servers(server.value);
+        }
+    }
     for (const raft::member& member : core_.consensus.members.members) {
         auto* m = reply.add_members();
         to_wire(member, *m);
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -14,6 +14,7 @@
 #include <boost/leaf/error.hpp>
 #include <boost/leaf/handle_errors.hpp>
 
+#include <algorithm>
 #include <charconv>
 #include <csignal>
 
@@ -291,6 +292,10 @@
     counts_.set_gauge("server_loads_oldest_ms",
                       std::chrono::duration<double, std::milli>(loads_.oldest()).count());
     counts_.set_gauge("queue_refusals", static_cast<double>(pools_.counters().refused));
+    const auto& groups = agent_.cluster().groups;
+    counts_.set_gauge("groups_awaiting_log",
+                      static_cast<double>(std::count_if(groups.begin(), groups.end(),
+                                                        [](const auto& g) { return g.second.awaits_log; })));
     counts_.drop_gauges("control_tolerated_losses");
     if (const auto tolerated = control_ ? control_->tolerated_losses() : std::nullopt) {
         counts_.set_gauge("control_tolerated_losses", static_cast<double>(*tolerated));
--- a/tests/commit_safety_test.cpp
+++ b/tests/commit_safety_test.cpp
@@ -4,6 +4,7 @@
 //   [fixture]  [answers]  [acknowledged commits]  [restarts and ends]  [two failovers]  [configuration]
 //   [repeated failovers] [operators]
 #include "control_site.hpp"
+#include "core/commit_safety.hpp"
 #include "core/failover.hpp"
 #include "core/routing.hpp"
 
@@ -754,6 +755,30 @@
 // [operators]
 //-----------------------------------------------------------------------------
 
+// Nobody could tell from outside what a group waited for.
+TEST(commit_safety, wait_names_the_position_and_who_may_have_it) {
+    commit_site g(1);
+    EXPECT_TRUE(find_log_waits(g.s.control, g.s.cluster).empty());
+    g.servers.at("s1").log.position = 150;
+    g.s.acknowledged = {mark(150, 150)};
+    g.run(milliseconds{200});
+    g.servers.at("s2").reachable = false;
+    g.crash("s1");
+    g.run(seconds{2});
+    const std::vector<log_wait> waits = find_log_waits(g.s.control, g.s.cluster);
+    ASSERT_EQ(waits.size(), 1U);
+    EXPECT_EQ(
+        waits.front(),
+        (log_wait{.group = {"g"}, .position = 150, .servers = {{"s1"}, {"s2"}}, .may_be_unknown = false}));
+    g.servers.at("s2").reachable = true; // and too short
+    g.run(seconds{2});
+    EXPECT_TRUE(find_log_waits(g.s.control, g.s.cluster).front().may_be_unknown);
+    g.servers["s4"] = {.log = {.timeline = 1, .position = 150}};
+    g.announced.push_back(announce("s4", false, 1));
+    g.run(seconds{2});
+    EXPECT_TRUE(find_log_waits(g.s.control, g.s.cluster).empty());
+}
+
 TEST(commit_safety, operator_may_give_up_what_nobody_holds) {
     commit_site g(1);
     control_actions actions;
