Acknowledgements: those just before a raised count is known are told

Cause: an instance recorded acknowledgements only where its own copy of the group's record said that replicas confirm. A count that was raised a moment ago binds commits that instances acknowledge before they hear of it.

Change: acknowledgements are recorded in every group, and dropped after one lease where nothing is promised: no instance acts on an outdated record for longer.

--- a/src/core/acknowledgements.cpp
+++ b/src/core/acknowledgements.cpp
@@ -14,18 +14,30 @@
 }
 
 bool record_acknowledgement(acknowledgement_ledger& l, const group_id& group, term_number term,
-                            log_position before, log_position position) {
+                            log_position before, log_position position, time_point now) {
     if (position > before) {
-        merge_mark(l.groups[group].mark,
-                   {.group = group, .term = term, .confirmed = before + 1, .highest = position});
+        acknowledgement_ledger::entry& entry = l.groups[group];
+        merge_mark(entry.mark, {.group = group, .term = term, .confirmed = before + 1, .highest = position});
+        entry.recorded_at = now;
     }
     return position >= before;
 }
 
+void drop_outdated_marks(acknowledgement_ledger& l, const cluster_state& s, duration lease, time_point now) {
+    for (auto known = l.groups.begin(); known != l.groups.end();) {
+        acknowledgement_ledger::entry& entry = known->second;
+        const auto group = s.groups.find(known->first);
+        entry.is_promised = group != s.groups.end() && group->second.sync_replicas > 0;
+        const bool is_outdated = group == s.groups.end() || group->second.term > entry.mark.term ||
+                                 (!entry.is_promised && now - entry.recorded_at > lease);
+        known = is_outdated ? l.groups.erase(known) : std::next(known);
+    }
+}
+
 std::vector<acknowledged_mark> find_untold_marks(const acknowledgement_ledger& l, std::uint64_t leader_term) {
     std::vector<acknowledged_mark> untold;
     for (const auto& [id, entry] : l.groups) {
-        if (entry.told_to != leader_term || entry.told != entry.mark) {
+        if (entry.is_promised && (entry.told_to != leader_term || entry.told != entry.mark)) {
             untold.push_back(entry.mark);
         }
     }
--- a/src/core/acknowledgements.hpp
+++ b/src/core/acknowledgements.hpp
@@ -8,7 +8,7 @@
 // upper one.
 #pragma once
 
-#include "core/types.hpp"
+#include "core/cluster_state.hpp"
 
 #include <map>
 #include <vector>
@@ -34,6 +34,8 @@
         acknowledged_mark mark;
         acknowledged_mark told;
         std::uint64_t told_to = 0; // term of the leader that has acknowledged `told`
+        time_point recorded_at{};  // latest
+        bool is_promised = false;  // by the group's record as this instance knows it
         auto operator<=>(const entry&) const = default;
     };
     std::map<group_id, entry> groups;
@@ -44,7 +46,11 @@
 // commit was sent; `position`: came with the acknowledgement, the same if nothing was written. Returns false,
 // and records nothing, if the position is below `before`: the log has gone back.
 bool record_acknowledgement(acknowledgement_ledger& l, const group_id& group, term_number term,
-                            log_position before, log_position position);
+                            log_position before, log_position position, time_point now);
+
+// Drops the marks of earlier terms and of groups whose replicas confirm nothing. The latter are kept for as
+// long as an instance may act on an outdated record: replicas may confirm already what it acknowledged then.
+void drop_outdated_marks(acknowledgement_ledger& l, const cluster_state& s, duration lease, time_point now);
 
 // Returns the marks that the leader of this term has not acknowledged.
 std::vector<acknowledged_mark> find_untold_marks(const acknowledgement_ledger& l, std::uint64_t leader_term);
--- a/src/core/commit_safety.hpp
+++ b/src/core/commit_safety.hpp
@@ -67,7 +67,7 @@
 struct log_wait {
     group_id group;
     log_position position = 0;      // that a log must have reached
-    std::vector<server_id> servers; // whose answers would be evidence and are missing; one of them ends the wait
+    std::vector<server_id> servers; // whose answers would be evidence and are missing
     bool may_be_unknown = false;    // only a server that control has not heard of can hold the position
     auto operator<=>(const log_wait&) const = default;
 };
--- a/src/daemon/agent.cpp
+++ b/src/daemon/agent.cpp
@@ -202,10 +202,7 @@
         r.announcements.push_back(heard.last);
     }
     r.claims = pools_.claims();
-    std::erase_if(acknowledged_.groups, [this](const auto& known) {
-        const auto group = cluster_.groups.find(known.first);
-        return group == cluster_.groups.end() || group->second.term > known.second.mark.term;
-    });
+    drop_outdated_marks(acknowledged_, cluster_, config_.lease, at);
     r.acknowledged = find_untold_marks(acknowledged_, leader_term());
     r.known_since = known_since_;
     return r;
--- a/src/daemon/agent_servers.cpp
+++ b/src/daemon/agent_servers.cpp
@@ -423,9 +423,7 @@
 
 void agent::note_acknowledged(const group_id& group, term_number term, log_position before,
                               log_position position) {
-    const auto record = cluster_.groups.find(group);
-    const bool is_promised = record != cluster_.groups.end() && record->second.sync_replicas > 0;
-    if (is_promised && !record_acknowledgement(acknowledged_, group, term, before, position)) {
+    if (!record_acknowledgement(acknowledged_, group, term, before, position, now())) {
         log_event(
             severity::warning, "acknowledged_position_went_back",
             {{"group", group.value}, {"group_term", term}, {"position", position}, {"seen_before", before}});
--- a/tests/commit_safety_test.cpp
+++ b/tests/commit_safety_test.cpp
@@ -404,31 +404,64 @@
     EXPECT_EQ(g.promoted.size(), 1U);
 }
 
+// The state of an instance that knows the group in this term.
+cluster_state make_copy(term_number term, unsigned sync_replicas) {
+    cluster_state s;
+    s.groups[{"g"}] = {};
+    s.groups[{"g"}].id = {"g"};
+    s.groups[{"g"}].term = term;
+    s.groups[{"g"}].sync_replicas = sync_replicas;
+    return s;
+}
+
+constexpr time_point start{seconds{100}};
+
 TEST(acknowledgements, bounds_come_from_what_was_seen_before_and_with_the_answer) {
     acknowledgement_ledger l;
-    EXPECT_TRUE(record_acknowledgement(l, {"g"}, 1, 100, 103));
+    EXPECT_TRUE(record_acknowledgement(l, {"g"}, 1, 100, 103, start));
     EXPECT_EQ(l.groups.at({"g"}).mark, mark(101, 103));
-    EXPECT_TRUE(record_acknowledgement(l, {"g"}, 1, 90, 102)) << "the answers came in another order";
-    EXPECT_TRUE(record_acknowledgement(l, {"g"}, 1, 103, 103)) << "nothing was written";
+    EXPECT_TRUE(record_acknowledgement(l, {"g"}, 1, 90, 102, start)) << "the answers came in another order";
+    EXPECT_TRUE(record_acknowledgement(l, {"g"}, 1, 103, 103, start)) << "nothing was written";
     EXPECT_EQ(l.groups.at({"g"}).mark, mark(101, 103));
-    EXPECT_FALSE(record_acknowledgement(l, {"g"}, 1, 110, 105)) << "the log went back";
+    EXPECT_FALSE(record_acknowledgement(l, {"g"}, 1, 110, 105, start)) << "the log went back";
     EXPECT_EQ(l.groups.at({"g"}).mark, mark(101, 103));
-    EXPECT_TRUE(record_acknowledgement(l, {"g"}, 2, 50, 51));
+    EXPECT_TRUE(record_acknowledgement(l, {"g"}, 2, 50, 51, start));
     EXPECT_EQ(l.groups.at({"g"}).mark, mark(51, 51, 2));
 }
 
 TEST(acknowledgements, each_leader_is_told_once) {
+    const auto tell = [](acknowledgement_ledger& l, std::uint64_t leader_term) {
+        drop_outdated_marks(l, make_copy(1, 1), seconds{1}, start);
+        return find_untold_marks(l, leader_term);
+    };
     acknowledgement_ledger l;
-    record_acknowledgement(l, {"g"}, 1, 100, 101);
-    const auto first = find_untold_marks(l, 5);
+    record_acknowledgement(l, {"g"}, 1, 100, 101, start);
+    const auto first = tell(l, 5);
     EXPECT_EQ(first.size(), 1U);
     record_told_marks(l, 5, first);
+    EXPECT_TRUE(tell(l, 5).empty());
+    EXPECT_EQ(tell(l, 6).size(), 1U) << "of another leader";
+    record_acknowledgement(l, {"g"}, 1, 101, 102, start);
+    EXPECT_EQ(tell(l, 5).size(), 1U);
+    record_told_marks(l, 5, first);
+    EXPECT_EQ(tell(l, 5).size(), 1U) << "a late reply is of the earlier mark";
+    drop_outdated_marks(l, make_copy(2, 1), seconds{1}, start);
+    EXPECT_TRUE(l.groups.empty()) << "of an earlier term";
+}
+
+// The count had been raised, and the instance acknowledged a confirmed commit before it knew.
+TEST(acknowledgements, commits_that_were_acknowledged_just_before_the_count_is_known_are_told) {
+    acknowledgement_ledger l;
+    record_acknowledgement(l, {"g"}, 1, 100, 101, start);
+    drop_outdated_marks(l, make_copy(1, 0), seconds{1}, start + milliseconds{500});
     EXPECT_TRUE(find_untold_marks(l, 5).empty());
-    EXPECT_EQ(find_untold_marks(l, 6).size(), 1U) << "of another leader";
-    record_acknowledgement(l, {"g"}, 1, 101, 102);
+    drop_outdated_marks(l, make_copy(1, 1), seconds{1}, start + milliseconds{900});
     EXPECT_EQ(find_untold_marks(l, 5).size(), 1U);
-    record_told_marks(l, 5, first);
-    EXPECT_EQ(find_untold_marks(l, 5).size(), 1U) << "a late reply is of the earlier mark";
+    acknowledgement_ledger old;
+    record_acknowledgement(old, {"g"}, 1, 100, 101, start);
+    drop_outdated_marks(old, make_copy(1, 0), seconds{1}, start + milliseconds{1500});
+    drop_outdated_marks(old, make_copy(1, 1), seconds{1}, start + milliseconds{1500});
+    EXPECT_TRUE(find_untold_marks(old, 5).empty()) << "no replica had to confirm it";
 }
 
 //-----------------------------------------------------------------------------
@@ -508,10 +541,11 @@
 // The primary's log had never been seen, so that an empty start of it cannot be told.
 TEST(commit_safety, restarted_primary_that_was_never_seen_is_no_evidence) {
     commit_site g(1);
+    g.servers.at("s1").log.position = 0;
     g.servers.at("s2").reachable = false;
     g.crash("s1");
     g.s.cluster.groups.at({"g"}).seen_position = 0;
-    g.servers.at("s1").alive = true;
+    g.servers.at("s1") = {};
     g.announced.push_back(announce("s1", true, ++g.sequence, 5'000));
     g.run(seconds{10});
     EXPECT_EQ(g.promoted, nobody);
