Failover: a primary that had started again before its promotion is evidence

Cause: a server that starts again counts as incomplete until it is observed at a position of the primary. One that was made primary meanwhile kept the mark for as long as nobody observed it while the group served, and its own log was then no evidence.

Change: the process that was made primary is evidence of its own log: it held everything when it was promoted. A log that instances have told marks of counts as seen, when a later start of the primary brings it. commit_safety.log_of_a_primary_that_had_started_again_before_is_evidence failed without the change.

--- a/src/core/commit_safety.cpp
+++ b/src/core/commit_safety.cpp
@@ -72,12 +72,15 @@
 }
 
 // Returns true if a later start of the primary's process brings the log of the process that was made primary.
-// One that started empty has nothing of the primary's timeline: nobody else had it to send.
+// One that started empty has nothing of the primary's timeline: nobody else had it to send. A position that
+// was observed before the restart may be that of the later start already, so it does not tell that there was
+// a log.
 bool brings_primary_log(const control_state& c, const group_record& group, const failover& f,
                         const server_answer& a) {
-    const log_position lowest = lowest_primary_position(group);
+    const log_position lowest =
+        std::max(lowest_primary_position(group), lowest_promotable_position(c, group));
     return a.answered && a.timeline == group.timeline && lowest > 0 &&
-           a.position >= std::max({lowest, lowest_promotable_position(c, group), f.position_before_restart});
+           a.position >= std::max(lowest, f.position_before_restart);
 }
 
 // Returns true if the primary's own log is among the answers, and it is the one that it had.
@@ -92,8 +95,14 @@
     if (has_primary_restarted(s, group)) {
         return has_answer && brings_primary_log(c, group, f, answer->second);
     }
-    const bool on_older_timeline = has_answer && answer->second.timeline < group.timeline;
-    return !on_older_timeline && has_evidence(c, s, group, f, primary->second);
+    if (has_answer && answer->second.timeline < group.timeline) {
+        return false;
+    }
+    // A process that was made primary held everything then, whatever an earlier start of it had lost.
+    const bool leads_since_promotion = group.primary_start_number != 0;
+    const bool has_own_log = leads_since_promotion && has_answer && answer->second.answered &&
+                             is_known_log(c, group, answer->second);
+    return has_own_log || has_evidence(c, s, group, f, primary->second);
 }
 
 //-----------------------------------------------------------------------------
--- a/tests/commit_safety_test.cpp
+++ b/tests/commit_safety_test.cpp
@@ -538,6 +538,28 @@
     EXPECT_EQ(g.promoted, only("s1"));
 }
 
+// A server that had started again, and was made primary, counted as incomplete: its own log was no evidence.
+TEST(commit_safety, log_of_a_primary_that_had_started_again_before_is_evidence) {
+    commit_site g(1);
+    for (const char* id : {"s1", "s2", "s3"}) {
+        g.servers.at(id).log.position = 300;
+    }
+    g.run(seconds{1});
+    g.servers.at("s2").reachable = false;
+    g.announced.push_back(announce("s1", true, ++g.sequence, 5'000)); // back with its log
+    g.run(milliseconds{300});
+    ASSERT_EQ(g.promoted, only("s1"));
+    server_record incomplete = g.s.cluster.servers.at({"s1"});
+    incomplete.log_incomplete = true; // nobody has observed it since
+    apply(g.s.cluster, g.s.cluster.revision + 1, register_server{incomplete});
+    g.servers.at("s1").alive = false;
+    g.run(seconds{2});
+    ASSERT_EQ(g.promoted, only("s1"));
+    g.servers.at("s1").alive = true;
+    g.run(seconds{2});
+    EXPECT_EQ(g.promoted.size(), 2U);
+}
+
 // The primary's log had never been seen, so that an empty start of it cannot be told.
 TEST(commit_safety, restarted_primary_that_was_never_seen_is_no_evidence) {
     commit_site g(1);
