Failover: nothing is waited for once every server has answered

Cause: servers that start again are no evidence until a primary has been seen, and there was none. The wait was for answers that could not come: all logs that are left had answered.

Change: where every server of the group has answered, the primary included, the longest log is promoted, unless instances have told of a higher confirmed position. commit_safety.nothing_is_waited_for_once_every_server_has_answered failed without the change; a single missing answer still keeps the group waiting (the same test, first part).

--- a/src/core/commit_safety.cpp
+++ b/src/core/commit_safety.cpp
@@ -262,6 +262,16 @@
            });
 }
 
+// Returns true if every server of the group has answered, the primary included: no other log is left to wait
+// for, whatever earlier starts of them held.
+bool has_every_answer(const cluster_state& s, const group_record& group, const failover& f) {
+    const auto servers = servers_of(s, group.id);
+    return std::all_of(servers.begin(), servers.end(), [&](const server_record& server) {
+        const auto answer = f.answers.find(server.id);
+        return answer != f.answers.end() && answer->second.answered;
+    });
+}
+
 bool is_gone(const control_state& c, const daemon_state& d, time_point now) {
     return !has_live_lease(d, now) && now - d.last_renewal_at >= grantor_lease_duration(c.config.lease);
 }
@@ -413,7 +423,8 @@
 
 bool has_enough_answers(const control_state& c, const cluster_state& s, const group_record& group,
                         const failover& f) {
-    if (group.sync_replicas == 0 || holds_primary_log(c, s, group, f) || reaches_all_marks(c, s, group, f)) {
+    if (group.sync_replicas == 0 || holds_primary_log(c, s, group, f) || reaches_all_marks(c, s, group, f) ||
+        has_every_answer(s, group, f)) {
         return true;
     }
     std::size_t others = 0;
--- a/tests/commit_safety_test.cpp
+++ b/tests/commit_safety_test.cpp
@@ -560,6 +560,27 @@
     EXPECT_EQ(g.promoted.size(), 2U);
 }
 
+// All servers of a group had started again, and none was evidence any more: it waited for logs that cannot
+// be.
+TEST(commit_safety, nothing_is_waited_for_once_every_server_has_answered) {
+    commit_site g(1);
+    for (const char* id : {"s2", "s3"}) {
+        g.announced.push_back(announce(id, false, ++g.sequence, 5'000));
+    }
+    g.servers.at("s2").log.position = 300;
+    g.s.renew("gone"); // registers it
+    g.s.renew("gone"); // it may have acknowledged more than it has told
+    g.s.acknowledged = {mark(250, 300)};
+    g.run(milliseconds{50});
+    g.start_again_empty("s1", 5'000);
+    g.servers.at("s3").reachable = false;
+    g.run(seconds{10});
+    EXPECT_EQ(g.promoted, nobody);
+    g.servers.at("s3").reachable = true;
+    g.run(seconds{2});
+    EXPECT_EQ(g.promoted, only("s2"));
+}
+
 // The primary's log had never been seen, so that an empty start of it cannot be told.
 TEST(commit_safety, restarted_primary_that_was_never_seen_is_no_evidence) {
     commit_site g(1);
