Failover: an unconfirmed end of a new primary's log is not waited for

Cause: a new term protects every position up to the one at which its primary began. A primary that is made primary again begins with the end of its log that no replica had received; if it then loses its log, nobody can reach that position.

Change: where all marks are known at the promotion, the highest of them bounds what is protected (set_group::acknowledged_bound). Whether a promotion has rolled a server back is still told by the position at which the term began. commit_safety.unconfirmed_end_of_a_new_primary_is_not_waited_for failed without it.

--- a/src/core/cluster_state.cpp
+++ b/src/core/cluster_state.cpp
@@ -77,7 +77,7 @@
 // Sets what the next record of a group promises. A new primary holds all that was acknowledged before its
 // term, and the count of the table applies to what it acknowledges itself.
 void carry_promises(const cluster_state& s, revision_number index, const group_record& current,
-                    group_record& next) {
+                    log_position acknowledged_bound, group_record& next) {
     next.promised_since = current.promised_since;
     next.sync_replicas = current.sync_replicas;
     next.protected_position = current.protected_position;
@@ -96,7 +96,8 @@
     next.sync_replicas = same_process ? lower_count(current.sync_replicas, required) : required;
     next.promised_since = next.sync_replicas > 0 ? index : 0;
     if (current.sync_replicas > 0 && start_is_known) {
-        next.protected_position = std::max(current.protected_position, start);
+        const log_position bound = acknowledged_bound == 0 ? start : std::min(start, acknowledged_bound);
+        next.protected_position = std::max(current.protected_position, bound);
     }
 }
 
@@ -116,7 +117,7 @@
         return result_code::revision_conflict;
     }
     group_record next = change.next;
-    carry_promises(s, index, current, next);
+    carry_promises(s, index, current, change.acknowledged_bound, next);
     found->second = std::move(next);
     auto& starts = found->second.term_starts;
     while (starts.size() > max_term_starts) {
@@ -344,10 +345,13 @@
     return found;
 }
 
-log_position lowest_primary_position(const group_record& group) {
+log_position term_start_position(const group_record& group) {
     const log_position start = group.term_starts.empty() ? 0 : group.term_starts.back().position;
-    const bool start_is_known = start != std::numeric_limits<log_position>::max();
-    return std::max(start_is_known ? start : 0, group.seen_position);
+    return start == std::numeric_limits<log_position>::max() ? 0 : start;
+}
+
+log_position lowest_primary_position(const group_record& group) {
+    return std::max(term_start_position(group), group.seen_position);
 }
 
 std::optional<log_position> surviving_position(const group_record& group, term_number term) {
--- a/src/core/cluster_state.hpp
+++ b/src/core/cluster_state.hpp
@@ -239,6 +239,8 @@
     term_number expected_term = 0;
     group_phase expected_phase = group_phase::serving;
     group_record next;
+    // For a new term: no commit that was acknowledged in earlier ones lies beyond; 0 = unknown.
+    log_position acknowledged_bound = 0;
     bool operator==(const set_group&) const = default;
 };
 
@@ -281,6 +283,9 @@
 
 std::vector<server_record> servers_of(const cluster_state& s, const group_id& group);
 
+// Returns the position at which the group's present term began; 0 if it is unknown.
+log_position term_start_position(const group_record& group);
+
 // Returns the lowest position that the recorded primary's log can have, by the record alone. Positions go on
 // over a promotion; a server may tell the timeline of its last commit, so the record's says nothing here.
 log_position lowest_primary_position(const group_record& group);
--- a/src/core/commit_safety.cpp
+++ b/src/core/commit_safety.cpp
@@ -33,7 +33,7 @@
     }
     // A promotion may have rolled back what the server held beyond the new primary's log.
     const bool may_be_rolled_back = a.timeline >= group.timeline && highest->second.timeline < group.timeline;
-    return may_be_rolled_back ? a.position >= group.protected_position : is_at_least(a, highest->second);
+    return may_be_rolled_back ? a.position >= term_start_position(group) : is_at_least(a, highest->second);
 }
 
 bool is_evidence(const control_state& c, const cluster_state& s, const group_record& group,
@@ -245,8 +245,16 @@
     return told == d->second.acknowledged.end() || told->second.is_plausible;
 }
 
-// Returns true if a log reaches everything that was acknowledged in the group's term, and all that may have
-// been acknowledged is known.
+// Returns true if all that may have been acknowledged in the group's term is known.
+bool are_all_marks_known(const control_state& c, const cluster_state& s, const group_record& group,
+                         const failover& f) {
+    return f.fence_revision != 0 && group.promised_since != 0 &&
+           std::all_of(s.instances.begin(), s.instances.end(), [&](const auto& instance) {
+               return !instance.second.accepts_clients || has_told_all_marks(c, group, f, instance.first);
+           });
+}
+
+// Returns true if a log reaches everything that was acknowledged, and all of that is known.
 bool reaches_all_marks(const control_state& c, const cluster_state& s, const group_record& group,
                        const failover& f) {
     const log_position highest = std::max(group.protected_position, find_acknowledged(c, group).highest);
@@ -256,10 +264,7 @@
             return a.answered && a.timeline >= group.timeline && a.position >= highest &&
                    s.servers.contains(a.server);
         });
-    return is_reached && f.fence_revision != 0 && group.promised_since != 0 &&
-           std::all_of(s.instances.begin(), s.instances.end(), [&](const auto& instance) {
-               return !instance.second.accepts_clients || has_told_all_marks(c, group, f, instance.first);
-           });
+    return is_reached && are_all_marks_known(c, s, group, f);
 }
 
 // Returns true if every server of the group has answered, the primary included: no other log is left to wait
@@ -382,6 +387,12 @@
     return found;
 }
 
+log_position find_acknowledged_bound(const control_state& c, const cluster_state& s,
+                                     const group_record& group, const failover& f) {
+    const bool is_known = group.sync_replicas > 0 && are_all_marks_known(c, s, group, f);
+    return is_known ? std::max(group.protected_position, find_acknowledged(c, group).highest) : 0;
+}
+
 log_position lowest_promotable_position(const control_state& c, const group_record& group) {
     return std::max(group.protected_position, find_acknowledged(c, group).confirmed);
 }
--- a/src/core/commit_safety.hpp
+++ b/src/core/commit_safety.hpp
@@ -46,6 +46,10 @@
 // Returns the bounds of the commits that were acknowledged in the group's term, as far as daemons have told.
 acknowledged_mark find_acknowledged(const control_state& c, const group_record& group);
 
+// Returns a position beyond which no commit was acknowledged until now; 0 if it is unknown.
+log_position find_acknowledged_bound(const control_state& c, const cluster_state& s,
+                                     const group_record& group, const failover& f);
+
 // Returns the lowest position at which a log can hold every commit that is known to be acknowledged.
 log_position lowest_promotable_position(const control_state& c, const group_record& group);
 
--- a/src/core/failover.cpp
+++ b/src/core/failover.cpp
@@ -249,8 +249,9 @@
         set_group{.expected_term = group.term, .expected_phase = group_phase::serving, .next = next}});
 }
 
-void propose_new_primary(const cluster_state& s, const group_record& group, failover& f,
-                         const server_answer& new_primary, time_point now, control_actions& actions) {
+void propose_new_primary(const control_state& c, const cluster_state& s, const group_record& group,
+                         failover& f, const server_answer& new_primary, time_point now,
+                         control_actions& actions) {
     enter_step(f, failover_step::publishing, now);
     group_record next = group;
     next.term = group.term + 1;
@@ -261,8 +262,11 @@
     next.awaits_log = false;
     next.timeline = new_primary.timeline;
     next.term_starts.push_back({.term = next.term, .position = new_primary.position});
-    actions.emplace_back(propose_command{
-        set_group{.expected_term = group.term, .expected_phase = group_phase::fencing, .next = next}});
+    actions.emplace_back(
+        propose_command{set_group{.expected_term = group.term,
+                                  .expected_phase = group_phase::fencing,
+                                  .next = next,
+                                  .acknowledged_bound = find_acknowledged_bound(c, s, group, f)}});
     add_event(actions, f, "promoted", group.id, new_primary.server, now);
 }
 
@@ -326,7 +330,7 @@
     }
     if (best->is_primary && !c.config.always_promote) {
         // The old primary was selected again, or an earlier leader's promotion has completed.
-        propose_new_primary(s, group, f, *best, now, actions);
+        propose_new_primary(c, s, group, f, *best, now, actions);
         return;
     }
     enter_step(f, failover_step::promoting, now);
@@ -352,7 +356,7 @@
                                           .timeline = group.timeline,
                                           .position = std::numeric_limits<log_position>::max()};
     if (!c.config.always_promote) {
-        propose_new_primary(s, group, f, unchanged_primary, now, actions);
+        propose_new_primary(c, s, group, f, unchanged_primary, now, actions);
         return;
     }
     enter_step(f, failover_step::promoting, now);
@@ -606,7 +610,7 @@
         // A shorter log is that of another start, which was not announced yet.
         const bool lost_log = group.sync_replicas > 0 && a.position < f.candidate_position;
         if (a.answered && a.is_primary && !lost_log && (has_new_timeline || is_repromoted_primary)) {
-            propose_new_primary(s, group, f, a, now, actions);
+            propose_new_primary(c, s, group, f, a, now, actions);
         } else if (a.outcome_unknown && s.servers.contains(a.server) &&
                    now - f.step_started_at < c.config.promotion_timeout) {
             request_promotion(c, s, group, f, f.promotion_timeline, now, actions);
--- a/src/io/codec.cpp
+++ b/src/io/codec.cpp
@@ -287,6 +287,7 @@
         g->set_expected_term(group->expected_term);
         g->set_expected_phase(static_cast<std::uint32_t>(group->expected_phase));
         to_wire(group->next, *g->mutable_next());
+        g->set_acknowledged_bound(group->acknowledged_bound);
     } else if (const auto* gone = std::get_if<remove_server>(&c)) {
         m.set_removed_server(gone->id.value);
     }
@@ -306,7 +307,8 @@
         return set_group{.expected_term = m.group().expected_term(),
                          .expected_phase =
                              m.group().expected_phase() == 0 ? group_phase::serving : group_phase::fencing,
-                         .next = from_wire(m.group().next())};
+                         .next = from_wire(m.group().next()),
+                         .acknowledged_bound = m.group().acknowledged_bound()};
     case wire::command::kRemovedServer: return remove_server{.id = {m.removed_server()}};
     case wire::command::KIND_NOT_SET: break;
     }
--- a/tests/commit_safety_test.cpp
+++ b/tests/commit_safety_test.cpp
@@ -676,6 +676,27 @@
     EXPECT_EQ(g.promoted, (std::vector<server_id>{{"s2"}, {"s3"}}));
 }
 
+// The primary was made primary again with an end of its log that no replica had confirmed, and lost its log:
+// the group waited for that end, which nobody had.
+TEST(commit_safety, unconfirmed_end_of_a_new_primary_is_not_waited_for) {
+    commit_site g(1);
+    g.servers.at("s1").log.position = 400;
+    g.servers.at("s2").log.position = 300;
+    g.s.acknowledged = {mark(290, 300)};
+    g.run(milliseconds{200});
+    g.announced.push_back(announce("s1", true, ++g.sequence, 5'000)); // back with its log
+    g.run(milliseconds{500});
+    ASSERT_EQ(g.promoted, only("s1"));
+    EXPECT_EQ(g.s.group().protected_position, 300U);
+    g.servers.at("s2").log = {.timeline = 2, .position = 300};
+    g.servers.at("s3").log = {.timeline = 2, .position = 100};
+    g.run(milliseconds{200});
+    g.start_again_empty("s1", 9'000);
+    g.run(seconds{2});
+    ASSERT_EQ(g.promoted.size(), 2U);
+    EXPECT_EQ(g.promoted.back(), server_id{"s2"});
+}
+
 // An empty process answered under the primary's id, and a switchover took its position as the whole log.
 TEST(commit_safety, switchover_does_not_take_an_older_timeline_for_the_primary) {
     commit_site g(1);
--- a/tests/io_test.cpp
+++ b/tests/io_test.cpp
@@ -692,6 +692,9 @@
     server.id = {"s1"};
     server.log_incomplete = true;
     EXPECT_EQ(decode_state(encode_state(s)), s);
+    const set_group change{
+        .expected_term = 3, .expected_phase = group_phase::fencing, .next = group, .acknowledged_bound = 83};
+    EXPECT_EQ(std::get<set_group>(decode_command(encode_command(change)).value()), change);
     renewal r;
     r.acknowledged = {{.group = {"g"}, .term = 3, .confirmed = 79, .highest = 80}};
     r.known_since = 81;
