Failover: a count that is raised within a term promises since then

A group whose sync_replicas was raised from 0 within a term waited for a replica that was lost with the primary, though another one held everything acknowledged since: marks counted as incomplete until the next term. What was acknowledged before the edit was promised to nobody, and every instance records its marks before it knows of the edit, so they are whole since the edit. commit_safety.raised_count_promises_since_the_edit failed before.

--- a/src/core/cluster_state.cpp
+++ b/src/core/cluster_state.cpp
@@ -68,9 +68,13 @@
 
 // A commit stays on as many replicas as confirmed it, so a change of the count does not end what was
 // acknowledged before.
-void bind_sync_replicas(cluster_state& s) {
+void bind_sync_replicas(cluster_state& s, revision_number index) {
     for (auto& [id, group] : s.groups) {
-        group.sync_replicas = lower_count(group.sync_replicas, required_sync_replicas(s.current_table, id));
+        const unsigned before = group.sync_replicas;
+        group.sync_replicas = lower_count(before, required_sync_replicas(s.current_table, id));
+        if (before == 0 && group.sync_replicas > 0) {
+            group.promised_since = index;
+        }
     }
 }
 
@@ -202,7 +206,7 @@
     s.revision = index;
     if (const auto* edit = std::get_if<edit_table>(&c)) {
         outcome = apply_edit(s, index, *edit);
-        bind_sync_replicas(s);
+        bind_sync_replicas(s, index);
         return outcome;
     }
     if (const auto* server = std::get_if<register_server>(&c)) {
--- a/src/core/cluster_state.hpp
+++ b/src/core/cluster_state.hpp
@@ -165,8 +165,8 @@
     // Replicas have received the log of this term up to here, and commits at or below it may have been
     // acknowledged by instances that cannot tell so any more. No server below it is promoted.
     log_position confirmed_position = 0;
-    // Index at which the term began, if replicas confirm commits since then; 0 = they do not, or only since
-    // later.
+    // Index since which replicas confirm commits in this term: that of the term's beginning, or of the edit
+    // that raised the count from 0; 0 = they do not.
     revision_number promised_since = 0;
     // While fencing: no server that answers is known to hold all acknowledged commits.
     bool awaits_log = false;
--- a/tests/commit_safety_test.cpp
+++ b/tests/commit_safety_test.cpp
@@ -770,6 +770,22 @@
     EXPECT_EQ(g.s.group().sync_replicas, 0U);
 }
 
+// A group whose count was raised within a term waited for a replica that was lost with the primary, though
+// another one held everything that was acknowledged since.
+TEST(commit_safety, raised_count_promises_since_the_edit) {
+    commit_site g(0);
+    g.set_count(1, 2);
+    g.run(milliseconds{200});
+    g.servers.at("s1").log.position = 150;
+    g.servers.at("s2").log.position = 150;
+    g.s.acknowledged = {mark(150, 150)};
+    g.run(milliseconds{200});
+    g.servers.at("s3").reachable = false;
+    g.crash("s1");
+    g.run(seconds{1});
+    EXPECT_EQ(g.promoted, only("s2"));
+}
+
 TEST(commit_safety, lowest_count_of_a_term_binds) {
     commit_site g(2);
     g.set_count(1, 2);
