Failover: bounds of earlier terms end no wait that answers cannot end

Change: the lower bound is kept over terms as well (confirmed_position). Once every server of the group has answered, it alone is required; until then no server below the upper bound is promoted, as before. commit_safety.upper_bound_of_earlier_terms_is_not_waited_for_once_every_server_has_answered failed before.

--- a/src/core/cluster_state.cpp
+++ b/src/core/cluster_state.cpp
@@ -91,10 +91,10 @@
         return;
     }
     next.seen_position = 0;
-    next.confirmed_position = 0;
     const unsigned required = required_sync_replicas(s.current_table, next.id);
     const log_position start = next.term_starts.empty() ? 0 : next.term_starts.back().position;
     const bool start_is_known = start != std::numeric_limits<log_position>::max();
+    next.confirmed_position = std::min(start, std::max(current.confirmed_position, next.confirmed_position));
     const bool same_process =
         next.primary == current.primary && next.primary_start_number == current.primary_start_number;
     next.sync_replicas = same_process ? lower_count(current.sync_replicas, required) : required;
--- a/src/core/cluster_state.hpp
+++ b/src/core/cluster_state.hpp
@@ -162,8 +162,8 @@
     // The primary's log was seen at this position, beyond the beginning of its term; 0 = not yet. By it an
     // instance that has just started knows an empty process at the primary's address.
     log_position seen_position = 0;
-    // Replicas have received the log of this term up to here, and commits at or below it may have been
-    // acknowledged by instances that cannot tell so any more. No server below it is promoted.
+    // Replicas have received the log up to here, and commits at or below it were acknowledged. No server
+    // below it is promoted.
     log_position confirmed_position = 0;
     // Index since which replicas confirm commits in this term: that of the term's beginning, or of the edit
     // that raised the count from 0; 0 = they do not.
--- a/src/core/commit_safety.cpp
+++ b/src/core/commit_safety.cpp
@@ -77,8 +77,8 @@
 // a log.
 bool brings_primary_log(const control_state& c, const group_record& group, const failover& f,
                         const server_answer& a) {
-    const log_position lowest =
-        std::max(lowest_primary_position(group), lowest_promotable_position(c, group));
+    const log_position lowest = std::max(
+        {lowest_primary_position(group), group.protected_position, find_acknowledged(c, group).confirmed});
     return a.answered && a.timeline == group.timeline && lowest > 0 &&
            a.position >= std::max(lowest, f.position_before_restart);
 }
@@ -393,8 +393,10 @@
     return is_known ? std::max(group.protected_position, find_acknowledged(c, group).highest) : 0;
 }
 
-log_position lowest_promotable_position(const control_state& c, const group_record& group) {
-    return std::max(group.protected_position, find_acknowledged(c, group).confirmed);
+log_position lowest_promotable_position(const control_state& c, const cluster_state& s,
+                                        const group_record& group, const failover& f) {
+    const log_position confirmed = find_acknowledged(c, group).confirmed;
+    return has_every_answer(s, group, f) ? confirmed : std::max(group.protected_position, confirmed);
 }
 
 void record_observed_marks(control_state& c, const cluster_state& s,
@@ -453,7 +455,7 @@
 log_wait find_log_wait(const control_state& c, const cluster_state& s, const group_record& group,
                        const failover& f) {
     log_wait wait{.group = group.id,
-                  .position = lowest_promotable_position(c, group),
+                  .position = lowest_promotable_position(c, s, group, f),
                   .servers = {},
                   .may_be_unknown = has_enough_answers(c, s, group, f)};
     for (const server_record& server : servers_of(s, group.id)) {
--- a/src/core/commit_safety.hpp
+++ b/src/core/commit_safety.hpp
@@ -50,8 +50,10 @@
 log_position find_acknowledged_bound(const control_state& c, const cluster_state& s,
                                      const group_record& group, const failover& f);
 
-// Returns the lowest position at which a log can hold every commit that is known to be acknowledged.
-log_position lowest_promotable_position(const control_state& c, const group_record& group);
+// Returns the lowest position at which a log is promoted: that up to which replicas have confirmed what was
+// acknowledged, and until every server has answered also that below which commits of earlier terms may lie.
+log_position lowest_promotable_position(const control_state& c, const cluster_state& s,
+                                        const group_record& group, const failover& f);
 
 // Puts positions into the log that the next leader cannot learn from daemons: once in a term of each group
 // that the primary's log was seen beyond the beginning of the term, and the marks of daemons that are gone.
--- a/src/core/failover.cpp
+++ b/src/core/failover.cpp
@@ -71,11 +71,12 @@
     if (f.accepts_loss) {
         return true; // an operator takes any log
     }
-    if (answer.position < lowest_promotable_position(c, group)) {
+    if (answer.position < lowest_promotable_position(c, s, group, f)) {
         return false;
     }
     if (answer.timeline < group.timeline) {
-        return find_acknowledged(c, group).confirmed == 0 && is_timeline_lost(c, s, group, f);
+        const bool is_acknowledged_here = find_acknowledged(c, group).confirmed > term_start_position(group);
+        return !is_acknowledged_here && is_timeline_lost(c, s, group, f);
     }
     // A restarted primary may have lost a part of its log. It is not eligible while another server may hold
     // that part; the record of a server that is permanently lost is removed from the group.
@@ -260,6 +261,7 @@
     next.primary_start_number = record == s.servers.end() ? 0 : record->second.start_number;
     next.phase = group_phase::serving;
     next.awaits_log = false;
+    next.confirmed_position = find_acknowledged(c, group).confirmed;
     next.timeline = new_primary.timeline;
     next.term_starts.push_back({.term = next.term, .position = new_primary.position});
     actions.emplace_back(
--- a/tests/commit_safety_test.cpp
+++ b/tests/commit_safety_test.cpp
@@ -697,6 +697,30 @@
     EXPECT_EQ(g.promoted.back(), server_id{"s2"});
 }
 
+// The same, where what had been acknowledged is known by its bounds only, and the second primary's log is
+// gone.
+TEST(commit_safety, upper_bound_of_earlier_terms_is_not_waited_for_once_every_server_has_answered) {
+    commit_site g(1);
+    g.servers.at("s1").log.position = 400;
+    g.servers.at("s2").log.position = 300;
+    g.s.acknowledged = {mark(290, 400)};
+    g.run(milliseconds{200});
+    g.announced.push_back(announce("s1", true, ++g.sequence, 5'000)); // back with its log
+    g.run(milliseconds{500});
+    ASSERT_EQ(g.promoted, only("s1"));
+    EXPECT_EQ(g.s.group().protected_position, 400U);
+    EXPECT_EQ(g.s.group().confirmed_position, 290U);
+    g.servers.at("s2").log = {.timeline = 2, .position = 300};
+    g.servers.at("s3") = {.reachable = false, .log = {.timeline = 2, .position = 100}};
+    g.run(milliseconds{200});
+    g.start_again_empty("s1", 9'000);
+    g.run(seconds{10});
+    ASSERT_EQ(g.promoted, only("s1"));
+    g.servers.at("s3").reachable = true;
+    g.run(seconds{2});
+    EXPECT_EQ(g.promoted.back(), server_id{"s2"});
+}
+
 // An empty process answered under the primary's id, and a switchover took its position as the whole log.
 TEST(commit_safety, switchover_does_not_take_an_older_timeline_for_the_primary) {
     commit_site g(1);
