Soak: replicas that confirm writes, and the holders of the newest ones lost at once

The stand-in answers a commit only once `--sync-replicas` of its replicas have applied it; the soak's site sets the same count in the table. No acknowledged write may be missing at the end, over failovers too.

Servers serve their log only while they lead now, and end their replicas when they are replaced.

--- a/tests/site.cpp
+++ b/tests/site.cpp
@@ -315,6 +315,8 @@
                                        folder_ + "/key",
                                        "--lag-ms",
                                        std::to_string(options_.lag_ms),
+                                       "--sync-replicas",
+                                       std::to_string(options_.sync_replicas),
                                        "--service-ms",
                                        std::to_string(options_.service_ms),
                                        "--max-connections",
@@ -342,6 +344,11 @@
         entry.deadline = std::chrono::milliseconds{options_.deadline_ms};
         t.content.services.push_back(entry);
     }
+    for (const auto& [name, server] : servers_) {
+        if (options_.sync_replicas > 0 && server.index == 0) {
+            t.content.groups.push_back({.id = {server.group}, .sync_replicas = options_.sync_replicas});
+        }
+    }
     const std::string file = folder_ + "/table.toml";
     std::ofstream(file) << format_table(t);
     // The same change again, after an answer that was lost, is the first one.
--- a/tests/site.hpp
+++ b/tests/site.hpp
@@ -70,9 +70,10 @@
     int controls = 3;              // the first ones are control members too
     unsigned tolerated_losses = 0; // of control members with their disks; 0: all vote
     int groups = 1;
-    int servers = 3;         // of each group
-    unsigned lag_ms = 20;    // of the replicas
-    bool keeps_data = false; // servers that start again have what they had; else they are empty
+    int servers = 3;            // of each group
+    unsigned lag_ms = 20;       // of the replicas
+    unsigned sync_replicas = 0; // that have a commit before the servers answer it
+    bool keeps_data = false;    // servers that start again have what they had; else they are empty
     unsigned service_ms = 0;
     unsigned max_connections = 20; // the service's limit at one server
     unsigned server_limit = 200;   // the servers' own
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -9,13 +9,14 @@
 //   build/soak --seed 100 --runs 20 --leaves                servers leave as well, and start again
 //   build/soak --seed 100 --runs 20 --leaves --no-faults    nothing else: all acknowledged writes are kept
 //   build/soak --seed 100 --runs 20 --keeps-data --late-words
+//   build/soak --seed 100 --runs 20 --keeps-data --sync-replicas 1    acknowledged writes outlive failovers
 //
 // Checked
 //   not-run     a statement that was called not-run is on no server at the end
 //   once        no statement ran twice: a second run of an insert fails with a duplicate key
 //   own writes  a session reads what it wrote, also after it moved to another daemon with its token
 //   kept        without a failover, every acknowledged write is on the primary at the end; planned switches
-//               away from leaving servers are none
+//               away from leaving servers are none; where replicas confirm writes, failovers are none either
 //   edits       an acknowledged edit of the table is in force at the end
 //   heals       once the faults are over, writes land through every daemon within the time of heal_time
 //
@@ -53,8 +54,11 @@
 constexpr std::chrono::seconds heal_time{60}; // a sound run heals within 5 s; a loaded machine is slow
 constexpr unsigned first_connections = 20;    // an edit raises it by one
 constexpr std::size_t shown_breaks = 20;
-constexpr milliseconds longest_leave{15'000};  // a server ends some time after it said so, whoever leads
-constexpr milliseconds time_to_refill{1'500};  // of a server that started again empty
+constexpr milliseconds longest_leave{15'000}; // a server ends some time after it said so, whoever leads
+constexpr milliseconds time_to_refill{1'500}; // of a server that started again empty
+constexpr milliseconds time_to_fall_behind{1'000};
+constexpr unsigned replica_lag_ms = 20;
+constexpr unsigned far_behind_ms = 10'000;
 constexpr milliseconds pause_after_refusal{5}; // without a lease 80,000 refusals a second were seen
 
 std::string server_name(std::size_t i) {
@@ -72,6 +76,7 @@
     bool faults = true;
     bool keeps_data = false;
     bool late_words = false;
+    unsigned sync_replicas = 0;
 };
 
 //-----------------------------------------------------------------------------
@@ -92,7 +97,8 @@
     link_silenced,
     link_delayed,
     link_reset,
-    server_left, // says that it leaves, ends once another one leads, starts again empty
+    server_left,  // says that it leaves, ends once another one leads, starts again empty
+    holders_lost, // one replica falls behind, then the other one freezes as the primary is killed
 };
 // Of the plans that seeds stand for; leaving servers are planned apart.
 constexpr std::array kinds{
@@ -102,10 +108,10 @@
     fault_kind::link_held_back,   fault_kind::link_silenced,  fault_kind::link_delayed,
     fault_kind::link_reset,
 };
-constexpr std::array<const char*, kinds.size() + 1> kind_names{
+constexpr std::array<const char*, kinds.size() + 2> kind_names{
     "daemon_killed", "daemon_stopped", "daemon_frozen", "daemon_disk_lost",  "control_killed",
     "server_killed", "server_frozen",  "link_held",     "link_held_towards", "link_held_back",
-    "link_silenced", "link_delayed",   "link_reset",    "server_left",
+    "link_silenced", "link_delayed",   "link_reset",    "server_left",       "holders_lost",
 };
 
 struct planned_fault {
@@ -158,6 +164,23 @@
     return plan;
 }
 
+// Where a replica confirms writes: one is left that lacks the newest ones.
+std::vector<planned_fault> plan_lost_holders(const soak_options& o) {
+    std::mt19937_64 random(o.seed * 3 + 2);
+    const auto number = [&random](std::int64_t least, std::int64_t most) {
+        return std::uniform_int_distribution<std::int64_t>(least, most)(random);
+    };
+    std::vector<planned_fault> plan;
+    const milliseconds end = std::chrono::seconds{o.seconds};
+    for (milliseconds at{1500}; at + time_to_fall_behind < end; at += milliseconds{number(4000, 7000)}) {
+        plan.push_back({.at = at,
+                        .lasts = milliseconds{number(500, 2500)},
+                        .kind = fault_kind::holders_lost,
+                        .target = static_cast<std::size_t>(number(0, 1000))});
+    }
+    return plan;
+}
+
 // What servers announce is held up on its way to one daemon, and another instance leads when it arrives.
 std::vector<planned_fault> plan_late_words(const soak_options& o) {
     std::mt19937_64 random(o.seed * 2 + 1);
@@ -192,6 +215,10 @@
         const std::vector<planned_fault> late = plan_late_words(o);
         plan.insert(plan.end(), late.begin(), late.end());
     }
+    if (o.sync_replicas > 0) {
+        const std::vector<planned_fault> lost = plan_lost_holders(o);
+        plan.insert(plan.end(), lost.begin(), lost.end());
+    }
     std::stable_sort(plan.begin(), plan.end(),
                      [](const planned_fault& a, const planned_fault& b) { return a.at < b.at; });
     return plan;
@@ -403,6 +430,7 @@
         case fault_kind::link_delayed: harm_link(f, {.delay = milliseconds{50}}); return;
         case fault_kind::link_reset: harm_link(f, {.resets_open = true}); return;
         case fault_kind::server_left: let_server_leave(f); return;
+        case fault_kind::holders_lost: lose_holders(f); return;
         }
     }
 
@@ -474,6 +502,54 @@
         });
     }
 
+    void set_lag(const std::string& name, unsigned lag_ms) {
+        site_.connect_server(name).run("standin set lag_ms = " + std::to_string(lag_ms));
+    }
+
+    // The server that says it leads, if the others are sound.
+    std::string find_primary() {
+        for (std::size_t i = 0; i < servers; ++i) {
+            if (still_leads(server_name(i))) {
+                return server_name(i);
+            }
+        }
+        return {};
+    }
+
+    void lose_holders(const planned_fault& f) {
+        if (!take_server(server_name(0))) {
+            return;
+        }
+        in_trouble_.erase(server_name(0));
+        const std::string primary = find_primary();
+        if (primary.empty()) {
+            return;
+        }
+        std::vector<std::string> replicas;
+        for (std::size_t i = 0; i < servers; ++i) {
+            in_trouble_.insert(server_name(i));
+            if (server_name(i) != primary) {
+                replicas.push_back(server_name(i));
+            }
+        }
+        const std::string behind = replicas.at(f.target % replicas.size());
+        const std::string holder = replicas.at((f.target + 1) % replicas.size());
+        set_lag(behind, far_behind_ms);
+        const milliseconds lost_at = f.at + time_to_fall_behind;
+        ends_.emplace(lost_at, [this, primary, holder] {
+            site_.signal_server(holder, SIGSTOP);
+            site_.stop_server(primary, SIGKILL);
+        });
+        ends_.emplace(lost_at + f.lasts, [this, primary, holder, behind] {
+            site_.signal_server(holder, SIGCONT);
+            site_.start_server(primary);
+            set_lag(behind, replica_lag_ms);
+            for (const std::string& name : {primary, holder, behind}) {
+                in_trouble_.erase(name);
+            }
+        });
+    }
+
     void harm_server(const planned_fault& f, int signal) {
         const std::string name = server_name(f.target % servers);
         if (!take_server(name)) {
@@ -535,7 +611,7 @@
         heal_time);
 }
 
-void check_end(const site& s, told_outcomes& told, const soak_operator& edits, bool only_planned) {
+void check_end(const site& s, told_outcomes& told, const soak_operator& edits, bool keeps_writes) {
     std::string primary;
     std::optional<unsigned> in_force;
     if (!wait_until([&] { return !(primary = s.primary_of(group_name)).empty(); }) ||
@@ -556,7 +632,7 @@
                 told.note_break(text.append(key).append(" is on ").append(server));
             }
         }
-        if (server != primary || (s.term_of(group_name) != 1 && !only_planned)) {
+        if (server != primary || (s.term_of(group_name) != 1 && !keeps_writes)) {
             continue;
         }
         for (const std::string& key : told.acknowledged()) {
@@ -573,7 +649,9 @@
     fault_links links;
     site s({.daemons = o.daemons,
             .servers = servers,
-            .lag_ms = o.faults ? 20U : 700U, // longer than the fence takes: what a careless switch would lose
+            .lag_ms = o.faults ? replica_lag_ms
+                               : 700U, // longer than the fence takes: what a careless switch would lose
+            .sync_replicas = o.sync_replicas,
             .keeps_data = o.keeps_data,
             .max_connections = first_connections,
             .deadline_ms = 2000,
@@ -598,7 +676,7 @@
     if (!healed) {
         told.note_break("heals: writes do not land through every daemon");
     }
-    check_end(s, told, edits, !o.faults);
+    check_end(s, told, edits, !o.faults || o.sync_replicas > 0);
     std::cout << "  acknowledged " << told.acknowledged().size() << ", not run " << told.not_run().size()
               << ", unknown " << told.unknown() << ", edits " << edits.count() << ", term "
               << s.term_of(group_name) << ", broken " << told.breaks().size() << "\n";
@@ -654,6 +732,7 @@
         "leaves", "servers leave and start again",
         cxxopts::value(o.leaves))("no-faults", "none but those that are asked for")(
         "keeps-data", "servers that start again have what they had", cxxopts::value(o.keeps_data))(
+        "sync-replicas", "that have a write before it is acknowledged", cxxopts::value(o.sync_replicas))(
         "late-words", "announcements arrive when another instance leads", cxxopts::value(o.late_words));
     const auto given = arguments.parse(argc, argv);
     if (given.count("help") != 0) {
--- a/tools/standin/main.cpp
+++ b/tools/standin/main.cpp
@@ -4,9 +4,9 @@
 // parameter "replication"), and announces itself to larchpin's entry instances. The announcement's answer
 // names the primary: a replica follows it, a primary that was replaced steps down and takes over its log.
 //
-// Faults, by SQL: "standin set lag_ms = 500" (replica), service_ms, connect_ms, max_connections, slots,
-// leave. Others from outside: SIGSTOP freezes it, SIGKILL crashes it (its data is gone unless --data keeps
-// it).
+// Faults, by SQL: "standin set lag_ms = 500" (replica), sync_replicas, service_ms, connect_ms,
+// max_connections, slots, leave. Others from outside: SIGSTOP freezes it, SIGKILL crashes it (its data is
+// gone unless --data keeps it).
 //
 // Index
 //   [options]  [sessions]  [replication]  [announcing]  [main]
@@ -48,9 +48,10 @@
     std::string upstream;       // "ip:port" of the primary to follow; empty: starts as primary
     std::vector<std::string> announce_to;
     std::string key_file;
-    unsigned lag_ms = 0;      // of a replica
-    unsigned service_ms = 0;  // each statement takes this long
-    unsigned connect_ms = 10; // a new connection takes this long
+    unsigned lag_ms = 0;        // of a replica
+    unsigned sync_replicas = 0; // that have applied a commit before it is answered
+    unsigned service_ms = 0;    // each statement takes this long
+    unsigned connect_ms = 10;   // a new connection takes this long
     unsigned max_connections = 100;
     unsigned slots = 0; // told to the daemons; 0: not told
     unsigned announce_ms = 200;
@@ -88,6 +89,8 @@
     void run_next();
     bool run_one(const std::string& text, const std::vector<std::optional<std::string>>& values,
                  bool describe);
+    void await_replicas(const sql_result& r, bool describe);
+    void finish(const sql_result& r, bool describe);
     void emit(const sql_result& r, bool describe);
     void generate_rows();
     void send(bool then_read);
@@ -120,6 +123,10 @@
     std::string rows_tag;
     std::size_t sent_records = 0; // replication
     std::uint64_t sent_timeline = 0;
+    std::uint64_t applied = 0; // by the replica, as it says
+    std::uint64_t awaited = 0; // position that replicas must have applied before the answer; 0: none
+    sql_result awaited_answer;
+    bool awaited_describe = false;
 };
 
 struct server {
@@ -134,6 +141,9 @@
     void wake_blocked() const;
     void push_to_replicas();
     void apply_due();
+    void tell_applied();
+    bool is_confirmed(std::uint64_t position) const;
+    void answer_confirmed();
     void promote();
     void follow(const std::string& address);
     void connect_upstream();
@@ -144,6 +154,7 @@
     void rewind();
     void leave_upstream();
     void end_callers();
+    void end_replicas(); // that follow this server
     void on_announced(const wire::announcement_reply& reply);
 
     asio::io_context& io;
@@ -288,6 +299,17 @@
         start_up(m);
         return;
     }
+    if (is_replica && m.type == 'a') {
+        applied = std::stoull(m.body);
+        host.answer_confirmed();
+        return;
+    }
+    if (is_replica && !host.data.is_primary) {
+        // Its log may be shorter than that of who asks, which must not be thrown away for it.
+        boost::system::error_code ignored;
+        socket.shutdown(tcp::socket::shutdown_both, ignored);
+        return;
+    }
     if (is_replica) {
         field_reader r{.rest = m.body};
         const std::string position = read_text(r);
@@ -298,6 +320,7 @@
             put_message(out, 'x', "");
         }
         sent_records = next.value_or(0);
+        applied = next ? std::stoull(position) : 0;
         replicate();
         return;
     }
@@ -382,6 +405,7 @@
 // Returns false where the statement's answer comes later.
 bool session::run_one(const std::string& text, const std::vector<std::optional<std::string>>& values,
                       bool describe) {
+    const std::uint64_t position_before = position_of(host.data);
     sql_result r = execute(host.data, t, text, values);
     blocked = r.blocked;
     if (blocked) {
@@ -404,6 +428,10 @@
     }
     host.push_to_replicas();
     host.wake_blocked();
+    if (position_of(host.data) > position_before && !host.is_confirmed(position_of(host.data))) {
+        await_replicas(r, describe);
+        return false;
+    }
     const bool is_probe = text.starts_with("/* larchpin"); // no work of a caller
     const double delay_ms = r.sleep_seconds * 1000 + (is_probe ? 0 : host.opt.service_ms);
     if (delay_ms <= 0) {
@@ -416,23 +444,36 @@
         if (!self->socket.is_open()) {
             return;
         }
-        self->busy = false;
         sql_result answer = r;
         if (error) {
             answer = sql_result{};
             answer.error_state = "57014";
             answer.error_text = "canceling statement due to user request";
         }
-        self->emit(answer, describe);
-        if (!self->statements.empty()) {
-            self->statements.pop_front();
-        }
-        self->run_next();
-        self->on_bytes();
+        self->finish(answer, describe);
     });
     return false;
 }
 
+// The commit stands in the log and is visible to others, like one whose answer is on its way.
+void session::await_replicas(const sql_result& r, bool describe) {
+    busy = true;
+    awaited = position_of(host.data);
+    awaited_answer = r;
+    awaited_describe = describe;
+}
+
+// Answers a statement that has waited, and goes on.
+void session::finish(const sql_result& r, bool describe) {
+    busy = false;
+    emit(r, describe);
+    if (!statements.empty()) {
+        statements.pop_front();
+    }
+    run_next();
+    on_bytes();
+}
+
 void session::fail_extended(const sql_result& r) {
     put_message(out, 'E', error_body(r.error_state, r.error_text));
     statements.clear();
@@ -529,6 +570,35 @@
     }
 }
 
+bool server::is_confirmed(std::uint64_t position) const {
+    const auto holders = std::count_if(sessions.begin(), sessions.end(), [position](const auto& entry) {
+        const auto s = entry.second.lock();
+        return s && s->is_replica && s->applied >= position;
+    });
+    return static_cast<unsigned>(holders) >= opt.sync_replicas;
+}
+
+void server::answer_confirmed() {
+    for (auto& [id, weak] : std::map(sessions)) {
+        const auto s = weak.lock();
+        if (s && s->awaited != 0 && is_confirmed(s->awaited)) {
+            s->awaited = 0;
+            s->finish(s->awaited_answer, s->awaited_describe);
+        }
+    }
+}
+
+// Tells the primary how far this replica has come.
+void server::tell_applied() {
+    if (!upstream_connected) {
+        return;
+    }
+    auto bytes = std::make_shared<std::string>();
+    put_message(*bytes, 'a', std::to_string(position_of(data)));
+    asio::async_write(upstream_socket, asio::buffer(*bytes),
+                      [bytes](const boost::system::error_code&, std::size_t) {});
+}
+
 void server::wake_blocked() const {
     for (auto& [id, weak] : std::map(sessions)) {
         auto s = weak.lock();
@@ -672,8 +742,18 @@
     }
 }
 
+void server::end_replicas() {
+    for (auto& [id, weak] : sessions) {
+        if (auto s = weak.lock(); s && s->is_replica) {
+            boost::system::error_code ignored;
+            s->socket.close(ignored);
+        }
+    }
+}
+
 void server::apply_due() {
     const time_point at = now();
+    const std::uint64_t position_before = position_of(data);
     while (!pending.empty() && pending.front().due <= at) {
         const pending_record p = pending.front();
         pending.pop_front();
@@ -685,6 +765,9 @@
             apply_record(data, p.record);
         }
     }
+    if (position_of(data) > position_before) {
+        tell_applied();
+    }
 }
 
 //-----------------------------------------------------------------------------
@@ -695,6 +778,8 @@
     const auto number = static_cast<unsigned>(std::atoi(value.c_str()));
     if (name == "lag_ms") {
         opt.lag_ms = number;
+    } else if (name == "sync_replicas") {
+        opt.sync_replicas = number;
     } else if (name == "service_ms") {
         opt.service_ms = number;
     } else if (name == "connect_ms") {
@@ -748,6 +833,7 @@
         data.is_primary = false; // replaced while away
         data.locks.clear();
         end_callers();
+        end_replicas();
     }
     follow(reply.primary().host() + ":" + std::to_string(reply.primary().port()));
 }
@@ -816,8 +902,10 @@
         "announce-port", "port that others are told, of a relay", cxxopts::value(opt.announce_port))(
         "announce-to", "ip:port of peer listeners",
         cxxopts::value(opt.announce_to))("key-file", "shared key", cxxopts::value(opt.key_file))(
-        "lag-ms", "replication lag", cxxopts::value(opt.lag_ms))("service-ms", "time a statement takes",
-                                                                 cxxopts::value(opt.service_ms))(
+        "lag-ms", "replication lag",
+        cxxopts::value(opt.lag_ms))("sync-replicas", "that have applied a commit before it is answered",
+                                    cxxopts::value(opt.sync_replicas))("service-ms", "time a statement takes",
+                                                                       cxxopts::value(opt.service_ms))(
         "connect-ms", "time a new connection takes", cxxopts::value(opt.connect_ms))(
         "max-connections", "limit", cxxopts::value(opt.max_connections))("announce-ms", "interval",
                                                                          cxxopts::value(opt.announce_ms))(
