--- a/src/core/commit_safety.hpp
+++ b/src/core/commit_safety.hpp
@@ -19,8 +19,8 @@
 // where replicas have confirmed what they acknowledged to callers (acknowledgements.hpp), and no log that is
 // shorter is promoted. What an instance acknowledged after its last renewal is known only once it has
 // confirmed the fence. Once all that may have acknowledged anything in the term have, a log that reaches the
-// highest mark holds everything, and no further answer is needed. Once every server of the group has answered,
-// nothing is left to wait for but the lower bound of what was acknowledged.
+// highest mark holds everything, and no further answer is needed. Once every server of the group has
+// answered, nothing is left to wait for but the lower bound of what was acknowledged.
 //
 // Not covered, of a server that control has not heard of: commits of the last round trip before the primary's
 // end, of which the upper bound alone tells, and those of an instance that ended before it told.
