Stand-in: replication whose connection goes silent begins anew

Cause: the fault that silences connections for good while new ones work met those of both replicas to their primary; the stand-in had no keep-alive, so no write was ever confirmed again. Ruled out: larchpin, which had believed the primary and passed the writes on; they waited at the stand-in. A real server has keep-alives on replication and replaces such a connection.

Change: the primary sends a keep-alive each 200 ms, a replica that hears nothing for 1 s connects anew.

--- a/tools/standin/main.cpp
+++ b/tools/standin/main.cpp
@@ -83,6 +83,7 @@
     void read_some();
     void on_bytes();
     void handle(const pg_message& m);
+    void handle_replica(const pg_message& m);
     void start_up(const pg_message& m);
     void greet();
     void run_query(const std::string& text);
@@ -143,7 +144,7 @@
     void apply_due();
     void tell_applied();
     bool is_confirmed(std::uint64_t position) const;
-    void answer_confirmed();
+    void answer_confirmed() const;
     void promote();
     void follow(const std::string& address);
     void connect_upstream();
@@ -154,7 +155,8 @@
     void rewind();
     void leave_upstream();
     void end_callers();
-    void end_replicas(); // that follow this server
+    void end_replicas();           // that follow this server
+    void keep_replication_alive(); // both ways: a connection may go silent without an end
     void on_announced(const wire::announcement_reply& reply);
 
     asio::io_context& io;
@@ -179,6 +181,8 @@
     std::uint64_t upstream_generation = 0;
     bool upstream_connected = false;
     time_point upstream_retry_at{};
+    time_point upstream_heard_at{};
+    time_point next_keepalive{}; // to replicas
     pg_input upstream_in;
     std::array<char, 65536> upstream_buffer{};
     struct pending_record {
@@ -294,34 +298,39 @@
     on_bytes();
 }
 
-void session::handle(const pg_message& m) {
-    if (in.startup) {
-        start_up(m);
-        return;
-    }
-    if (is_replica && m.type == 'a') {
+// A replica asks for what follows its log, and tells how far it has come.
+void session::handle_replica(const pg_message& m) {
+    if (m.type == 'a') {
         applied = std::stoull(m.body);
         host.answer_confirmed();
         return;
     }
-    if (is_replica && !host.data.is_primary) {
+    if (!host.data.is_primary) {
         // Its log may be shorter than that of who asks, which must not be thrown away for it.
         boost::system::error_code ignored;
         socket.shutdown(tcp::socket::shutdown_both, ignored);
         return;
     }
+    field_reader r{.rest = m.body};
+    const std::string position = read_text(r);
+    const std::string hash = read_text(r);
+    const auto next = find_successor(host.data, std::stoull(position), std::stoull(hash));
+    send_timeline(); // first: whoever is on a later one does not follow
+    if (!next) {
+        put_message(out, 'x', "");
+    }
+    sent_records = next.value_or(0);
+    applied = next ? std::stoull(position) : 0;
+    replicate();
+}
+
+void session::handle(const pg_message& m) {
+    if (in.startup) {
+        start_up(m);
+        return;
+    }
     if (is_replica) {
-        field_reader r{.rest = m.body};
-        const std::string position = read_text(r);
-        const std::string hash = read_text(r);
-        const auto next = find_successor(host.data, std::stoull(position), std::stoull(hash));
-        send_timeline(); // first: whoever is on a later one does not follow
-        if (!next) {
-            put_message(out, 'x', "");
-        }
-        sent_records = next.value_or(0);
-        applied = next ? std::stoull(position) : 0;
-        replicate();
+        handle_replica(m);
         return;
     }
     if (skip_to_sync && m.type != 'S') {
@@ -578,7 +587,7 @@
     return static_cast<unsigned>(holders) >= opt.sync_replicas;
 }
 
-void server::answer_confirmed() {
+void server::answer_confirmed() const {
     for (auto& [id, weak] : std::map(sessions)) {
         const auto s = weak.lock();
         if (s && s->awaited != 0 && is_confirmed(s->awaited)) {
@@ -652,6 +661,7 @@
                 return;
             }
             upstream_connected = true;
+            upstream_heard_at = now();
             std::string startup;
             put_u32(startup, pg_protocol_3);
             put_text(startup, "replication");
@@ -684,6 +694,7 @@
                 upstream_retry_at = now() + std::chrono::milliseconds(50);
                 return;
             }
+            upstream_heard_at = now();
             upstream_in.bytes.append(upstream_buffer.data(), length);
             while (const auto m = next_message(upstream_in)) {
                 on_upstream(*m);
@@ -697,6 +708,9 @@
 }
 
 void server::on_upstream(const pg_message& m) {
+    if (m.type == 'k') {
+        return;
+    }
     pending_record p;
     p.due = now() + std::chrono::milliseconds(opt.lag_ms);
     if (m.type == 'x') {
@@ -742,6 +756,23 @@
     }
 }
 
+void server::keep_replication_alive() {
+    constexpr std::chrono::milliseconds interval{200};
+    constexpr std::chrono::milliseconds longest_silence{1000};
+    if (now() >= next_keepalive) {
+        next_keepalive = now() + interval;
+        for (auto& [id, weak] : sessions) {
+            if (auto s = weak.lock(); s && s->is_replica) {
+                put_message(s->out, 'k', "");
+                s->send(false);
+            }
+        }
+    }
+    if (upstream_connected && now() - upstream_heard_at > longest_silence) {
+        leave_upstream();
+    }
+}
+
 void server::end_replicas() {
     for (auto& [id, weak] : sessions) {
         if (auto s = weak.lock(); s && s->is_replica) {
@@ -858,6 +889,7 @@
     }
     const auto on_tick = [this](auto&& again) -> void {
         apply_due();
+        keep_replication_alive();
         if (!data.is_primary && !upstream.empty() && !upstream_connected && now() >= upstream_retry_at) {
             connect_upstream();
         }
