Failover: marks of instances that renew with a new control leader are waited for

Cause: a leader learns marks from renewals. An instance leaves out what the leader of its last reply has acknowledged, so a new leader gets none before the instance has heard its first reply. In the trace two instances renewed 12 and 32 ms before the promotion and had not told yet (marks_revision 0); the one with marks 3 to 4 was among them, and a log of length 0 was promoted. Ruled out: marks ignored as beyond the log, dropped as outdated, or lost with an instance.

Change: a failover that found its candidate waits while an instance that renews with this leader has not told its marks up to the fence; for two leases after the fence or the beginning of the leadership at most, since an instance may never hear of the fence. Where no replica confirms, and where the primary's own log is there, nothing waits.

Tests: commit_safety.new_control_leader_waits_for_the_marks_of_instances_that_renew and cluster_fuzz.unheard_replica_is_waited_for_after_a_change_of_control_leader fail without the wait and pass with it; commit_safety.instance_that_never_tells_its_marks_is_waited_for_in_vain_only_for_a_time fails where the wait has no end (by reading; not run).

--- a/src/core/commit_safety.cpp
+++ b/src/core/commit_safety.cpp
@@ -434,6 +434,21 @@
     return group.sync_replicas == 0 || holds_primary_log(c, s, group, f);
 }
 
+bool awaits_marks(const control_state& c, const cluster_state& s, const group_record& group,
+                  const failover& f, time_point now) {
+    const time_point since = std::max(f.fence_proposed_at, c.leading_since);
+    const bool is_in_time = now - since < 2 * grantor_lease_duration(c.config.lease);
+    if (group.sync_replicas == 0 || !is_in_time || holds_primary_log(c, s, group, f)) {
+        return false;
+    }
+    return std::any_of(c.daemons.begin(), c.daemons.end(), [&](const auto& daemon) {
+        const auto& [id, d] = daemon;
+        const auto instance = s.instances.find(id);
+        return instance != s.instances.end() && instance->second.accepts_clients &&
+               d.marks_revision < f.fence_revision && !d.stopped && !is_gone(c, d, now);
+    });
+}
+
 bool has_enough_answers(const control_state& c, const cluster_state& s, const group_record& group,
                         const failover& f) {
     if (group.sync_replicas == 0 || holds_primary_log(c, s, group, f) || reaches_all_marks(c, s, group, f) ||
--- a/src/core/commit_safety.hpp
+++ b/src/core/commit_safety.hpp
@@ -69,6 +69,12 @@
 bool has_enough_answers(const control_state& c, const cluster_state& s, const group_record& group,
                         const failover& f);
 
+// Returns true while an instance that renews with this leader has not told it all its marks up to the fence:
+// a new leader knows none, and instances learn of it by its first reply. For two leases after the fence or
+// after this leader began to lead, whichever was later, since an instance may never hear of the fence.
+bool awaits_marks(const control_state& c, const cluster_state& s, const group_record& group,
+                  const failover& f, time_point now);
+
 // Returns true if the answers include the primary's, with the log that it had.
 bool has_primary_log(const control_state& c, const cluster_state& s, const group_record& group,
                      const failover& f);
--- a/src/core/failover.cpp
+++ b/src/core/failover.cpp
@@ -330,6 +330,9 @@
         }
         return;
     }
+    if (!f.planned && !f.accepts_loss && awaits_marks(c, s, group, f, now)) {
+        return;
+    }
     if (best->is_primary && !c.config.always_promote) {
         // The old primary was selected again, or an earlier leader's promotion has completed.
         propose_new_primary(c, s, group, f, *best, now, actions);
--- a/tests/cluster_fuzz_test.cpp
+++ b/tests/cluster_fuzz_test.cpp
@@ -301,6 +301,13 @@
     EXPECT_EQ(model.run_until_healthy(), "");
 }
 
+// A new control leader promoted a server before instances had told it again up to where commits had been
+// acknowledged; a replica that control had not heard of held one more.
+TEST(cluster_fuzz, unheard_replica_is_waited_for_after_a_change_of_control_leader) {
+    cluster_model model(101358, unheard_replicas_and_told_marks(), {});
+    EXPECT_EQ(model.run(steps), "");
+}
+
 // A replica that control had not heard of confirmed a commit in the last round trip before the primary ended,
 // and the known replica had stopped receiving in that moment: it was promoted without the commit.
 TEST(cluster_fuzz, unheard_replica_that_confirms_in_the_last_round_trip_is_waited_for) {
--- a/tests/commit_safety_test.cpp
+++ b/tests/commit_safety_test.cpp
@@ -314,6 +314,56 @@
     EXPECT_EQ(g.promoted, only("s2"));
 }
 
+// A group whose control leader has changed. "y" has acknowledged commits up to 150; it renews with the new
+// leader and has not heard of it yet, so that it tells no marks. The primary has crashed.
+struct told_late_site {
+    commit_site g{1};
+
+    told_late_site() {
+        g.servers.at("s1").log.position = 150;
+        g.servers.at("s2").log.position = 120;
+        g.s.acknowledged = {mark(150, 150)};
+        g.s.renew("y", {}, g.observations());
+        g.run(milliseconds{200});
+        start_leading(g.s.control, 4, g.s.now);
+        g.s.control.config.always_promote = true;
+        g.s.pending_actions.clear();
+        run(seconds{2});
+        g.servers.at("s1").alive = false;
+    }
+
+    void run(duration time) {
+        for (const time_point end = g.s.now + time; g.s.now < end;) {
+            g.s.seqs[{"y"}] = 0; // the reply is lost
+            g.s.renew("y", {}, g.observations());
+            g.run(milliseconds{50});
+        }
+    }
+};
+
+// A new control leader promoted a server while an instance had yet to tell it up to where commits had been
+// acknowledged: a shorter log was promoted.
+TEST(commit_safety, new_control_leader_waits_for_the_marks_of_instances_that_renew) {
+    told_late_site site;
+    site.run(milliseconds{500});
+    EXPECT_EQ(site.g.promoted, nobody);
+    site.g.s.acknowledged = {mark(150, 150)};
+    site.g.s.renew("y", {}, site.g.observations()); // has heard the last reply
+    site.run(seconds{10});
+    EXPECT_EQ(site.g.promoted, nobody);
+    site.g.servers["s4"] = {.log = {.timeline = 1, .position = 150}};
+    site.g.announced.push_back(announce("s4", false, 1));
+    site.run(seconds{2});
+    EXPECT_EQ(site.g.promoted, only("s4"));
+}
+
+// An instance that never hears the leader must not stop failovers for good.
+TEST(commit_safety, instance_that_never_tells_its_marks_is_waited_for_in_vain_only_for_a_time) {
+    told_late_site site;
+    site.run(seconds{5});
+    EXPECT_EQ(site.g.promoted, only("s2"));
+}
+
 // What an instance acknowledged last is unknown if it does not confirm the fence, or has started within the
 // term.
 TEST(commit_safety, unknown_marks_leave_it_to_the_number_of_answers) {
