--- a/src/daemon/control_node.cpp
+++ b/src/daemon/control_node.cpp
@@ -32,6 +32,7 @@
 constexpr duration message_timeout = std::chrono::milliseconds{1000};
 constexpr duration watch_time = std::chrono::seconds{5};
 constexpr duration write_again_after = std::chrono::milliseconds{100};
+constexpr duration late_write = std::chrono::milliseconds{100}; // worth a log line
 // Well above the time of an answer, and leaves most of a query's time to the instances asked then.
 constexpr duration relay_after = std::chrono::milliseconds{100};
 constexpr duration search_pause =
@@ -44,6 +45,15 @@
                               .encode_state = encode_state,
                               .decode_state = decode_state};
 
+// While a write waits for the disk this instance says nothing, and the others may miss their leader.
+void report_late_write(duration taken, std::size_t records) {
+    if (taken >= late_write) {
+        const auto late = std::chrono::duration_cast<std::chrono::milliseconds>(taken);
+        log_event(severity::warning, "log_write_late",
+                  {{"late_ms", late.count()}, {"records", static_cast<std::uint64_t>(records)}});
+    }
+}
+
 // The same for everyone who knows the address.
 raft::node_id founder_id(const std::string& address) {
     const raft::node_id id = stable_hash(address, "founder");
@@ -218,12 +228,13 @@
         log_event(severity::info, "control_log_rewrite_started",
                   {{"entries", static_cast<std::uint64_t>(core_.consensus.log.size())}});
     }
-    run_on_log_worker([this, batch] {
+    run_on_log_worker([this, batch, asked_at = now()] {
         std::vector<raft::record> records;
         for (const raft::output& out : *batch) {
             records.insert(records.end(), out.records.begin(), out.records.end());
         }
         const result_code code = store_.append(records);
+        report_late_write(now() - asked_at, records.size());
         asio::post(io_, [this, batch, code] { on_written(batch, code); });
     });
 }
