Test: a table that could not be read is a failure, not a crash

By reading: read_table returned an empty table where control gave none, and the test took its first service.

--- a/tests/fault_test.cpp
+++ b/tests/fault_test.cpp
@@ -15,7 +15,9 @@
 #include <atomic>
 #include <csignal>
 #include <fstream>
+#include <optional>
 #include <set>
+#include <stdexcept>
 #include <thread>
 
 namespace larchpin::testing {
@@ -392,18 +394,23 @@
 // [control]
 //-----------------------------------------------------------------------------
 
+// Asks until control answers, which may be electing a leader.
 table_file read_table(const site& s) {
-    const auto body = ask_leader(s.operators(), "/v1/status", "");
-    table_file t;
-    wire::status_reply status;
-    if (body && status.ParseFromString(*body)) {
-        t.revision = status.table_revision();
+    std::optional<table_file> table;
+    const bool is_read = wait_until([&] {
+        const auto got =
+            run_program({"larchpinctl", "--key-file", s.folder() + "/key", "--to",
+                         s.peer_address(0) + "," + s.peer_address(1) + "," + s.peer_address(2), "get"});
+        const auto parsed = parse_table(got.output, "get");
+        if (got.status == 0 && parsed) {
+            table = parsed.value();
+        }
+        return table.has_value();
+    });
+    if (!is_read || table->content.services.empty()) {
+        throw std::runtime_error("control told no table with a service");
     }
-    const auto got =
-        run_program({"larchpinctl", "--key-file", s.folder() + "/key", "--to",
-                     s.peer_address(0) + "," + s.peer_address(1) + "," + s.peer_address(2), "get"});
-    const auto parsed = parse_table(got.output, "get");
-    return parsed ? parsed.value() : t;
+    return *table;
 }
 
 program_result apply(const site& s, const table_file& t, const std::string& change_id) {
@@ -421,6 +428,7 @@
     const auto status = ask_leader(s.operators(), "/v1/status", "");
     wire::status_reply reply;
     ASSERT_TRUE(status && reply.ParseFromString(*status));
+    ASSERT_FALSE(reply.leader().empty());
     const int leader = reply.leader().back() - '0';
     s.signal_daemon(leader, SIGSTOP);
     t.content.services[0].background_share = 33;
