--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,51 +1,74 @@
-"""A bounded_staleness route with max_staleness_ms 0: does a read hold every commit acknowledged before it?"""
+"""A machine and the primary lose power right after an acknowledged commit: is it in the promoted log?"""
 import asyncio
 import os
+import signal
 import sys
 
 HERE = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(HERE, "..", "stand2"))
+from confirming import ConfirmingDatabase, missing, until  # noqa: E402
 from deployment2 import CannotRun, Client, run_case  # noqa: E402
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-ROUNDS = 40
+CLIENTS = 3  # that write at the same time
+
+
+async def write(client, acknowledged):
+    _, done, error, _ = await client.ask(f"STORE k-{client.name} 1")
+    if done and not error:
+        acknowledged.append(f"{client.name}x{client.count}")
 
 
 async def case(site):
-    site.add_group("svca")
-    usual = [site.route("r-1", "orders", "svca", kind="primary"),
-             site.route("r-2", "polls", "svca", kind="bounded_staleness", staleness=1500)]
-    changed = [usual[0], site.route("r-2", "polls", "svca", kind="bounded_staleness", staleness=0)]
+    group = site.add_group("svca", zones=("z1", "z2"), kind=ConfirmingDatabase)
+    primary, replica = group.databases
     await site.start()
-    await site.configure(usual)
+    await site.configure([site.route("r-1", "orders", "svca", kind="primary")],
+                         services=[site.service("svca", sync_replica_count=1)])
     await site.until_ready()
     for node in site.fronts():
         await site.until_served(node, "orders")
+    front = next(n for n in site.fronts() if n.zone == "z1")
+    clients = [Client(site, front, f"c{i}") for i in range(CLIENTS)]
+    acknowledged = []
+    for client in clients:
+        if not await client.open("orders"):
+            raise CannotRun("no session")
+    await asyncio.gather(*(write(c, acknowledged) for c in clients))  # opens connections
+
+    # A database that replaces another one starts; it is cut from the core and control (srv_cut), not from the others.
+    newcomer = ConfirmingDatabase(site, group, "i-svca3", "z3", "replica")
+    newcomer.beating = not TROUBLE
+    await newcomer.start()
+    group.databases.append(newcomer)
+    primary.send_log()
+    site.record.note(newcomer.name, "starts" + (", cut from the core and control (srv_cut)" if TROUBLE else ""))
+    await asyncio.sleep(0.8)
     if TROUBLE:
-        await site.configure(changed)
-    await asyncio.sleep(3.5)  # config_apply_ms
-    staleness_s = 0.0 if TROUBLE else 1.5
-    writer = Client(site, site.fronts()[0], "writer")
-    readers = [Client(site, node, f"reader{i}") for i, node in enumerate(site.fronts())]
-    if not await writer.open("orders"):
-        raise CannotRun("no session")
-    for reader in readers:
-        await reader.open("polls")
-        await reader.ask("FETCH k")
-    broken, acked = [], []
-    for i in range(ROUNDS):
-        _, done, error, _ = await writer.ask(f"STORE k {i}")
-        if done and not error:
-            acked.append((site.record.now(), i))
-        await asyncio.sleep(0.02)  # well after the acknowledgement, well before the replicas have it
-        for reader in readers:
-            sent = site.record.now()
-            rows, done, error, _ = await reader.ask("FETCH k")
-            owed = max((n for at, n in acked if at < sent - staleness_s), default=-1)
-            if done and not error and (rows == ["none"] and owed >= 0 or rows != ["none"] and int(rows[0]) < owed):
-                broken.append(f"STALE: {reader.name} got {rows} with {done}; STORE k {owed} was acknowledged before")
-        await asyncio.sleep(0.05)
-    return broken
+        replica.deaf = True
+        site.record.note(replica.name, "receives nothing (replica_lag, deaf)")
+        await asyncio.sleep(0.5)
+    await asyncio.gather(*(write(c, acknowledged) for c in clients))
+    if TROUBLE:  # zone z1 loses its power
+        primary.crash()
+        for node in [n for n in site.nodes if n.zone == "z1"]:
+            node.signal(signal.SIGKILL)
+    site.record.note("case", f"{len(acknowledged)} commits acknowledged, the last {CLIENTS} at the end")
+    held = newcomer.received()
+    if len(acknowledged) != 2 * CLIENTS:
+        raise CannotRun(f"only {len(acknowledged)} of {2 * CLIENTS} writes were acknowledged")
+    if not TROUBLE:
+        await asyncio.sleep(5)
+        return []
+    if not await until(lambda: group.primary() is not primary, 6.5):
+        site.record.note("case", "nobody was promoted while the primary was away")
+        return []
+    chosen = group.primary()
+    lost = missing(chosen, acknowledged)
+    if not lost:
+        return []
+    return [f"LOST: {len(lost)} of {len(acknowledged)} acknowledged commits ({', '.join(lost)}) are not in the log of "
+            f"{chosen.name}, promoted for term {group.term}; {newcomer.name} had received {held}"]
 
 
 run_case(case, HERE)
