Review: a case ends its processes and itself whatever stops it

Looked for: what a case leaves behind when it is ended from outside, or when Python's wait_for() swallows a cancellation (docs/FINDINGS.md).

--- a/review/stand2/deployment2.py
+++ b/review/stand2/deployment2.py
@@ -13,7 +13,7 @@
 import re
 import shutil
 import signal
-import socket
+import sys
 import tempfile
 import time
 
@@ -623,23 +623,39 @@
 
 
 def run_case(case, folder):
-    """`case(site)` returns a list of broken rules; the process exits with 1, 0 or 2."""
-    async def whole():
-        site = Site(os.path.join(folder, "record.txt"))
+    """`case(site)` returns a list of broken rules; the process exits with 1, 0 or 2, and leaves no process behind."""
+    async def judge(site):
         try:
             broken = await asyncio.wait_for(case(site), 110)
-            for line in broken:
-                site.record.note("case", "BROKEN: " + line)
-                print("BROKEN: " + line)
-            if not broken:
-                site.record.note("case", "held")
-                print("held")
-            return 1 if broken else 0
         except (CannotRun, asyncio.TimeoutError, OSError) as e:
             site.record.note("case", f"could not run: {e!r}")
             print(f"could not run: {e!r}")
             return 2
-        finally:
-            await site.stop(os.environ.get("KEEP") == "1")
+        for line in broken or ["held"]:
+            text = "BROKEN: " + line if broken else line
+            site.record.note("case", text)
+            print(text)
+        return 1 if broken else 0
+
+    async def whole():
+        site = Site(os.path.join(folder, "record.txt"))
+        judging = asyncio.create_task(judge(site))
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, judging.cancel)
+        code = 2
+        try:
+            code = await judging
+        except asyncio.CancelledError:
+            site.record.note("case", "ended from outside")
+        except Exception as e:  # a fault of the case itself: the daemons end all the same
+            site.record.note("case", f"could not run: {e!r}")
+            print(f"could not run: {e!r}")
+        await site.stop(os.environ.get("KEEP") == "1")
+        sys.stdout.flush()
+        # Not by way of the loop: wait_for() may swallow the cancellation of a task that sends heartbeats for good.
+        os._exit(code)
 
-    raise SystemExit(asyncio.run(whole()))
+    try:
+        asyncio.run(whole())
+    except CannotRun as e:
+        print(f"could not run: {e!r}")
+        raise SystemExit(2) from e
