--- a/review/4/case.py
+++ b/review/4/case.py
@@ -11,7 +11,7 @@
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 CLIENTS = 12       # that write at the same time
 WORK_S = 0.039     # with the usual 6 ms the 45 of the sheet's longest
-DEAF_AFTER_S = float(os.environ.get("DEAF_AFTER", "0.1"))
+DEAF_AFTER = 6     # commits of the burst that it has received
 CRASH_AFTER_S = 1.0
 
 
@@ -47,8 +47,10 @@
     site.record.note(newcomer.name, "starts" + (", cut from the core and control (srv_cut)" if TROUBLE else ""))
     await asyncio.sleep(1.0)
     primary.work_s = WORK_S
+    before = len(replica.log)
     writes = asyncio.gather(*(write(c, acknowledged) for c in clients))
-    await asyncio.sleep(DEAF_AFTER_S)
+    if not await until(lambda: len(replica.log) >= before + DEAF_AFTER, 2.0, every=0.005):
+        raise CannotRun("the burst does not reach the replica")
     if TROUBLE:
         replica.deaf = True
         site.record.note(replica.name, f"receives nothing more (replica_lag, deaf), its log ends at {replica.received()}")
--- a/review/6/case.py
+++ b/review/6/case.py
@@ -57,7 +57,7 @@
         await stores(client, f"STORE k-{client.name} {client.name}")
     if TROUBLE:
         await site.configure(there)
-        await asyncio.sleep(0.8)
+        await asyncio.sleep(0.5)
     for client in sessions:
         await client.ask("FETCH anything")
     if TROUBLE:
--- a/review/stand2/confirming.py
+++ b/review/stand2/confirming.py
@@ -70,10 +70,10 @@
     return [ident for ident in acknowledged if ident not in held]
 
 
-async def until(condition, patience):
+async def until(condition, patience, every=0.05):
     end = time.monotonic() + patience
     while time.monotonic() < end:
         if condition():
             return True
-        await asyncio.sleep(0.05)
+        await asyncio.sleep(every)
     return False
