Review: the stand-ins beside the cases, and each disruption ends at its limit

A folder in review/ is a case, so the two files of stand-ins stand in review/ itself. The cut, the deaf replica and the machines without power of cases 4 and 5 come back when their time is over, whatever larchpin does meanwhile (tried with a replica that is deaf before the burst: larchpin waits, the cut ends, the case holds).

--- a/review/4/case.py
+++ b/review/4/case.py
@@ -4,8 +4,8 @@
 import sys
 
 HERE = os.path.dirname(os.path.abspath(__file__))
-sys.path.insert(0, os.path.join(HERE, "..", "stand2"))
-from confirming import ConfirmingDatabase, missing, until  # noqa: E402
+sys.path.insert(0, os.path.join(HERE, ".."))
+from confirming2 import ConfirmingDatabase, after, missing, until  # noqa: E402
 from deployment2 import CannotRun, Client, run_case  # noqa: E402
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
@@ -13,6 +13,9 @@
 WORK_S = 0.039     # with the usual 6 ms the 45 of the sheet's longest
 DEAF_AFTER = 6     # commits of the burst that it has received
 CRASH_AFTER_S = 1.0
+CUT_S = 5.0        # srv_cut, for_s (5)
+DEAF_S = 6.5       # replica_lag, deaf, for_s 6.5
+AWAY_S = 7.0       # srv_crash, dark primary, for_s 7.0; nothing is judged later
 
 
 async def write(client, acknowledged):
@@ -43,6 +46,7 @@
     newcomer.beating = not TROUBLE
     await newcomer.start()
     group.databases.append(newcomer)
+    ends = [after(CUT_S, newcomer.end_cut)] if TROUBLE else []
     primary.send_log()
     site.record.note(newcomer.name, "starts" + (", cut from the core and control (srv_cut)" if TROUBLE else ""))
     await asyncio.sleep(1.0)
@@ -53,6 +57,7 @@
         raise CannotRun("the burst does not reach the replica")
     if TROUBLE:
         replica.deaf = True
+        ends.append(after(DEAF_S, replica.hear_again))
         site.record.note(replica.name, f"receives nothing more (replica_lag, deaf), its log ends at {replica.received()}")
     await writes
     site.record.note("case", f"{len(acknowledged)} of {CLIENTS} writes of the burst acknowledged")
@@ -63,7 +68,7 @@
         return []
     held = newcomer.received()
     primary.crash()
-    if not await until(lambda: group.primary() is not primary, 6.5):
+    if not await until(lambda: group.primary() is not primary, AWAY_S - 0.5):
         site.record.note("case", "nobody was promoted while the primary was away")
         return []
     chosen = group.primary()
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -5,12 +5,16 @@
 import sys
 
 HERE = os.path.dirname(os.path.abspath(__file__))
-sys.path.insert(0, os.path.join(HERE, "..", "stand2"))
-from confirming import ConfirmingDatabase, missing, until  # noqa: E402
+sys.path.insert(0, os.path.join(HERE, ".."))
+from confirming2 import ConfirmingDatabase, after, missing, until  # noqa: E402
 from deployment2 import CannotRun, Client, run_case  # noqa: E402
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-CLIENTS = 3  # that write at the same time
+CLIENTS = 3        # that write at the same time
+CUT_S = 5.0        # srv_cut, for_s (5)
+DEAF_S = 6.5       # replica_lag, deaf, for_s 6.5
+AWAY_S = 7.0       # srv_crash, dark primary, for_s 7.0; nothing is judged later
+POWER_S = 4.0      # node_kill, power, for_s up to 4.2
 
 
 async def write(client, acknowledged):
@@ -41,11 +45,13 @@
     newcomer.beating = not TROUBLE
     await newcomer.start()
     group.databases.append(newcomer)
+    ends = [after(CUT_S, newcomer.end_cut)] if TROUBLE else []
     primary.send_log()
     site.record.note(newcomer.name, "starts" + (", cut from the core and control (srv_cut)" if TROUBLE else ""))
     await asyncio.sleep(0.8)
     if TROUBLE:
         replica.deaf = True
+        ends.append(after(DEAF_S, replica.hear_again))
         site.record.note(replica.name, "receives nothing (replica_lag, deaf)")
         await asyncio.sleep(0.5)
     await asyncio.gather(*(write(c, acknowledged) for c in clients))
@@ -53,6 +59,7 @@
         primary.crash()
         for node in [n for n in site.nodes if n.zone == "z1"]:
             node.signal(signal.SIGKILL)
+            ends.append(after(POWER_S, node.start))
     site.record.note("case", f"{len(acknowledged)} commits acknowledged, the last {CLIENTS} at the end")
     held = newcomer.received()
     if len(acknowledged) != 2 * CLIENTS:
@@ -60,7 +67,7 @@
     if not TROUBLE:
         await asyncio.sleep(5)
         return []
-    if not await until(lambda: group.primary() is not primary, 6.5):
+    if not await until(lambda: group.primary() is not primary, AWAY_S - 0.5):
         site.record.note("case", "nobody was promoted while the primary was away")
         return []
     chosen = group.primary()
--- a/review/6/case.py
+++ b/review/6/case.py
@@ -4,7 +4,7 @@
 import sys
 
 HERE = os.path.dirname(os.path.abspath(__file__))
-sys.path.insert(0, os.path.join(HERE, "..", "stand2"))
+sys.path.insert(0, os.path.join(HERE, ".."))
 from deployment2 import CannotRun, Client, run_case  # noqa: E402
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
--- a/review/stand2/confirming.py
+++ b/review/confirming2.py
@@ -41,6 +41,14 @@
             await asyncio.sleep(0.002)
         return False
 
+    def hear_again(self):
+        self.deaf = False
+        self.site.record.note(self.name, "receives again")
+
+    def end_cut(self):
+        self.beating = True
+        self.site.record.note(self.name, "reaches control again")
+
     def crash(self):
         self.up = self.beating = False
         self.server.close()
@@ -64,6 +72,17 @@
         return self.send(f"COMPLETE sig.{db.name}.{ident}", self.ready())
 
 
+def after(seconds, action):
+    """Ends a disruption when its time is over, whatever has come of it."""
+    async def wait():
+        await asyncio.sleep(seconds)
+        result = action()
+        if asyncio.iscoroutine(result):
+            await result
+
+    return asyncio.create_task(wait())
+
+
 def missing(chosen, acknowledged):
     """The acknowledged commits that the log of the promoted database lacks."""
     held = {entry[2] for entry in chosen.log}
--- a/review/stand2/deployment2.py
+++ b/review/deployment2.py
@@ -17,7 +17,7 @@
 import tempfile
 import time
 
-REPO = os.path.abspath(os.path.join(os.path.dirname(__file__), "..", ".."))
+REPO = os.path.abspath(os.path.join(os.path.dirname(__file__), ".."))
 PROGRAM = os.path.join(REPO, "target", "larchpin-platformd")
 SERVICE_MS = {"read": 8, "write": 6}
 
@@ -429,6 +429,8 @@
         return text.replace(":9464\"", f":{site.port('metrics')}\"")
 
     async def start(self, bootstrap=False):
+        if self.site.stopping:
+            return
         path = os.path.join(self.folder, "settings.toml")
         with open(path, "w") as f:
             f.write(self.settings(bootstrap))
@@ -472,7 +474,7 @@
         self.cloud_ip = self.next_ip()
         self.version = 0
         self.promotions = []
-        self.late_promotions = None
+        self.stopping = False
 
     def next_ip(self):
         self.last += 1
@@ -588,7 +590,7 @@
         else:
             group.seen_token = token
             chosen = next((d for d in group.databases if d.name == instance), None)
-            status = 409 if chosen is None or not chosen.beating else 200
+            status = 409 if chosen is None or not getattr(chosen, "up", chosen.beating) else 200
             if status == 200 and chosen.role != "primary":
                 asyncio.create_task(self.lead(group, chosen))
         self.promotions.append((self.record.now(), holder, token, service, instance, status))
@@ -608,6 +610,7 @@
         self.record.note("platform", f"{chosen.name} leads {group.name}, term {group.term}")
 
     async def stop(self, keep_logs=False):
+        self.stopping = True
         for node in self.nodes:
             if node.process and node.process.returncode is None:
                 try:
