Sessions: positions are kept for each group

Cause: a session kept one set of positions and dropped it with its first statement at another group. Ruled out: the replica ignoring the floor (sessions without a statement while the route was away read their writes by it).

Change: what a session knows belongs to a group; change_group() puts it aside and takes it up again. 16 groups are remembered. Of others only the time is kept until which the session may have written there; its reads then require a position of the primary sampled since.

--- a/src/core/routing.cpp
+++ b/src/core/routing.cpp
@@ -310,19 +310,23 @@
 // Returns true if reading here keeps reads monotonic: a session stays with the server of its last read until
 // the position that the read observed is known.
 bool preserves_monotonic_reads(const server_view& server, const session_state& s) {
-    return !s.last_read || s.last_read->server == server.id;
+    return !s.positions.last_read || s.positions.last_read->server == server.id;
 }
 
 } // namespace
 
 bool satisfies_consistency(const group_view& g, const server_view& server, const session_state& s,
                            duration staleness, time_point now) {
+    if (s.positions.unknown_writes_before > time_point{}) {
+        return false;
+    }
     if (staleness <= duration{0}) {
-        return preserves_monotonic_reads(server, s) && s.floor && has_reached(g, server, *s.floor);
+        return preserves_monotonic_reads(server, s) && s.positions.floor &&
+               has_reached(g, server, *s.positions.floor);
     }
     // A staleness bound relaxes only the visibility of other sessions' writes; read-your-writes still
     // applies.
-    if (s.written && !has_reached(g, server, *s.written)) {
+    if (s.positions.written && !has_reached(g, server, *s.positions.written)) {
         return false;
     }
     const auto fresh = fresh_as_of(*g.positions, server.id, g.record.timeline);
@@ -366,11 +370,11 @@
                                      ? primary_position_since(*g.positions, g.record.term, s.arrived_at)
                                      : oldest_primary_position_since(*g.positions, g.record.term,
                                                                      context.arrived_at - context.staleness);
-    if (!common_position) {
+    if (!common_position || s.positions.unknown_writes_before > time_point{}) {
         return std::nullopt;
     }
-    const bool wrote_in_term = s.written && s.written->term == g.record.term;
-    return wrote_in_term ? std::max(*common_position, s.written->position) : *common_position;
+    const bool wrote_in_term = s.positions.written && s.positions.written->term == g.record.term;
+    return wrote_in_term ? std::max(*common_position, s.positions.written->position) : *common_position;
 }
 
 routing_decision route_read(const group_view& g, const session_state& s, const read_context& context,
--- a/src/core/routing.hpp
+++ b/src/core/routing.hpp
@@ -118,7 +118,7 @@
                             const routing_settings& settings, std::mt19937_64& random);
 
 // Returns the log position at which any server satisfies the session's consistency, or nullopt if no known
-// position of the primary is recent enough.
+// position of the primary is recent enough, or the session's own writes are not known.
 std::optional<log_position> required_position(const group_view& g, const session_state& s,
                                               const read_context& context);
 
--- a/src/core/session.cpp
+++ b/src/core/session.cpp
@@ -69,12 +69,12 @@
 }
 
 void raise_observed(session_state& s, term_number term, log_position position) {
-    raise_token(s.observed, s.group, term, position);
-    raise_token(s.floor, s.group, term, position);
+    raise_token(s.positions.observed, s.group, term, position);
+    raise_token(s.positions.floor, s.group, term, position);
 }
 
 void raise_written(session_state& s, term_number term, log_position position) {
-    raise_token(s.written, s.group, term, position);
+    raise_token(s.positions.written, s.group, term, position);
     raise_observed(s, term, position);
 }
 
@@ -90,10 +90,9 @@
 
 bool apply_token(session_state& s, const std::string& value) {
     if (value.empty()) {
-        s.floor.reset();
-        s.observed.reset();
-        s.written.reset();
-        s.last_read.reset();
+        s.positions = {};
+        s.remembered.clear();
+        s.forgotten_at = {};
         return true;
     }
     const auto token = parse_token(value);
@@ -191,12 +190,35 @@
     }
 }
 
+void change_group(session_state& s, const group_id& group, time_point now) {
+    if (s.group == group) {
+        return;
+    }
+    if (s.positions != session_positions{}) {
+        s.remembered.push_back({.group = s.group, .positions = std::move(s.positions)});
+    }
+    s.group = group;
+    const auto known = std::find_if(s.remembered.begin(), s.remembered.end(),
+                                    [&group](const remembered_positions& r) { return r.group == group; });
+    if (known != s.remembered.end()) {
+        s.positions = std::move(known->positions);
+        s.remembered.erase(known);
+    } else {
+        s.positions = {};
+        s.positions.unknown_writes_before = s.forgotten_at;
+    }
+    if (s.remembered.size() > max_remembered_groups) {
+        s.remembered.erase(s.remembered.begin());
+        s.forgotten_at = now;
+    }
+}
+
 void record_write(session_state& s, term_number term, log_position position) {
     raise_written(s, term, position);
 }
 
 void record_read(session_state& s, const server_id& server, time_point finished_at) {
-    s.last_read = unresolved_read{.server = server, .finished_at = finished_at};
+    s.positions.last_read = unresolved_read{.server = server, .finished_at = finished_at};
 }
 
 void apply_positions(session_state& s, const group_record& group, const group_positions& positions) {
@@ -204,17 +226,27 @@
         return; // positions of a later term must not hide the loss of an earlier one
     }
     adopt_term(s, group);
-    if (!s.floor) {
+    if (!s.positions.floor) {
         const auto arrival_position = primary_position_since(positions, group.term, s.arrived_at);
         if (arrival_position) {
-            raise_token(s.floor, s.group, group.term, *arrival_position);
+            raise_token(s.positions.floor, s.group, group.term, *arrival_position);
+        }
+    }
+    if (s.positions.unknown_writes_before > time_point{}) {
+        const auto bound =
+            oldest_primary_position_since(positions, group.term, s.positions.unknown_writes_before);
+        if (bound) {
+            raise_token(s.positions.written, s.group, group.term, *bound);
+            raise_token(s.positions.floor, s.group, group.term, *bound);
+            s.positions.unknown_writes_before = {};
         }
     }
-    if (!s.last_read) {
+    if (!s.positions.last_read) {
         return;
     }
-    const auto sampled = positions.servers.find(s.last_read->server);
-    if (sampled == positions.servers.end() || sampled->second.newest.not_before < s.last_read->finished_at) {
+    const auto sampled = positions.servers.find(s.positions.last_read->server);
+    if (sampled == positions.servers.end() ||
+        sampled->second.newest.not_before < s.positions.last_read->finished_at) {
         return;
     }
     const position_sample& newest = sampled->second.newest;
@@ -223,25 +255,25 @@
     } else if (newest.timeline < group.timeline && !group.term_starts.empty()) {
         // The server does not follow the new primary yet. Only positions up to the start of the new term have
         // survived.
-        raise_token(s.floor, s.group, group.term,
+        raise_token(s.positions.floor, s.group, group.term,
                     std::min(newest.position, group.term_starts.back().position));
     }
-    s.last_read.reset();
+    s.positions.last_read.reset();
 }
 
 bool has_lost_write(const session_state& s, const group_record& group) {
-    if (s.settings.ignore_lost_writes || !s.observed || s.observed->term >= group.term) {
+    if (s.settings.ignore_lost_writes || !s.positions.observed || s.positions.observed->term >= group.term) {
         return false;
     }
-    const auto surviving = surviving_position(group, s.observed->term);
-    return !surviving || s.observed->position > *surviving;
+    const auto surviving = surviving_position(group, s.positions.observed->term);
+    return !surviving || s.positions.observed->position > *surviving;
 }
 
 void adopt_term(session_state& s, const group_record& group) {
     if (!has_lost_write(s, group)) {
-        move_to_term(s.observed, group);
-        move_to_term(s.written, group);
-        move_to_term(s.floor, group);
+        move_to_term(s.positions.observed, group);
+        move_to_term(s.positions.written, group);
+        move_to_term(s.positions.floor, group);
     }
 }
 
--- a/src/core/session.hpp
+++ b/src/core/session.hpp
@@ -21,6 +21,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace larchpin {
 
@@ -63,16 +64,37 @@
     auto operator<=>(const unresolved_read&) const = default;
 };
 
-struct session_state {
+// What a session knows of one group's log.
+struct session_positions {
+    std::optional<session_token> floor; // lower bound for the next read; nullopt = not known yet, see above
+    std::optional<session_token> observed;    // upper bound of what the session wrote or read
+    std::optional<session_token> written;     // last write; sent to the client as its token
+    std::optional<unresolved_read> last_read; // last read, until its position is known
+    // Writes that the session made before this time may lie beyond `written`; 0 = there are none.
+    time_point unknown_writes_before{};
+    auto operator<=>(const session_positions&) const = default;
+};
+
+// Positions in a group that the session has used before.
+struct remembered_positions {
     group_id group;
+    session_positions positions;
+    auto operator<=>(const remembered_positions&) const = default;
+};
+
+// Of groups beyond these, a session only knows until when it may have written there. Its reads then require
+// a position that the primary has been asked for since; that a write was lost is not reported.
+constexpr std::size_t max_remembered_groups = 16;
+
+struct session_state {
+    group_id group; // changed by change_group()
     service_id service;
     workspace_id workspace; // owner of the requests; empty = the table has no workspaces
     time_point arrived_at{};
     session_settings settings;
-    std::optional<session_token> floor; // lower bound for the next read; nullopt = not known yet, see above
-    std::optional<session_token> observed;    // upper bound of what the session wrote or read
-    std::optional<session_token> written;     // last write; sent to the client as its token
-    std::optional<unresolved_read> last_read; // last read, until its position is known
+    session_positions positions;                  // in `group`
+    std::vector<remembered_positions> remembered; // in other groups, oldest first, max_remembered_groups
+    time_point forgotten_at{}; // positions in a group were last dropped from `remembered`; 0 = never
 };
 
 //-----------------------------------------------------------------------------
@@ -99,14 +121,18 @@
 // invalid value. The value of "session" is a token, or empty to reset what the session has observed.
 bool apply_setting(session_state& s, std::string_view name, const std::string& value);
 
+// Directs the session's next requests to another group. Positions mean nothing in another group's log, so
+// they are kept for each group: a session that returns to a group still reads its own writes there.
+void change_group(session_state& s, const group_id& group, time_point now);
+
 // Records a write, after which the primary of this term was at `position`.
 void record_write(session_state& s, term_number term, log_position position);
 
 // Records a read from this server. Any later position of the server bounds what the read observed.
 void record_read(session_state& s, const server_id& server, time_point finished_at);
 
-// Updates the session from newer position samples: the floor of a session without a token, and the position
-// that the last read may have observed.
+// Updates the session from newer position samples: the floor of a session without a token, a bound of writes
+// whose positions are unknown, and the position that the last read may have observed.
 void apply_positions(session_state& s, const group_record& group, const group_positions& positions);
 
 // Returns true if the session wrote, or may have read, a position that did not survive into a later term. A
--- a/src/daemon/client_session.cpp
+++ b/src/daemon/client_session.cpp
@@ -645,10 +645,10 @@
 }
 
 void client_session::put_token() {
-    if (!path_->state.written) {
+    if (!path_->state.positions.written) {
         return;
     }
-    const std::string token = format_token(*path_->state.written);
+    const std::string token = format_token(*path_->state.positions.written);
     if (token != token_sent_) {
         token_sent_ = token;
         put_parameter(out_, "larchpin.session", token);
--- a/src/daemon/request_path.cpp
+++ b/src/daemon/request_path.cpp
@@ -180,7 +180,8 @@
     adopt_term(state, view.record);
     const duration staleness = effective_max_staleness(state, service);
     const bool lease = owner_.cluster.has_lease();
-    if (r.what.may_use_replica && !state.floor && staleness <= duration{0}) {
+    const bool lacks_floor = !state.positions.floor && staleness <= duration{0};
+    if (r.what.may_use_replica && (lacks_floor || state.positions.unknown_writes_before > time_point{})) {
         owner_.cluster.want_fresh_position(state.group, state.service);
     }
     const read_context wish{.staleness = staleness,
@@ -539,11 +540,11 @@
 void request_path::report(request_result result) {
     result.transaction_lost = lost_transaction_;
     lost_transaction_ = false;
-    if (state.written) {
+    if (state.positions.written) {
         const auto group = owner_.cluster.cluster().groups.find(state.group);
         const std::uint64_t timeline =
             group == owner_.cluster.cluster().groups.end() ? 0 : group->second.timeline;
-        result.position = log_mark{.timeline = timeline, .position = state.written->position};
+        result.position = log_mark{.timeline = timeline, .position = state.positions.written->position};
     }
     log_end(result);
     end_count();
--- a/tests/balance_test.cpp
+++ b/tests/balance_test.cpp
@@ -485,7 +485,7 @@
             {.running = 4, .waiting = 4, .response_time = milliseconds{20}, .queue_delay = milliseconds{20}});
         add_primary_sample(g.positions, 1,
                            {.not_before = start + milliseconds{1}, .timeline = 1, .position = 20});
-        g.session.written = session_token{.group = {"g"}, .term = 1, .position = 20};
+        g.session.positions.written = session_token{.group = {"g"}, .term = 1, .position = 20};
         for (const char* id : {"a", "b"}) { // a large lag for a long time
             g.set_load(id, {.response_time = milliseconds{20}});
             g.positions.servers[{id}].lag = seconds{10};
--- a/tests/routing_test.cpp
+++ b/tests/routing_test.cpp
@@ -62,7 +62,7 @@
 TEST(floor, is_the_lowest_position_within_the_staleness_bound) {
     routing_fixture g;
     EXPECT_EQ(required_position(g.view, g.session, g.context), 150U);
-    g.session.written = session_token{.group = {"g"}, .term = 1, .position = 290};
+    g.session.positions.written = session_token{.group = {"g"}, .term = 1, .position = 290};
     EXPECT_EQ(required_position(g.view, g.session, g.context), 290U)
         << "the session's own writes are covered too";
 }
--- a/tests/session_fuzz_test.cpp
+++ b/tests/session_fuzz_test.cpp
@@ -21,6 +21,7 @@
     bool ignore_floor = false;               // sessions forget their writes
     bool ignore_last_read = false;           // sessions forget their last read
     bool accept_old_primary_samples = false; // samples of a replaced primary are accepted
+    bool forget_left_group = false;          // sessions forget the positions in a group that they leave
 };
 
 struct acknowledged_write {
@@ -43,6 +44,7 @@
     bool lost_observed = false;         // a part of what the session observed did not survive a failover
     bool lost_written = false;          // a part of what the session wrote did not survive a failover
     bool idle = true;                   // the session has neither read nor written
+    bool away = false;                  // the session's requests go to other groups
 };
 
 class history_model {
@@ -81,6 +83,7 @@
         model_session s;
         s.state.group = {"g"};
         s.state.arrived_at = now_;
+        s.state.settings.ignore_lost_writes = chance(0.3);
         s.staleness = chance(0.5) ? duration{0} : duration{std::chrono::milliseconds{50 + random_int(400)}};
         // A session without a staleness bound must see every write acknowledged before its arrival.
         s.required_position = s.staleness > duration{0} || acks_.empty() ? 0 : acks_.back().position;
@@ -105,7 +108,9 @@
         }
         model_session& s =
             sessions_[static_cast<std::size_t>(random_int(static_cast<int>(sessions_.size()) - 1))];
-        if (chance(0.02)) {
+        if (s.away || chance(0.02)) {
+            visit_another_group(s);
+        } else if (chance(0.02)) {
             reconnect(s);
         } else if (chance(0.3)) {
             write(s);
@@ -170,12 +175,12 @@
 
     void read(model_session& s) {
         if (faults_.ignore_floor) {
-            s.state.floor = session_token{.group = {"g"}, .term = view_.record.term, .position = 0};
-            s.state.observed.reset();
-            s.state.written.reset();
+            s.state.positions.floor = session_token{.group = {"g"}, .term = view_.record.term, .position = 0};
+            s.state.positions.observed.reset();
+            s.state.positions.written.reset();
         }
         if (faults_.ignore_last_read) {
-            s.state.last_read.reset();
+            s.state.positions.last_read.reset();
         }
         apply_positions(s.state, view_.record, positions_);
         if (has_lost_write(s.state, view_.record)) {
@@ -206,7 +211,7 @@
         const auto server =
             std::find_if(servers_.begin(), servers_.end(), [&d](const auto& m) { return m.id == d.server; });
         const log_position seen = server->position;
-        if (s.lost_written) {
+        if (s.lost_written && !s.state.settings.ignore_lost_writes) {
             violation_ = "a session whose write was lost did not get lost_write";
         }
         s.idle = false;
@@ -228,14 +233,31 @@
         record_read(s.state, d.server, now_);
     }
 
+    // Makes one request in another group; the next one may be back in the first. Sessions to which lost
+    // writes are not reported use more groups than are remembered.
+    void visit_another_group(model_session& s) {
+        if (faults_.forget_left_group && !s.away) {
+            s.state.positions = {};
+        }
+        s.away = !chance(0.3);
+        const int others = static_cast<int>(max_remembered_groups) - 1;
+        const int highest = s.state.settings.ignore_lost_writes ? 2 * others : others - 1;
+        const std::string group = s.away ? "other" + std::to_string(random_int(highest)) : "g";
+        change_group(s.state, {group}, now_);
+        if (s.away && chance(0.5)) {
+            record_write(s.state, 1, 1 + static_cast<log_position>(random_int(1000)));
+        }
+    }
+
     // Reconnects to another proxy with the token. The token carries the writes of the session, not its reads.
     void reconnect(model_session& s) {
-        if (!s.state.written) {
+        if (!s.state.positions.written) {
             return;
         }
-        const std::string token = format_token(*s.state.written);
-        const log_position carried = s.state.written->position;
+        const std::string token = format_token(*s.state.positions.written);
+        const log_position carried = s.state.positions.written->position;
         model_session next = make_session();
+        next.state.settings.ignore_lost_writes = s.state.settings.ignore_lost_writes;
         next.staleness = s.staleness;
         next.required_position = std::min(carried, primary().position);
         next.written = s.written;
@@ -333,5 +355,10 @@
     expect_detected({.accept_old_primary_samples = true});
 }
 
+// A session that had used another group in between read older data than it had written.
+TEST(session_fuzz, detects_positions_dropped_with_the_group) {
+    expect_detected({.forget_left_group = true});
+}
+
 } // namespace
 } // namespace larchpin
--- /dev/null
+++ b/tests/session_site_test.cpp
@@ -0,0 +1,92 @@
+// What the reads of one session are owed on the users' platform: its own writes, and its route's bound.
+//
+// Index
+//   [routes that move]
+#include "platform_site.hpp"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+
+namespace larchpin::testing {
+namespace {
+
+//-----------------------------------------------------------------------------
+// [routes that move]
+//-----------------------------------------------------------------------------
+
+// A table in which the database "shop" belongs to this service; "other" has no servers.
+std::string table_with_shop_at(std::uint64_t version, const std::string& service) {
+    std::string body = platform_site::table_body(version);
+    const std::string service_field = R"("service":")";
+    const auto at = body.find(service_field, body.find(R"("host":"shop")"));
+    body.replace(at + service_field.size(), std::string("svc").size(), service);
+    const std::string services = R"("services":[)";
+    return body.insert(body.find(services) + services.size(),
+                       R"({"name":"other","health_path":"/health","max_connections":20,"protocol":"h1",)"
+                       R"("tls_enabled":false,"sync_replica_count":0},)");
+}
+
+void move_shop(platform_site& s, std::uint64_t version, const std::string& service) {
+    ASSERT_EQ(s.post(s.daemons.front().control_port, "/larchpin/config/replace",
+                     table_with_shop_at(version, service))
+                  .status,
+              200);
+    ASSERT_TRUE(s.run_until([&] {
+        return std::all_of(s.daemons.begin(), s.daemons.end(), [version](const site_daemon& d) {
+            return d.core->cluster().table_version == version;
+        });
+    }));
+}
+
+// Both replicas lack everything that is written from now on. The primary's position before that is known, so
+// a read that requires no more than it may use them.
+void stop_replication(platform_site& s) {
+    s.server("s2").follows = false;
+    s.server("s3").follows = false;
+    line_caller other = s.connect("strict");
+    EXPECT_EQ(other.ask("before", "FETCH k").rows.size(), 1U);
+}
+
+void expect_reads_at_the_primary(platform_site& s, line_caller& c) {
+    for (int i = 0; i < 10; ++i) {
+        const std::string id = "back" + std::to_string(i);
+        EXPECT_EQ(c.ask(id, "FETCH k").rows.size(), 1U);
+        ASSERT_EQ(s.statements_with(id).size(), 1U);
+        EXPECT_EQ(s.statements_with(id).at(0).server, "s1") << "the replicas lack the session's write";
+    }
+}
+
+// A session forgot its writes once it had used its route at another service.
+TEST(moved_routes, session_that_is_back_at_a_service_reads_its_own_write_there) {
+    platform_site s;
+    s.start();
+    line_caller c = s.connect("shop");
+    stop_replication(s);
+    ASSERT_FALSE(c.ask("w", "STORE k v").done.empty());
+    move_shop(s, 11, "other");
+    EXPECT_FALSE(c.ask("away", "FETCH k").error.empty());
+    move_shop(s, 12, "svc");
+    expect_reads_at_the_primary(s, c);
+}
+
+// The same where the route moves several times, and the write was the commit of a transaction.
+TEST(moved_routes, session_keeps_the_commit_of_a_transaction_over_several_moves) {
+    platform_site s;
+    s.start();
+    line_caller c = s.connect("shop");
+    stop_replication(s);
+    c.ask("b", "BEGIN");
+    c.ask("w", "STORE k v");
+    ASSERT_TRUE(c.ask("c", "COMMIT").error.empty());
+    for (std::uint64_t version = 11; version < 17; version += 2) {
+        move_shop(s, version, "other");
+        EXPECT_FALSE(c.ask("away", "FETCH k").error.empty());
+        move_shop(s, version + 1, "svc");
+        expect_reads_at_the_primary(s, c);
+        s.group.statements.clear();
+    }
+}
+
+} // namespace
+} // namespace larchpin::testing
