Sessions: a write is still required after many changes of the term

What callers would see: a session that has been idle, or at another service, for more changes of its group's term than are recorded (16) reads its own write as absent.

Cause: the position was moved into the present term as 0 where the term of the write was not recorded any more.

Change: it is capped at the lowest position with which a recorded term began. That is never more than the present log has, and never less than what survived of the write.

Test: token.write_is_still_required_after_more_terms_than_are_recorded failed before (position 0 for 50 and for 350).

--- a/src/core/cluster_state.cpp
+++ b/src/core/cluster_state.cpp
@@ -358,13 +358,7 @@
     return std::max(term_start_position(group), group.seen_position);
 }
 
-std::optional<log_position> surviving_position(const group_record& group, term_number term) {
-    if (term == group.term) {
-        return std::numeric_limits<log_position>::max();
-    }
-    if (term > group.term || group.term_starts.empty() || term + 1 < group.term_starts.front().term) {
-        return std::nullopt;
-    }
+log_position lowest_start_after(const group_record& group, term_number term) {
     log_position lowest = std::numeric_limits<log_position>::max();
     for (const term_start& start : group.term_starts) {
         if (start.term > term) {
@@ -374,4 +368,14 @@
     return lowest;
 }
 
+std::optional<log_position> surviving_position(const group_record& group, term_number term) {
+    if (term == group.term) {
+        return std::numeric_limits<log_position>::max();
+    }
+    if (term > group.term || group.term_starts.empty() || term + 1 < group.term_starts.front().term) {
+        return std::nullopt;
+    }
+    return lowest_start_after(group, term);
+}
+
 } // namespace larchpin
--- a/src/core/cluster_state.hpp
+++ b/src/core/cluster_state.hpp
@@ -290,6 +290,10 @@
 // over a promotion; a server may tell the timeline of its last commit, so the record's says nothing here.
 log_position lowest_primary_position(const group_record& group);
 
+// Returns the lowest position at which a recorded term after `term` began; the largest position if none is
+// recorded.
+log_position lowest_start_after(const group_record& group, term_number term);
+
 // Returns the largest position of `term` that later terms still hold, or nothing if the term is unknown. A
 // session beyond this position has read lost writes.
 std::optional<log_position> surviving_position(const group_record& group, term_number term);
--- a/src/core/session.cpp
+++ b/src/core/session.cpp
@@ -79,12 +79,13 @@
 }
 
 // Moves a token to the group's current term. Positions beyond the start of a later term do not exist in that
-// term, so the position is capped at the last one that survived.
+// term, so the position is capped at the last one that survived. Starts that are no longer recorded may have
+// been lower: then more than necessary is required, but never more than the present log has.
 void move_to_term(std::optional<session_token>& token, const group_record& group) {
     if (!token || token->term >= group.term) {
         return;
     }
-    token->position = std::min(token->position, surviving_position(group, token->term).value_or(0));
+    token->position = std::min(token->position, lowest_start_after(group, token->term));
     token->term = group.term;
 }
 
--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -651,6 +651,26 @@
     }));
 }
 
+// After more changes of the term than are recorded, a session's read did not require its own write any more.
+TEST(token, write_is_still_required_after_more_terms_than_are_recorded) {
+    group_record g;
+    g.id = {"g"};
+    g.term = 40;
+    for (term_number term = 25; term <= g.term; ++term) {
+        g.term_starts.push_back({.term = term, .position = 100 + 10 * term});
+    }
+    session_state s;
+    s.group = g.id;
+    s.settings.ignore_lost_writes = true;
+    record_write(s, 1, 50);
+    adopt_term(s, g);
+    EXPECT_EQ(s.positions.written, (session_token{.group = g.id, .term = 40, .position = 50}));
+    record_write(s, 40, 900);
+    s.positions.written->term = 1;
+    adopt_term(s, g);
+    EXPECT_EQ(s.positions.written->position, 350U) << "no more than the terms since hold";
+}
+
 TEST(token, round_trips) {
     EXPECT_TRUE(rc::check([](const std::string& group, std::uint64_t term, std::uint64_t position) {
         RC_PRE(!group.empty());
