Failover: no log below the upper bound of what was acknowledged is promoted

Cause: promotions went by the lower bound of a commit's position, which is the same for all commits sent at one position of the log. Ruled out: marks that were not told (the crash came a second later), too few answers (the holder is not among the servers that are counted).

Change: the upper bound is kept in the group's record too, and is the least position of a promoted log. The primary's own log is bound by the lower one: it holds all there is. New log line failover_log_chosen.

Weighed: the upper bound may include commits that nobody confirmed, and a promotion then waits in vain. Counting commits over instances stays short by each write in doubt.

Two tests of commit_safety asked for a promotion between the bounds.

--- a/src/core/cluster_state.cpp
+++ b/src/core/cluster_state.cpp
@@ -88,6 +88,7 @@
     if (next.term == current.term) {
         next.seen_position = std::max(current.seen_position, next.seen_position);
         next.confirmed_position = std::max(current.confirmed_position, next.confirmed_position);
+        next.acknowledged_position = std::max(current.acknowledged_position, next.acknowledged_position);
         return;
     }
     next.seen_position = 0;
@@ -95,6 +96,7 @@
     const log_position start = next.term_starts.empty() ? 0 : next.term_starts.back().position;
     const bool start_is_known = start != std::numeric_limits<log_position>::max();
     next.confirmed_position = std::min(start, std::max(current.confirmed_position, next.confirmed_position));
+    next.acknowledged_position = next.confirmed_position; // protected_position covers what is beyond
     const bool same_process =
         next.primary == current.primary && next.primary_start_number == current.primary_start_number;
     next.sync_replicas = same_process ? lower_count(current.sync_replicas, required) : required;
--- a/src/core/cluster_state.hpp
+++ b/src/core/cluster_state.hpp
@@ -162,9 +162,11 @@
     // The primary's log was seen at this position, beyond the beginning of its term; 0 = not yet. By it an
     // instance that has just started knows an empty process at the primary's address.
     log_position seen_position = 0;
-    // Replicas have received the log up to here, and commits at or below it were acknowledged. No server
-    // below it is promoted.
+    // Replicas have received the log up to here, and commits at or below it were acknowledged.
     log_position confirmed_position = 0;
+    // Commits up to here may have been acknowledged in this term. No server below it is promoted, other than
+    // the primary with its own log.
+    log_position acknowledged_position = 0;
     // Index since which replicas confirm commits in this term: that of the term's beginning, or of the edit
     // that raised the count from 0; 0 = they do not.
     revision_number promised_since = 0;
--- a/src/core/commit_safety.cpp
+++ b/src/core/commit_safety.cpp
@@ -297,13 +297,16 @@
         }
     }
     acknowledged_mark& proposed = c.proposed_marks[group.id];
-    if (gone.confirmed <= group.confirmed_position ||
-        (proposed.term == group.term && proposed.confirmed >= gone.confirmed)) {
+    const bool is_recorded =
+        gone.confirmed <= group.confirmed_position && gone.highest <= group.acknowledged_position;
+    const bool is_proposed = proposed.term == group.term && proposed.confirmed >= gone.confirmed &&
+                             proposed.highest >= gone.highest;
+    if (is_recorded || is_proposed) {
         return;
     }
     proposed = gone;
     group_record next = group;
-    next.confirmed_position = gone.confirmed;
+    raise_bounds(next, gone);
     actions.emplace_back(
         propose_command{set_group{.expected_term = group.term, .expected_phase = group.phase, .next = next}});
 }
@@ -368,7 +371,7 @@
     acknowledged_mark found{.group = group.id,
                             .term = group.term,
                             .confirmed = group.confirmed_position,
-                            .highest = group.confirmed_position};
+                            .highest = std::max(group.confirmed_position, group.acknowledged_position)};
     const auto merge = [&](const acknowledged_mark& mark) {
         if (mark.term == group.term) {
             merge_mark(found, mark);
@@ -395,8 +398,16 @@
 
 log_position lowest_promotable_position(const control_state& c, const cluster_state& s,
                                         const group_record& group, const failover& f) {
-    const log_position confirmed = find_acknowledged(c, group).confirmed;
-    return has_every_answer(s, group, f) ? confirmed : std::max(group.protected_position, confirmed);
+    const acknowledged_mark known = find_acknowledged(c, group);
+    if (group.sync_replicas > 0 && holds_primary_log(c, s, group, f)) {
+        return known.confirmed;
+    }
+    return has_every_answer(s, group, f) ? known.highest : std::max(group.protected_position, known.highest);
+}
+
+void raise_bounds(group_record& record, const acknowledged_mark& bounds) {
+    record.confirmed_position = bounds.confirmed;
+    record.acknowledged_position = bounds.highest;
 }
 
 void record_observed_marks(control_state& c, const cluster_state& s,
--- a/src/core/commit_safety.hpp
+++ b/src/core/commit_safety.hpp
@@ -16,14 +16,12 @@
 //     had after that end. If it left by announcement, its log goes to its successor at the same address.
 //
 // A number of answers says nothing of a server that control has not heard of. So instances also tell up to
-// where replicas have confirmed what they acknowledged to callers (acknowledgements.hpp), and no log that is
-// shorter is promoted. What an instance acknowledged after its last renewal is known only once it has
-// confirmed the fence. Once all that may have acknowledged anything in the term have, a log that reaches the
-// highest mark holds everything, and no further answer is needed. Once every server of the group has
-// answered, nothing is left to wait for but the lower bound of what was acknowledged.
+// where they acknowledged commits to callers (acknowledgements.hpp), and no shorter log is promoted, other than
+// the primary's own. What an instance acknowledged after its last renewal is known only once it has confirmed
+// the fence. Once all that may have acknowledged anything in the term have, a log that reaches the highest
+// mark holds everything, and no further answer is needed.
 //
-// Not covered, of a server that control has not heard of: commits of the last round trip before the primary's
-// end, of which the upper bound alone tells, and those of an instance that ended before it told.
+// Not covered, of a server that control has not heard of: commits of an instance that ended before it told.
 //
 // Where no replica has to confirm commits, none of this applies.
 #pragma once
@@ -54,8 +52,12 @@
 log_position find_acknowledged_bound(const control_state& c, const cluster_state& s,
                                      const group_record& group, const failover& f);
 
-// Returns the lowest position at which a log is promoted: that up to which replicas have confirmed what was
-// acknowledged, and until every server has answered also that below which commits of earlier terms may lie.
+// Copies the bounds of acknowledged commits into the record.
+void raise_bounds(group_record& record, const acknowledged_mark& bounds);
+
+// Returns the lowest position at which a log is promoted: beyond it nothing was acknowledged in this term,
+// and until every server has answered, nothing in earlier terms. With the primary's own log among the
+// answers, which holds all there is, it is the position that replicas have surely received.
 log_position lowest_promotable_position(const control_state& c, const cluster_state& s,
                                         const group_record& group, const failover& f);
 
--- a/src/core/control.hpp
+++ b/src/core/control.hpp
@@ -134,6 +134,9 @@
     bool planned = false;        // part of a planned switchover
     instance_id instance{};      // that the event is about; may be empty
     log_position position = 0;   // that the event is about; 0 = none
+    // Bounds of the acknowledged commits, for a decision on a log; 0 = none.
+    log_position acknowledged_from = 0;
+    log_position acknowledged_to = 0;
 };
 
 using control_action = std::variant<propose_command, probe_server, promote_server, report_event>;
--- a/src/core/control_pacing.cpp
+++ b/src/core/control_pacing.cpp
@@ -60,6 +60,7 @@
         group_record only_positions = known->second; // what follows from them need not be known at once
         only_positions.seen_position = group->next.seen_position;
         only_positions.confirmed_position = group->next.confirmed_position;
+        only_positions.acknowledged_position = group->next.acknowledged_position;
         return only_positions != group->next;
     }
     return std::holds_alternative<edit_table>(c) || std::holds_alternative<remove_server>(c);
--- a/src/core/failover.cpp
+++ b/src/core/failover.cpp
@@ -245,7 +245,7 @@
     f.pending_operations.clear();
     group_record next = group;
     next.phase = group_phase::fencing;
-    next.confirmed_position = find_acknowledged(c, group).confirmed;
+    raise_bounds(next, find_acknowledged(c, group));
     actions.emplace_back(propose_command{
         set_group{.expected_term = group.term, .expected_phase = group_phase::serving, .next = next}});
 }
@@ -261,7 +261,7 @@
     next.primary_start_number = record == s.servers.end() ? 0 : record->second.start_number;
     next.phase = group_phase::serving;
     next.awaits_log = false;
-    next.confirmed_position = find_acknowledged(c, group).confirmed;
+    raise_bounds(next, find_acknowledged(c, group));
     next.timeline = new_primary.timeline;
     next.term_starts.push_back({.term = next.term, .position = new_primary.position});
     actions.emplace_back(
@@ -313,12 +313,29 @@
     if (!group.awaits_log) {
         group_record next = group;
         next.awaits_log = true;
-        next.confirmed_position = find_acknowledged(c, group).confirmed;
+        raise_bounds(next, find_acknowledged(c, group));
         actions.emplace_back(propose_command{
             set_group{.expected_term = group.term, .expected_phase = group_phase::fencing, .next = next}});
     }
 }
 
+// Reports the log that is promoted, beside the bounds of what was acknowledged.
+void report_chosen_log(const control_state& c, const group_record& group, const failover& f,
+                       const server_answer& chosen, time_point now, control_actions& actions) {
+    if (group.sync_replicas > 0) {
+        const acknowledged_mark mark = find_acknowledged(c, group);
+        actions.emplace_back(report_event{.event = "failover_log_chosen",
+                                          .group = group.id,
+                                          .server = chosen.server,
+                                          .since_suspected = now - f.started_at,
+                                          .planned = f.planned,
+                                          .instance = {},
+                                          .position = chosen.position,
+                                          .acknowledged_from = mark.confirmed,
+                                          .acknowledged_to = mark.highest});
+    }
+}
+
 void promote_best_candidate(control_state& c, const cluster_state& s, const group_record& group, failover& f,
                             time_point now, control_actions& actions) {
     const server_answer* best =
@@ -341,6 +358,7 @@
     enter_step(f, failover_step::promoting, now);
     f.candidate = best->server;
     f.candidate_position = best->position;
+    report_chosen_log(c, group, f, *best, now, actions);
     request_promotion(c, s, group, f, best->timeline, now, actions);
 }
 
--- a/src/daemon/control_node.cpp
+++ b/src/daemon/control_node.cpp
@@ -330,6 +330,8 @@
                        {"server", note->server.value},
                        {"instance", note->instance.value},
                        {"position", note->position},
+                       {"acknowledged_from", note->acknowledged_from},
+                       {"acknowledged_to", note->acknowledged_to},
                        {"term", core_.consensus.hard.term},
                        {"planned", note->planned},
                        {"since_suspected_us", static_cast<std::int64_t>(since.count())}});
--- a/src/io/codec.cpp
+++ b/src/io/codec.cpp
@@ -183,6 +183,7 @@
     v.seen_position = m.seen_position();
     v.awaits_log = m.awaits_log();
     v.confirmed_position = m.confirmed_position();
+    v.acknowledged_position = m.acknowledged_position();
     v.promised_since = m.promised_since();
     return v;
 }
@@ -204,6 +205,7 @@
     m.set_seen_position(v.seen_position);
     m.set_awaits_log(v.awaits_log);
     m.set_confirmed_position(v.confirmed_position);
+    m.set_acknowledged_position(v.acknowledged_position);
     m.set_promised_since(v.promised_since);
 }
 
--- a/tests/acknowledged_site_test.cpp
+++ b/tests/acknowledged_site_test.cpp
@@ -92,6 +92,37 @@
     EXPECT_TRUE(g.is_served_by("s4"));
 }
 
+// A replica stopped receiving in the middle of a burst whose rest a replica confirmed that control had not
+// heard of. The shorter log was promoted: the burst's commits had one lower bound.
+TEST(acknowledged_commits, of_a_burst_are_waited_for_in_the_middle_of_which_a_replica_fell_silent) {
+    constexpr unsigned callers = 6;
+    acknowledged_site g;
+    fake_server& unheard = g.s.add_server("s4");
+    unheard.started = g.s.server("s1").started;
+    unheard.heard_of = false;
+    g.s.server("s3").follows = false;
+    g.s.hold_commits("s1", true);
+    std::list<line_caller> open;
+    for (unsigned i = 0; i < callers; ++i) {
+        open.emplace_back(g.s, g.s.daemons.back().entry_port);
+        ASSERT_EQ(open.back().open("STARTUP strict somebody").state, "I");
+        open.back().send("QUERY b" + std::to_string(i) + " STORE k v\r\n");
+    }
+    g.s.run_for(milliseconds{100}); // all are sent
+    g.s.server("s2").follows_until = g.s.server("s1").applied + callers / 2;
+    g.s.hold_commits("s1", false);
+    for (line_caller& c : open) {
+        EXPECT_FALSE(c.receive().done.empty());
+    }
+    g.s.run_for(milliseconds{300});
+    g.s.stop_server("s1");
+    g.run_for(several_failovers);
+    EXPECT_TRUE(g.s.promotions.empty()) << g.s.promotions.front().server;
+    unheard.heard_of = true;
+    g.s.beat();
+    EXPECT_TRUE(g.is_served_by("s4"));
+}
+
 //-----------------------------------------------------------------------------
 // [the old primary]
 //-----------------------------------------------------------------------------
--- a/tests/commit_safety_test.cpp
+++ b/tests/commit_safety_test.cpp
@@ -281,6 +281,7 @@
     g.run(seconds{30});
     EXPECT_EQ(g.promoted, nobody);
     EXPECT_EQ(g.s.group().confirmed_position, 150U);
+    EXPECT_EQ(g.s.group().acknowledged_position, 150U);
     EXPECT_TRUE(g.has_event("failover_awaits_log"));
     g.servers["s4"] = {.log = {.timeline = 1, .position = 150}};
     g.announced.push_back(announce("s4", false, 1));
@@ -288,16 +289,37 @@
     EXPECT_EQ(g.promoted, only("s4"));
 }
 
-// Commits that were being confirmed when another one was acknowledged may be on no replica.
-TEST(commit_safety, unconfirmed_end_of_the_log_is_not_waited_for) {
+// Twelve commits of a burst were sent at the same position of the log, so the lower bound of the last one was
+// that of the first. A log between the bounds was promoted, and the commits beyond it were gone.
+TEST(commit_safety, log_between_the_bounds_of_what_was_acknowledged_is_not_promoted) {
     commit_site g(1);
     g.servers.at("s1").log.position = 150;
     g.servers.at("s2").log.position = 120;
     g.s.acknowledged = {mark(115, 150)};
     g.run(milliseconds{200});
     g.crash("s1");
+    g.run(seconds{30});
+    EXPECT_EQ(g.promoted, nobody) << "all replicas that are known have answered";
+    EXPECT_TRUE(g.has_event("failover_awaits_log"));
+    g.servers["s4"] = {.log = {.timeline = 1, .position = 150}};
+    g.announced.push_back(announce("s4", false, 1));
     g.run(seconds{2});
-    EXPECT_EQ(g.promoted, only("s2"));
+    EXPECT_EQ(g.promoted, only("s4"));
+}
+
+// The end of the log that nobody else has received is waited for until the primary brings it.
+TEST(commit_safety, wait_for_a_log_between_the_bounds_ends_with_the_primary_s_own_log) {
+    commit_site g(1);
+    g.servers.at("s1").log.position = 150;
+    g.servers.at("s2").log.position = 120;
+    g.s.acknowledged = {mark(115, 150)};
+    g.run(milliseconds{200});
+    g.crash("s1");
+    g.run(seconds{5});
+    EXPECT_EQ(g.promoted, nobody);
+    g.servers.at("s1").alive = true;
+    g.run(seconds{2});
+    EXPECT_EQ(g.promoted, only("s1"));
 }
 
 // One replica was lost together with the primary, and the other one, which held everything, waited for it.
@@ -399,7 +421,10 @@
     EXPECT_EQ(g.promoted, nobody);
     g.servers.at("s3").reachable = true;
     g.run(seconds{2});
-    EXPECT_EQ(g.promoted, only("s2"));
+    EXPECT_EQ(g.promoted, nobody) << "an unknown server may hold the position";
+    g.servers.at("s3").log.position = 150;
+    g.run(seconds{2});
+    EXPECT_EQ(g.promoted, only("s3"));
 }
 
 // The next leader could not be told, since the instance was gone.
--- a/tests/io_test.cpp
+++ b/tests/io_test.cpp
@@ -687,6 +687,7 @@
     group.seen_position = 78;
     group.awaits_log = true;
     group.confirmed_position = 79;
+    group.acknowledged_position = 80;
     group.promised_since = 80;
     server_record& server = s.servers[{"s1"}];
     server.id = {"s1"};
--- a/tests/platform_site.cpp
+++ b/tests/platform_site.cpp
@@ -192,6 +192,10 @@
             send("ERROR READONLY no\r\n" + ready());
             return;
         }
+        if (server.holds_writes && writes && !in_transaction) {
+            server.held_writes.emplace_back([self = shared_from_this(), id, text] { self->run(id, text); });
+            return;
+        }
         if (text == "COMMIT") {
             in_transaction = false;
             commit();
@@ -218,7 +222,9 @@
         ++server.applied;
         server.commit_term = where.group.term;
         for (fake_server& other : where.group.servers) {
-            if (other.follows && other.applied <= server.applied) {
+            const bool receives =
+                other.follows && (other.follows_until == 0 || server.applied <= other.follows_until);
+            if (receives && other.applied <= server.applied) {
                 other.applied = server.applied;
                 other.commit_term = server.commit_term;
             }
@@ -290,6 +296,15 @@
     drop_connections(id);
 }
 
+void platform_site::hold_commits(const std::string& id, bool holds) {
+    server(id).holds_writes = holds;
+    std::vector<std::function<void()>> held;
+    held.swap(server(id).held_writes);
+    for (const auto& run : held) {
+        run();
+    }
+}
+
 void platform_site::drop_connections(const std::string& id) {
     boost::system::error_code ignored;
     for (const auto& weak : server(id).sockets) {
--- a/tests/platform_site.hpp
+++ b/tests/platform_site.hpp
@@ -53,9 +53,12 @@
     std::string id;
     std::string zone;
     bool is_primary = false;
-    std::uint64_t applied = 0;     // number of the last commit
-    std::uint64_t commit_term = 1; // its term, which its position names
-    bool follows = true;           // gets the primary's commits at once
+    std::uint64_t applied = 0;       // number of the last commit
+    std::uint64_t commit_term = 1;   // its term, which its position names
+    bool follows = true;             // gets the primary's commits at once
+    std::uint64_t follows_until = 0; // but none beyond this one; 0: all
+    bool holds_writes = false;       // single writes wait, and are all committed when this ends
+    std::vector<std::function<void()>> held_writes;
     bool leaves = false;           // reports that it will end
     std::uint64_t started = 0;     // Unix milliseconds that it reports; 0: it reports none
     bool silent = false;           // runs statements and answers nothing
@@ -164,6 +167,7 @@
     void stop_server(const std::string& id);                        // its process ends
     void start_server_again(const std::string& id, bool keeps_log); // and reports a later start
     void drop_connections(const std::string& id);                   // all that are open
+    void hold_commits(const std::string& id, bool holds);           // of single writes
     [[nodiscard]] std::vector<seen_statement> statements_with(const std::string& id) const;
     static std::string table_body(std::uint64_t version, const std::string& more_routes = "");
 
