Acknowledgements: control instances store marks before callers are told

Cause: the mark of a commit was known to one process until its next renewal, and a promotion waited two leases for it.

Change: a mark is stored by a majority of the control instances before the caller is told; they refuse it once they know of the fence, and tell it with their renewals. A promotion waits until a majority has told what it holds, without a limit of time. The two leases remain for instances of earlier versions. Groups without confirming replicas send nothing.

--- a/src/core/acknowledgements.cpp
+++ b/src/core/acknowledgements.cpp
@@ -23,6 +23,27 @@
     return position >= before;
 }
 
+std::vector<acknowledged_mark> record_held_marks(acknowledgement_ledger& l, const cluster_state& s,
+                                                 const std::vector<acknowledged_mark>& marks,
+                                                 time_point now) {
+    std::vector<acknowledged_mark> refused;
+    for (const acknowledged_mark& mark : marks) {
+        const auto group = s.groups.find(mark.group);
+        const bool is_over =
+            group != s.groups.end() &&
+            (group->second.term > mark.term ||
+             (group->second.term == mark.term && group->second.phase != group_phase::serving));
+        if (is_over || mark.confirmed > mark.highest) {
+            refused.push_back(mark);
+            continue;
+        }
+        acknowledgement_ledger::entry& entry = l.groups[mark.group];
+        merge_mark(entry.mark, mark);
+        entry.recorded_at = now;
+    }
+    return refused;
+}
+
 void drop_outdated_marks(acknowledgement_ledger& l, const cluster_state& s, duration lease, time_point now) {
     for (auto known = l.groups.begin(); known != l.groups.end();) {
         acknowledgement_ledger::entry& entry = known->second;
--- a/src/core/acknowledgements.hpp
+++ b/src/core/acknowledgements.hpp
@@ -27,8 +27,8 @@
 // Raises `known` to the bounds of `told`. A mark of a later term replaces that of an earlier one.
 void merge_mark(acknowledged_mark& known, const acknowledged_mark& told);
 
-// Marks of one instance. Leaders are told of changes only, so each mark is kept with what the present leader
-// has acknowledged.
+// Marks of one instance, and those that it holds for others. Leaders are told of changes only, so each mark
+// is kept with what the present leader has acknowledged.
 struct acknowledgement_ledger {
     struct entry {
         acknowledged_mark mark;
@@ -48,6 +48,12 @@
 bool record_acknowledgement(acknowledgement_ledger& l, const group_id& group, term_number term,
                             log_position before, log_position position, time_point now);
 
+// Records marks of another instance. Returns those that are not taken: the group's term has ended or is
+// fenced by what this instance knows, so control may have been told already what is held here; or they
+// contradict themselves.
+std::vector<acknowledged_mark> record_held_marks(acknowledgement_ledger& l, const cluster_state& s,
+                                                 const std::vector<acknowledged_mark>& marks, time_point now);
+
 // Drops the marks of earlier terms and of groups whose replicas confirm nothing. The latter are kept for as
 // long as an instance may act on an outdated record: replicas may confirm already what it acknowledged then.
 void drop_outdated_marks(acknowledgement_ledger& l, const cluster_state& s, duration lease, time_point now);
--- a/src/core/commit_safety.cpp
+++ b/src/core/commit_safety.cpp
@@ -277,6 +277,23 @@
     });
 }
 
+// Returns true if the daemon has told all marks up to the fence.
+bool has_told_until_fence(const failover& f, const daemon_state& d) {
+    return d.marks_revision >= f.fence_revision;
+}
+
+// Returns true if a majority of the control instances has told the marks that it holds up to the fence.
+bool has_majority_told(const control_state& c, const cluster_state& s, const failover& f) {
+    const auto told = std::count_if(s.instances.begin(), s.instances.end(), [&](const auto& instance) {
+        const auto& [id, record] = instance;
+        const auto d = c.daemons.find(id);
+        return d != c.daemons.end() && has_told_until_fence(f, d->second) &&
+               std::find(c.control_addresses.begin(), c.control_addresses.end(), record.address) !=
+                   c.control_addresses.end();
+    });
+    return c.control_addresses.empty() || static_cast<std::size_t>(told) > c.control_addresses.size() / 2;
+}
+
 bool is_gone(const control_state& c, const daemon_state& d, time_point now) {
     return !has_live_lease(d, now) && now - d.last_renewal_at >= grantor_lease_duration(c.config.lease);
 }
@@ -399,10 +416,10 @@
 log_position lowest_promotable_position(const control_state& c, const cluster_state& s,
                                         const group_record& group, const failover& f) {
     const acknowledged_mark known = find_acknowledged(c, group);
-    if (group.sync_replicas > 0 && holds_primary_log(c, s, group, f)) {
-        return known.confirmed;
-    }
-    return has_every_answer(s, group, f) ? known.highest : std::max(group.protected_position, known.highest);
+    const bool has_all_logs = group.sync_replicas > 0 && holds_primary_log(c, s, group, f);
+    return has_all_logs || has_every_answer(s, group, f)
+               ? known.confirmed
+               : std::max(group.protected_position, known.highest);
 }
 
 void raise_bounds(group_record& record, const acknowledged_mark& bounds) {
@@ -447,17 +464,18 @@
 
 bool awaits_marks(const control_state& c, const cluster_state& s, const group_record& group,
                   const failover& f, time_point now) {
-    const time_point since = std::max(f.fence_proposed_at, c.leading_since);
-    const bool is_in_time = now - since < 2 * grantor_lease_duration(c.config.lease);
-    if (group.sync_replicas == 0 || !is_in_time || holds_primary_log(c, s, group, f)) {
+    if (group.sync_replicas == 0 || holds_primary_log(c, s, group, f)) {
         return false;
     }
-    return std::any_of(c.daemons.begin(), c.daemons.end(), [&](const auto& daemon) {
-        const auto& [id, d] = daemon;
-        const auto instance = s.instances.find(id);
-        return instance != s.instances.end() && instance->second.accepts_clients &&
-               d.marks_revision < f.fence_revision && !d.stopped && !is_gone(c, d, now);
-    });
+    const time_point since = std::max(f.fence_proposed_at, c.leading_since);
+    const bool is_in_time = now - since < 2 * grantor_lease_duration(c.config.lease);
+    const bool awaits_others =
+        is_in_time && std::any_of(c.daemons.begin(), c.daemons.end(), [&](const auto& daemon) {
+            const auto& [id, d] = daemon;
+            return s.instances.contains(id) && !has_told_until_fence(f, d) && !d.stopped &&
+                   !is_gone(c, d, now);
+        });
+    return awaits_others || !has_majority_told(c, s, f);
 }
 
 bool has_enough_answers(const control_state& c, const cluster_state& s, const group_record& group,
--- a/src/core/commit_safety.hpp
+++ b/src/core/commit_safety.hpp
@@ -16,12 +16,16 @@
 //     had after that end. If it left by announcement, its log goes to its successor at the same address.
 //
 // A number of answers says nothing of a server that control has not heard of. So instances also tell up to
-// where they acknowledged commits to callers (acknowledgements.hpp), and no shorter log is promoted, other than
-// the primary's own. What an instance acknowledged after its last renewal is known only once it has confirmed
-// the fence. Once all that may have acknowledged anything in the term have, a log that reaches the highest
-// mark holds everything, and no further answer is needed.
+// where they acknowledged commits to callers (acknowledgements.hpp), and no shorter log is promoted, other
+// than the primary's own. What an instance acknowledged after its last renewal is known only once it has
+// confirmed the fence. Once all that may have acknowledged anything in the term have, a log that reaches the
+// highest mark holds everything, and no further answer is needed.
 //
-// Not covered, of a server that control has not heard of: commits of an instance that ended before it told.
+// So that marks outlive the instance that acknowledged, a majority of the control instances stores them
+// before the caller is told (mark_quorum.hpp).
+//
+// Not covered, of a server that control has not heard of: commits whose marks are gone, because all control
+// instances that stored them have ended, or started again, before a leader learned of them.
 //
 // Where no replica has to confirm commits, none of this applies.
 #pragma once
@@ -55,9 +59,9 @@
 // Copies the bounds of acknowledged commits into the record.
 void raise_bounds(group_record& record, const acknowledged_mark& bounds);
 
-// Returns the lowest position at which a log is promoted: beyond it nothing was acknowledged in this term,
-// and until every server has answered, nothing in earlier terms. With the primary's own log among the
-// answers, which holds all there is, it is the position that replicas have surely received.
+// Returns the lowest position at which a log is promoted: beyond it nothing was acknowledged. Once the
+// primary's own log or every server of the group has answered, nothing is left to wait for but the position
+// that some replica has surely received.
 log_position lowest_promotable_position(const control_state& c, const cluster_state& s,
                                         const group_record& group, const failover& f);
 
@@ -71,9 +75,12 @@
 bool has_enough_answers(const control_state& c, const cluster_state& s, const group_record& group,
                         const failover& f);
 
-// Returns true while an instance that renews with this leader has not told it all its marks up to the fence:
-// a new leader knows none, and instances learn of it by its first reply. For two leases after the fence or
-// after this leader began to lead, whichever was later, since an instance may never hear of the fence.
+// Returns true while marks may be missing that were told before the fence. Each mark of an acknowledged
+// commit is stored by a majority of the control instances, and none after the fence: so until a majority has
+// told what it holds, however long that takes. Besides, while any other instance that renews with this leader
+// has not told its own marks, for two leases after the fence or after this leader began to lead, whichever
+// was later: a control instance that has started again holds nothing, and an instance of an earlier version
+// stores its marks nowhere.
 bool awaits_marks(const control_state& c, const cluster_state& s, const group_record& group,
                   const failover& f, time_point now);
 
--- a/src/daemon/agent.cpp
+++ b/src/daemon/agent.cpp
@@ -52,7 +52,7 @@
       renewal_interval_(config.lease / renewals_per_lease),
       random_(std::random_device{}()), watch_backoff_{.min_pause = min_watch_pause,
                                                       .max_pause = max_watch_pause},
-      clients_(io, keys, control_silence(config.lease)) {
+      clients_(io, keys, control_silence(config.lease)), marks_(clients_) {
     update_control_addresses();
 }
 
@@ -94,6 +94,7 @@
     probe_unreachable();
     pull_positions();
     answer_awaited();
+    marks_.on_tick();
     timer_.expires_after(tick_interval);
     timer_.async_wait([this](const boost::system::error_code& error) {
         if (!error) {
@@ -295,6 +296,7 @@
     if (!reply.control_addresses.empty()) {
         control_members_ = reply.control_addresses;
         update_control_addresses();
+        marks_.set_holders(control_members_, config_.peer_address);
     }
     if (reply.lost && apply_lost_instances_update(lost_, *reply.lost, cluster_)) {
         log_event(severity::info, "lost_instances",
--- a/src/daemon/agent.hpp
+++ b/src/daemon/agent.hpp
@@ -20,6 +20,7 @@
 #include "core/reachability.hpp"
 #include "core/routing.hpp"
 #include "core/server_load.hpp"
+#include "daemon/mark_replication.hpp"
 #include "daemon/pools.hpp"
 #include "daemon/start_phases.hpp"
 #include "io/backend_driver.hpp"
@@ -95,9 +96,12 @@
     // Returns a position that the log of the group's primary has reached in this term; 0 if none is known.
     [[nodiscard]] log_position seen_primary_position(const group_id& group) const;
     // Call before a caller is told that its commit succeeded in this term. `before`:
-    // seen_primary_position() when the commit was sent; `position` came with the server's answer.
+    // seen_primary_position() when the commit was sent; `position` came with the server's answer. `done` gets
+    // true once the commit outlives this instance: at once, but that where replicas confirm commits its mark
+    // is stored by control instances first. False: the term is over. Neither comes while control is out of
+    // reach.
     void note_acknowledged(const group_id& group, term_number term, log_position before,
-                           log_position position);
+                           log_position position, std::function<void(bool)> done);
 
     // Another instance tells where the server's log stood, as of its start number. `taken_by`: by then, at
     // the latest, by our clock.
@@ -121,6 +125,8 @@
 
     // Bodies of /v1/announce and /v1/positions, and their answers.
     std::string answer_announcement(const std::string& body);
+    // Of /v1/marks.
+    std::string answer_marks(const std::string& body);
     void answer_positions(const std::string& body, const http_respond& respond);
 
     bool takes_callers = false; // told to control: whoever has sessions may hold connections for others
@@ -265,6 +271,7 @@
     std::map<server_id, position_source> sources_; // who answered last for a server
     time_point next_pull_{};
     http2_clients clients_;
+    mark_replication marks_;
 };
 
 } // namespace larchpin
--- a/src/daemon/agent_servers.cpp
+++ b/src/daemon/agent_servers.cpp
@@ -422,12 +422,48 @@
 }
 
 void agent::note_acknowledged(const group_id& group, term_number term, log_position before,
-                              log_position position) {
+                              log_position position, std::function<void(bool)> done) {
     if (!record_acknowledgement(acknowledged_, group, term, before, position, now())) {
         log_event(
             severity::warning, "acknowledged_position_went_back",
             {{"group", group.value}, {"group_term", term}, {"position", position}, {"seen_before", before}});
     }
+    const auto record = cluster_.groups.find(group);
+    const bool is_promised = record != cluster_.groups.end() && record->second.sync_replicas > 0;
+    if (is_promised && position > before) {
+        marks_.store({.group = group, .term = term, .confirmed = before + 1, .highest = position},
+                     std::move(done));
+    } else {
+        done(true);
+    }
+}
+
+std::string agent::answer_marks(const std::string& body) {
+    wire::marks_request m;
+    wire::marks_reply reply;
+    if (!confirmed_once_) {
+        reply.set_code(static_cast<std::uint32_t>(result_code::no_lease)); // its copy may lack the group
+        return reply.SerializeAsString();
+    }
+    if (!m.ParseFromString(body)) {
+        reply.set_code(static_cast<std::uint32_t>(result_code::bad_message));
+        return reply.SerializeAsString();
+    }
+    std::vector<acknowledged_mark> marks;
+    for (const auto& mark : m.marks()) {
+        marks.push_back(from_wire(mark));
+    }
+    for (const acknowledged_mark& mark : record_held_marks(acknowledged_, cluster_, marks, now())) {
+        auto* refused = reply.add_refused();
+        refused->set_group(mark.group.value);
+        refused->set_term(mark.term);
+        log_event(severity::info, "acknowledged_mark_refused",
+                  {{"group", mark.group.value},
+                   {"group_term", mark.term},
+                   {"position", mark.highest},
+                   {"revision", cluster_.revision}});
+    }
+    return reply.SerializeAsString();
 }
 
 // Believed like what an observer says: a sample of the primary counts with a live lease only, and where the
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -316,6 +316,8 @@
     const auto reply = [&respond](const std::string& body) { respond({.status = 200, .body = body}); };
     if (request.path == "/v1/announce") {
         reply(agent_.answer_announcement(request.body));
+    } else if (request.path == "/v1/marks") {
+        reply(agent_.answer_marks(request.body));
     } else if (request.path == "/v1/positions") {
         agent_.answer_positions(request.body, respond);
     } else if (request.path == "/v1/role") {
--- a/src/daemon/request_path.cpp
+++ b/src/daemon/request_path.cpp
@@ -44,9 +44,10 @@
     case request_step::statement: return "statement";
     case request_step::commit: return "commit";
     case request_step::position: return "position";
-    case request_step::safety: break;
+    case request_step::safety: return "safety";
+    case request_step::storing: break;
     }
-    return "safety";
+    return "storing";
 }
 
 std::string_view to_string(request_end end) {
@@ -481,6 +482,10 @@
 //-----------------------------------------------------------------------------
 
 void request_path::finish_success() {
+    if (active_->position > 0 && !active_->is_mark_stored) {
+        store_mark();
+        return;
+    }
     active_request& r = *active_;
     const time_point at = now();
     if (r.on_primary && !term_still_holds() && !(pinned_ && pinned_->in_transaction())) {
@@ -492,9 +497,6 @@
     if (!r.was_write || r.what.kind == statement_kind::begin_read_only) {
         record_read(state, r.server, at);
     }
-    if (r.position > 0) {
-        owner_.cluster.note_acknowledged(state.group, r.term, r.seen_before, r.position);
-    }
     if (r.what.may_use_replica) {
         owner_.counts.note_read(metric(), r.on_primary ? request_target::primary : request_target::replica,
                                 at - r.started_at);
@@ -666,7 +668,8 @@
     const active_request& r = *active_;
     switch (r.step) {
     case request_step::commit:
-    case request_step::position: return run_state::unknown;
+    case request_step::position:
+    case request_step::storing: return run_state::unknown;
     case request_step::safety: return run_state::ran;
     case request_step::statement: break;
     default: return run_state::not_run;
@@ -772,6 +775,10 @@
         finish_with_error(result_code::not_safe_yet, run_state::ran);
         return;
     }
+    if (r.step == request_step::storing) {
+        finish_with_error(result_code::not_safe_yet, run_state::unknown);
+        return;
+    }
     const run_state run = outcome_if_lost();
     lost_transaction_ = loses_transaction();
     owner_.cluster.note_request_ended(r.server, false, now() - r.used_from);
--- a/src/daemon/request_path.hpp
+++ b/src/daemon/request_path.hpp
@@ -11,6 +11,8 @@
 //   running     session settings, "begin" and the idempotency key where there is one, the statement,
 //               "commit", and after a write the primary's position, where its answer does not carry it; what
 //               acknowledges a write is held back till the end
+//   storing     where replicas confirm commits, control instances store up to where commits have been
+//               acknowledged
 //   judged      the lease and the term must still be what they were when the write was sent; otherwise the
 //               caller is told "unknown", never a success
 //
@@ -101,6 +103,7 @@
     commit,
     position,
     safety,
+    storing,
 };
 
 class request_path : public std::enable_shared_from_this<request_path> {
@@ -155,6 +158,7 @@
         bool reprepared = false;
         std::string held; // the acknowledging rest of the answer
         log_position position = 0;
+        bool is_mark_stored = false;  // what `position` tells of the commit outlives this instance
         log_position seen_before = 0; // of the primary's log, when the write or the commit was sent
         result_code last_refusal = result_code::no_primary;
         std::uint64_t serial = 0;
@@ -210,6 +214,7 @@
     // [after a write]
     void run_position();
     void wait_for_safety();
+    void store_mark();
     [[nodiscard]] bool term_still_holds() const;
     // [ending]
     void finish_success();
--- a/src/daemon/request_run.cpp
+++ b/src/daemon/request_run.cpp
@@ -390,6 +390,28 @@
     arm_timer(std::min(r.deadline, now() + safety_look_interval));
 }
 
+// Until others know of the commit, a failover after the end of this instance may choose a log without it.
+void request_path::store_mark() {
+    active_request& r = *active_;
+    r.step = request_step::storing;
+    r.is_mark_stored = true;
+    const std::uint64_t serial = r.serial;
+    owner_.cluster.note_acknowledged(
+        state.group, r.term, r.seen_before, r.position, [self = shared_from_this(), serial](bool stored) {
+            if (!self->active_ || self->active_->serial != serial || self->closed_) {
+                return;
+            }
+            if (stored) {
+                self->finish_success();
+            } else {
+                self->finish_with_error(result_code::term_changed, run_state::unknown);
+            }
+        });
+    if (active_ && active_->serial == serial) {
+        owner_.note_waiting(number_); // the term may end meanwhile
+    }
+}
+
 bool request_path::term_still_holds() const {
     if (!owner_.cluster.has_lease()) {
         return false;
--- a/src/io/codec.cpp
+++ b/src/io/codec.cpp
@@ -355,6 +355,17 @@
     m.set_sequence(v.sequence);
 }
 
+acknowledged_mark from_wire(const wire::acknowledged_mark& m) {
+    return {.group = {m.group()}, .term = m.term(), .confirmed = m.confirmed(), .highest = m.highest()};
+}
+
+void to_wire(const acknowledged_mark& v, wire::acknowledged_mark& m) {
+    m.set_group(v.group.value);
+    m.set_term(v.term);
+    m.set_confirmed(v.confirmed);
+    m.set_highest(v.highest);
+}
+
 renewal from_wire(const wire::renewal& m) {
     renewal v;
     v.instance = from_wire(m.instance());
@@ -376,8 +387,7 @@
         v.announcements.push_back(from_wire(a));
     }
     for (const auto& a : m.acknowledged()) {
-        v.acknowledged.push_back(
-            {.group = {a.group()}, .term = a.term(), .confirmed = a.confirmed(), .highest = a.highest()});
+        v.acknowledged.push_back(from_wire(a));
     }
     for (const auto& c : m.claims()) {
         v.claims.push_back({.key = {.service = {c.service()}, .server = {c.server()}},
@@ -408,11 +418,7 @@
         to_wire(a, *m.add_announcements());
     }
     for (const acknowledged_mark& a : v.acknowledged) {
-        auto* e = m.add_acknowledged();
-        e->set_group(a.group.value);
-        e->set_term(a.term);
-        e->set_confirmed(a.confirmed);
-        e->set_highest(a.highest);
+        to_wire(a, *m.add_acknowledged());
     }
     for (const share_claim& c : v.claims) {
         auto* e = m.add_claims();
--- a/tests/acknowledged_site_test.cpp
+++ b/tests/acknowledged_site_test.cpp
@@ -123,6 +123,38 @@
     EXPECT_TRUE(g.is_served_by("s4"));
 }
 
+// An instance acknowledged commits that such a replica had confirmed, and ended with the primary before its
+// next renewal. Nobody else knew of them, and a replica that lacked them was promoted.
+TEST(acknowledged_commits, of_an_instance_that_ended_before_it_told_are_waited_for) {
+    acknowledged_site g;
+    g.s.add_entry_apart();
+    fake_server& unheard = g.s.add_server("s4");
+    unheard.started = g.s.server("s1").started;
+    unheard.heard_of = false;
+    g.write(1); // the instance has connections
+    g.s.run_for(milliseconds{300});
+    g.s.server("s2").follows = false;
+    g.s.server("s3").follows = false;
+    g.write(1);
+    g.s.freeze_apart(true);
+    g.s.stop_server("s1");
+    g.run_for(2 * several_failovers);
+    EXPECT_TRUE(g.s.promotions.empty()) << g.s.promotions.front().server;
+    unheard.heard_of = true;
+    g.s.beat();
+    EXPECT_TRUE(g.s.run_until([&] { return g.is_led_by("s4"); }));
+}
+
+// Control was out of reach, so nobody could be told of the commit before its caller.
+TEST(acknowledged_commits, whose_marks_nobody_can_store_are_in_doubt) {
+    acknowledged_site g;
+    line_caller c = g.s.connect("strict");
+    EXPECT_FALSE(c.ask("w", "STORE k v").done.empty());
+    g.s.freeze_control();
+    const answer a = c.ask("x", "STORE k v");
+    EXPECT_TRUE(a.error.starts_with("INDOUBT")) << a.error << a.done;
+}
+
 //-----------------------------------------------------------------------------
 // [the old primary]
 //-----------------------------------------------------------------------------
--- a/tests/cluster_fuzz_test.cpp
+++ b/tests/cluster_fuzz_test.cpp
@@ -342,6 +342,12 @@
     expect_violation(rates, {.ack_without_lease = true});
 }
 
+TEST(cluster_fuzz, detects_marks_that_no_other_instance_holds) {
+    fault_rates rates = unheard_replicas();
+    rates.daemon_crash = 0.004;
+    expect_violation(rates, {.marks_held_by_none = true});
+}
+
 TEST(cluster_fuzz, detects_grant_in_effect_too_early) {
     expect_violation(all_faults(), {.grant_counts_at_once = true});
 }
--- a/tests/cluster_model.cpp
+++ b/tests/cluster_model.cpp
@@ -113,6 +113,9 @@
     c.up = true;
     ++c.incarnation;
     c.sync_free_at = now_;
+    c.held = {};
+    c.last_seq = 0;
+    c.known_since = 0;
     // The founder retries if it stopped before anything was on its disk.
     const bool is_first_start = c.incarnation == 1;
     if (id == founder_ && !is_first_start) {
@@ -184,6 +187,63 @@
     ask_to_join(i);
     greet_unknown_controls(i);
     process_control_output(i);
+    if (now_ >= c.next_renewal) {
+        c.next_renewal = now_ + ms(200);
+        renew_control(i);
+    }
+}
+
+constexpr duration control_message_delay = std::chrono::milliseconds{2};
+
+// A control instance renews like a daemon without clients, and tells the marks that it holds.
+void cluster_model::renew_control(std::size_t i) {
+    model_control& c = controls_[i];
+    drop_outdated_marks(c.held, c.core.cluster, control_settings{}.lease, clock_of(c));
+    renewal r;
+    r.instance = {.id = {c.name}, .domain = domain_of(i), .address = c.name, .accepts_clients = false};
+    r.incarnation = c.incarnation;
+    r.applied_revision = c.core.cluster.revision;
+    r.last_reply_seq = c.last_seq;
+    r.acknowledged = find_untold_marks(c.held, leader_term_of(c.last_seq));
+    r.known_since = c.known_since;
+    const std::size_t asked = c.control_index;
+    c.control_index = (c.control_index + 1) % controls_.size(); // until the leader has answered
+    queue_.emplace(now_ + control_message_delay, [this, i, asked, r] {
+        model_control& to = controls_[asked];
+        const bool is_cut = now_ < to.partitioned_until || now_ < controls_[i].partitioned_until;
+        if (!is_running(to) || (is_cut && asked != i)) {
+            return;
+        }
+        const auto reply = renew(to.core, r, clock_of(to));
+        process_control_output(asked);
+        if (!reply || reply->code != result_code::ok) {
+            return;
+        }
+        queue_.emplace(now_ + control_message_delay, [this, i, asked, r, reply] {
+            model_control& self = controls_[i];
+            if (!is_running(self) || self.incarnation != r.incarnation) {
+                return;
+            }
+            self.control_index = asked;
+            record_told_marks(self.held, leader_term_of(reply->seq), r.acknowledged);
+            self.known_since = self.known_since == 0 ? reply->known_since : self.known_since;
+            self.last_seq = std::max(self.last_seq, reply->seq);
+        });
+    });
+}
+
+// Returns true once a majority of the control instances holds the mark.
+bool cluster_model::store_mark(const acknowledged_mark& mark) {
+    std::size_t holders = 0;
+    for (model_control& c : controls_) {
+        if (is_running(c) && now_ >= c.partitioned_until && c.core.cluster.groups.contains(the_group)) {
+            if (!record_held_marks(c.held, c.core.cluster, {mark}, clock_of(c)).empty()) {
+                return false;
+            }
+            ++holders;
+        }
+    }
+    return holders > controls_.size() / 2;
 }
 
 std::size_t cluster_model::index_of(const std::string& address) const {
@@ -598,6 +658,13 @@
     }
     record_acknowledgement(self.acknowledged, the_group, w.term, w.seen_before, s.writes.size(),
                            clock_of(self));
+    const bool is_held =
+        required == 0 || broken_.marks_held_by_none ||
+        store_mark(
+            {.group = the_group, .term = w.term, .confirmed = w.seen_before + 1, .highest = s.writes.size()});
+    if (!is_held) {
+        return; // the caller is told nothing
+    }
     record_seen_position(self, w.term, s.writes.size());
     ++acknowledged;
     acknowledged_writes_.insert(w.write);
--- a/tests/cluster_model.hpp
+++ b/tests/cluster_model.hpp
@@ -64,6 +64,7 @@
     bool drop_join_hints = false;             // a joining instance asks only the instances of its settings
     bool drop_senders = false;                // messages do not tell their sender's address
     bool control_unaware_of_replicas = false; // the table tells no count of replicas that confirm writes
+    bool marks_held_by_none = false;          // callers are told before other instances hold the mark
 };
 
 struct model_control {
@@ -84,6 +85,12 @@
     time_point restart_at{};        // while stopped by a tolerated loss
     time_point lost_until{};
     time_point disk_lost_until{}; // counts as lost with its disk until then
+    // As a daemon: the marks that it holds, and its renewals.
+    acknowledgement_ledger held;
+    std::uint64_t last_seq = 0;
+    revision_number known_since = 0;
+    std::size_t control_index = 0; // control instance that gets the next renewal
+    time_point next_renewal{};
 };
 
 struct model_daemon {
@@ -174,6 +181,8 @@
     void start_control(std::size_t i, bool empty_disk);
     void stop_control(std::size_t i);
     void run_control(std::size_t i);
+    void renew_control(std::size_t i);
+    bool store_mark(const acknowledged_mark& mark);
     void draw_seeds(model_control& c);
     void send_message(std::size_t from, const raft::message& m, const std::string& address);
     void ask_to_join(std::size_t i);
