--- a/tests/commit_safety_test.cpp
+++ b/tests/commit_safety_test.cpp
@@ -386,6 +386,30 @@
     EXPECT_EQ(site.g.promoted, only("s2"));
 }
 
+// A promotion did not wait for a control instance that alone held the mark of an instance that had ended.
+TEST(commit_safety, majority_of_control_instances_tells_its_marks_however_late) {
+    commit_site g(1);
+    g.s.addresses = {{"c1", "127.0.0.1:11"}, {"c2", "127.0.0.1:12"}, {"c3", "127.0.0.1:13"}};
+    g.s.control.control_addresses = {"127.0.0.1:11", "127.0.0.1:12", "127.0.0.1:13"};
+    g.servers.at("s1").log.position = 150;
+    g.servers.at("s2").log.position = 120;
+    g.run(milliseconds{200});
+    g.crash("s1");
+    for (int i = 0; i < 200; ++i) {
+        g.s.renew("c1");
+        g.run(milliseconds{100});
+    }
+    EXPECT_EQ(g.promoted, nobody) << "c2 or c3 may hold a mark";
+    g.s.renew("c2");
+    g.s.acknowledged = {mark(150, 150)};
+    g.s.renew("c2");
+    g.run(seconds{5});
+    EXPECT_EQ(g.promoted, nobody) << "s2 is below the mark";
+    g.servers.at("s2").log.position = 150;
+    g.run(seconds{2});
+    EXPECT_EQ(g.promoted, only("s2"));
+}
+
 // What an instance acknowledged last is unknown if it does not confirm the fence, or has started within the
 // term.
 TEST(commit_safety, unknown_marks_leave_it_to_the_number_of_answers) {
--- a/tests/control_site.hpp
+++ b/tests/control_site.hpp
@@ -42,7 +42,8 @@
         }
     }
 
-    bool accepts_clients = true; // of the next daemon that renews
+    std::map<std::string, std::string> addresses; // of daemons; others have a common one
+    bool accepts_clients = true;                  // of the next daemon that renews
     std::uint64_t incarnation = 1;
     std::vector<acknowledged_mark> acknowledged; // told with the next renewal
     revision_number known_since = 0;             // of the daemons that renew; 0 = of no use
@@ -52,7 +53,7 @@
         renewal r;
         r.instance = {.id = {daemon},
                       .domain = {"d-" + daemon},
-                      .address = "127.0.0.1:1",
+                      .address = addresses.contains(daemon) ? addresses.at(daemon) : "127.0.0.1:1",
                       .accepts_clients = accepts_clients};
         r.incarnation = incarnation;
         r.applied_revision = cluster.revision;
