Acknowledgements: a commit sent before the promise raises only the upper bound

Callers saw a group without a primary for good: an operator had asked for a replica that confirms commits, the primary's log was lost at once, and no server was promoted any more.

Cause: the lower bound of a mark says that some replica has received the log up to there. Each acknowledgement raised it, also where no replica had to confirm the commit when it was sent. Instances keep and tell the marks of the last lease before a count is raised, so promotions waited for a position that nobody need have, even with every server's answer.

Now a request notes beside the position from which it starts whether its instance's record asks for replicas. A commit of before raises the upper bound alone, which is waited for as before while a server has not answered.

Whether the fault is older than the stored marks was not run.

--- a/src/core/acknowledgements.cpp
+++ b/src/core/acknowledgements.cpp
@@ -13,14 +13,22 @@
     }
 }
 
+acknowledged_mark make_mark(const group_id& group, term_number term, const commit_start& sent,
+                            log_position position) {
+    return {.group = group,
+            .term = term,
+            .confirmed = sent.is_promised ? sent.position + 1 : 0,
+            .highest = position};
+}
+
 bool record_acknowledgement(acknowledgement_ledger& l, const group_id& group, term_number term,
-                            log_position before, log_position position, time_point now) {
-    if (position > before) {
+                            const commit_start& sent, log_position position, time_point now) {
+    if (position > sent.position) {
         acknowledgement_ledger::entry& entry = l.groups[group];
-        merge_mark(entry.mark, {.group = group, .term = term, .confirmed = before + 1, .highest = position});
+        merge_mark(entry.mark, make_mark(group, term, sent, position));
         entry.recorded_at = now;
     }
-    return position >= before;
+    return position >= sent.position;
 }
 
 std::vector<acknowledged_mark> record_held_marks(acknowledgement_ledger& l, const cluster_state& s,
--- a/src/core/acknowledgements.hpp
+++ b/src/core/acknowledgements.hpp
@@ -5,7 +5,8 @@
 // the commit was sent, and at most the one that came with its acknowledgement; that one may include other
 // commits which are still being confirmed. Both bounds are kept: replicas certainly hold the log up to the
 // lower one, since commits are confirmed in the order of the log, and no acknowledged commit is beyond the
-// upper one.
+// upper one. A commit that was sent before replicas had to confirm it raises only the upper one: no replica
+// may have it.
 #pragma once
 
 #include "core/cluster_state.hpp"
@@ -24,6 +25,17 @@
     auto operator<=>(const acknowledged_mark&) const = default;
 };
 
+// What was known of the group when a commit was sent.
+struct commit_start {
+    log_position position = 0; // the highest that was seen of the primary's log
+    bool is_promised = false;  // replicas have to confirm the commit
+    auto operator<=>(const commit_start&) const = default;
+};
+
+// Returns the bounds of a commit whose acknowledgement came with `position`, which is beyond the start.
+acknowledged_mark make_mark(const group_id& group, term_number term, const commit_start& sent,
+                            log_position position);
+
 // Raises `known` to the bounds of `told`. A mark of a later term replaces that of an earlier one.
 void merge_mark(acknowledged_mark& known, const acknowledged_mark& told);
 
@@ -42,11 +54,11 @@
     bool operator==(const acknowledgement_ledger&) const = default;
 };
 
-// Records that a commit is acknowledged to a caller. `before`: highest position seen of the primary when the
-// commit was sent; `position`: came with the acknowledgement, the same if nothing was written. Returns false,
-// and records nothing, if the position is below `before`: the log has gone back.
+// Records that a commit is acknowledged to a caller. `position` came with the acknowledgement, and is that of
+// the start if nothing was written. Returns false, and records nothing, if it is below: the log has gone
+// back.
 bool record_acknowledgement(acknowledgement_ledger& l, const group_id& group, term_number term,
-                            log_position before, log_position position, time_point now);
+                            const commit_start& sent, log_position position, time_point now);
 
 // Records marks of another instance. Returns those that are not taken: the group's term has ended or is
 // fenced by what this instance knows, so control may have been told already what is held here; or they
--- a/src/daemon/agent.hpp
+++ b/src/daemon/agent.hpp
@@ -95,12 +95,13 @@
 
     // Returns a position that the log of the group's primary has reached in this term; 0 if none is known.
     [[nodiscard]] log_position seen_primary_position(const group_id& group) const;
-    // Call before a caller is told that its commit succeeded in this term. `before`:
-    // seen_primary_position() when the commit was sent; `position` came with the server's answer. `done` gets
-    // true once the commit outlives this instance: at once, but that where replicas confirm commits its mark
-    // is stored by control instances first. False: the term is over. Neither comes while control is out of
-    // reach.
-    void note_acknowledged(const group_id& group, term_number term, log_position before,
+    // Call when a commit is sent to the group's primary.
+    [[nodiscard]] commit_start find_commit_start(const group_id& group) const;
+    // Call before a caller is told that its commit succeeded in this term. `sent`: find_commit_start() when
+    // the commit was sent; `position` came with the server's answer. `done` gets true once the commit
+    // outlives this instance: at once, but that where replicas confirm commits its mark is stored by control
+    // instances first. False: the term is over. Neither comes while control is out of reach.
+    void note_acknowledged(const group_id& group, term_number term, const commit_start& sent,
                            log_position position, std::function<void(bool)> done);
 
     // Another instance tells where the server's log stood, as of its start number. `taken_by`: by then, at
@@ -203,6 +204,7 @@
     void connect_probe(const server_id& id);
     void on_probed(const server_id& id, const backend_outcome& outcome, time_point asked_at);
     void set_alive(probed_server& p, bool alive);
+    [[nodiscard]] bool is_promised(const group_id& group) const; // replicas confirm its commits
     [[nodiscard]] std::optional<log_mark> least_mark(const server_id& id) const;
     void note_reign(const group_record& group, const position_sample& sample);
     void take_sample(const server_id& id, bool is_primary, const position_sample& sample,
--- a/src/daemon/agent_servers.cpp
+++ b/src/daemon/agent_servers.cpp
@@ -421,18 +421,26 @@
                     was_seen ? known->second.highest.position : log_position{0});
 }
 
-void agent::note_acknowledged(const group_id& group, term_number term, log_position before,
-                              log_position position, std::function<void(bool)> done) {
-    if (!record_acknowledgement(acknowledged_, group, term, before, position, now())) {
-        log_event(
-            severity::warning, "acknowledged_position_went_back",
-            {{"group", group.value}, {"group_term", term}, {"position", position}, {"seen_before", before}});
-    }
+bool agent::is_promised(const group_id& group) const {
     const auto record = cluster_.groups.find(group);
-    const bool is_promised = record != cluster_.groups.end() && record->second.sync_replicas > 0;
-    if (is_promised && position > before) {
-        marks_.store({.group = group, .term = term, .confirmed = before + 1, .highest = position},
-                     std::move(done));
+    return record != cluster_.groups.end() && record->second.sync_replicas > 0;
+}
+
+commit_start agent::find_commit_start(const group_id& group) const {
+    return {.position = seen_primary_position(group), .is_promised = is_promised(group)};
+}
+
+void agent::note_acknowledged(const group_id& group, term_number term, const commit_start& sent,
+                              log_position position, std::function<void(bool)> done) {
+    if (!record_acknowledgement(acknowledged_, group, term, sent, position, now())) {
+        log_event(severity::warning, "acknowledged_position_went_back",
+                  {{"group", group.value},
+                   {"group_term", term},
+                   {"position", position},
+                   {"seen_before", sent.position}});
+    }
+    if (is_promised(group) && position > sent.position) {
+        marks_.store(make_mark(group, term, sent, position), std::move(done));
     } else {
         done(true);
     }
--- a/src/daemon/request_path.hpp
+++ b/src/daemon/request_path.hpp
@@ -158,8 +158,8 @@
         bool reprepared = false;
         std::string held; // the acknowledging rest of the answer
         log_position position = 0;
-        bool is_mark_stored = false;  // what `position` tells of the commit outlives this instance
-        log_position seen_before = 0; // of the primary's log, when the write or the commit was sent
+        bool is_mark_stored = false; // what `position` tells of the commit outlives this instance
+        commit_start commit;         // when the write or the commit was sent
         result_code last_refusal = result_code::no_primary;
         std::uint64_t serial = 0;
     };
--- a/src/daemon/request_run.cpp
+++ b/src/daemon/request_run.cpp
@@ -182,7 +182,7 @@
     r.step = request_step::statement;
     r.may_have_run = true;
     r.was_write = r.on_primary && !r.what.surely_reads && !r.what.looks_like_read;
-    r.seen_before = owner_.cluster.seen_primary_position(state.group);
+    r.commit = owner_.cluster.find_commit_start(state.group);
     backend_sink sink;
     sink.hold_errors = true;
     const std::uint64_t serial = r.serial;
@@ -327,7 +327,7 @@
         finish_with_error(result_code::term_changed, run_state::not_run, come_back_after);
         return;
     }
-    active_->seen_before = owner_.cluster.seen_primary_position(state.group);
+    active_->commit = owner_.cluster.find_commit_start(state.group);
     run_plain("commit", request_step::commit, [this](const backend_outcome& outcome) {
         if (outcome.failed) {
             drop_connection();
@@ -397,7 +397,7 @@
     r.is_mark_stored = true;
     const std::uint64_t serial = r.serial;
     owner_.cluster.note_acknowledged(
-        state.group, r.term, r.seen_before, r.position, [self = shared_from_this(), serial](bool stored) {
+        state.group, r.term, r.commit, r.position, [self = shared_from_this(), serial](bool stored) {
             if (!self->active_ || self->active_->serial != serial || self->closed_) {
                 return;
             }
