Tests: the model's instances store marks by their own record, as the product does

The model stored a mark with control wherever the agreed table asked for replicas; an instance decides by its own copy of the group's record, which may be older.

--- a/tests/cluster_model.cpp
+++ b/tests/cluster_model.cpp
@@ -659,7 +659,7 @@
     }
     const log_position position = s.writes.size();
     record_acknowledgement(self.acknowledged, the_group, w.term, w.start, position, clock_of(self));
-    const bool is_held = required == 0 || broken_.marks_held_by_none ||
+    const bool is_held = record->second.sync_replicas == 0 || broken_.marks_held_by_none ||
                          store_mark(make_mark(the_group, w.term, w.start, position));
     if (!is_held) {
         return; // the caller is told nothing
