--- a/tests/acknowledged_site_test.cpp
+++ b/tests/acknowledged_site_test.cpp
@@ -124,7 +124,7 @@
 }
 
 // An instance acknowledged commits that such a replica had confirmed, and ended with the primary before its
-// next renewal. Nobody else knew of them, and a replica that lacked them was promoted.
+// next renewal. No other process knew their position, and a replica without them was promoted.
 TEST(acknowledged_commits, of_an_instance_that_ended_before_it_told_are_waited_for) {
     acknowledged_site g;
     g.s.add_entry_apart();
@@ -145,7 +145,7 @@
     EXPECT_TRUE(g.s.run_until([&] { return g.is_led_by("s4"); }));
 }
 
-// Control was out of reach, so nobody could be told of the commit before its caller.
+// With control out of reach no mark can be stored, and the commit must not be reported as done.
 TEST(acknowledged_commits, whose_marks_nobody_can_store_are_in_doubt) {
     acknowledged_site g;
     line_caller c = g.s.connect("strict");
--- a/tests/commit_safety_test.cpp
+++ b/tests/commit_safety_test.cpp
@@ -307,7 +307,7 @@
     EXPECT_EQ(g.promoted, only("s4"));
 }
 
-// The end of the log that nobody else has received is waited for until the primary brings it.
+// No replica has received the end of the log: the failover waits until the primary is back with it.
 TEST(commit_safety, wait_for_a_log_between_the_bounds_ends_with_the_primary_s_own_log) {
     commit_site g(1);
     g.servers.at("s1").log.position = 150;
@@ -535,7 +535,8 @@
     EXPECT_EQ(l.groups.at({"g"}).mark, mark(51, 51, 2));
 }
 
-// A commit of before the promise counted as received by a replica, and promotions waited for it for good.
+// Commits sent while no replica had to confirm them counted as received by one, and promotions waited without
+// end for a log that held them.
 TEST(acknowledgements, commit_sent_before_the_promise_raises_only_the_upper_bound) {
     acknowledgement_ledger l;
     EXPECT_TRUE(record_acknowledgement(l, {"g"}, 1, confirmed_from(100), 103, start));
